--- /dev/null
+++ b/main.go
@@ -0,0 +1,10 @@
+// Stilemast serves multi-stage model pipelines; see README.md.
+package main
+
+import (
+	"os"
+
+	"github.com/stilemast/stilemast/src/cli"
+)
+
+func main() { os.Exit(cli.Main(os.Args)) }
--- /dev/null
+++ b/src/box/flight.go
@@ -0,0 +1,367 @@
+package box
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/config"
+	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/port"
+)
+
+// flight is a request under way. Events are queued and stepped one after another by whichever
+// goroutine finds the queue idle, so actions come out in order and no lock is held while they run.
+type flight struct {
+	box   *Box
+	req   *core.Request // stepped only by the goroutine that has stepping set
+	conf  *config.Config
+	begun time.Time
+
+	mu       sync.Mutex
+	queue    []core.Event
+	stepping bool
+	answer   []byte
+	ended    bool
+	end      port.End
+	changed  chan struct{}
+	firstOut time.Time
+	lastOut  time.Time
+	calls    map[core.Attempt]context.CancelFunc
+	sentAt   map[core.Attempt]time.Time
+	deadline *time.Timer
+	admitted bool
+}
+
+func newFlight(b *Box, req *core.Request, c *config.Config) *flight {
+	return &flight{
+		box: b, req: req, conf: c, begun: b.now(), changed: make(chan struct{}),
+		calls: map[core.Attempt]context.CancelFunc{}, sentAt: map[core.Attempt]time.Time{},
+	}
+}
+
+// start lets an admitted request run.
+func (f *flight) start() {
+	f.mu.Lock()
+	f.admitted = true
+	f.deadline = time.AfterFunc(f.req.GiveUp(f.begun).Sub(f.box.now()), func() { f.post(core.DeadlineOver{}) })
+	f.mu.Unlock()
+	f.post(core.Begin{})
+}
+
+// post queues an event and steps the queue unless somebody already does.
+func (f *flight) post(ev core.Event) {
+	f.mu.Lock()
+	f.queue = append(f.queue, ev)
+	if f.stepping {
+		f.mu.Unlock()
+		return
+	}
+	f.stepping = true
+	for len(f.queue) > 0 {
+		ev := f.queue[0]
+		f.queue = f.queue[1:]
+		f.mu.Unlock()
+		f.step(ev)
+		f.mu.Lock()
+	}
+	f.queue = nil
+	f.stepping = false
+	f.mu.Unlock()
+}
+
+func (f *flight) step(ev core.Event) {
+	stale := f.req.Stale()
+	for _, a := range f.req.Step(f.box.now(), ev) {
+		f.do(a)
+	}
+	if n := f.req.Stale() - stale; n > 0 && f.box.Watch.Stale != nil {
+		f.box.Watch.Stale(n)
+	}
+}
+
+// do carries out one action.
+func (f *flight) do(a core.Action) {
+	switch a := a.(type) {
+	case core.Enqueue:
+		f.enqueue(a.Call)
+	case core.Withdraw:
+		if p := f.box.pools.get(a.Pool); p != nil {
+			p.withdraw(a.Attempt)
+		}
+	case core.Release:
+		if p := f.box.pools.get(a.Pool); p != nil {
+			p.release(a.Attempt, a.Server)
+		}
+	case core.Send:
+		f.send(a)
+	case core.Stop:
+		f.stop(a)
+	case core.ArmHedge:
+		time.AfterFunc(a.After, func() { f.post(core.HedgeDue{Attempt: a.Attempt}) })
+	case core.Pause:
+		time.AfterFunc(a.After, func() { f.post(core.PauseOver{}) })
+	case core.Emit:
+		f.emit(a.Data)
+	case core.Settle:
+		f.settle(a)
+	case core.Finish:
+		f.finish(a.Err)
+	case core.Amend:
+		s := f.box.shardOf(f.req.Key())
+		s.mu.Lock()
+		s.ledger.Amend(f.req.Key(), a.Err)
+		s.mu.Unlock()
+	}
+}
+
+func (f *flight) enqueue(c *core.Call) {
+	p := f.box.pools.get(c.Stage.Pool())
+	if p == nil {
+		f.post(core.Refused{Attempt: c.Attempt, Err: code.New(code.NowhereToRun, "", "no pool %s", c.Stage.Pool())})
+		return
+	}
+	if err := p.push(f.box.now(), c, f); err != nil {
+		f.post(core.Refused{Attempt: c.Attempt, Err: err})
+	}
+}
+
+// send dispatches a call on a goroutine of its own.
+func (f *flight) send(a core.Send) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.mu.Lock()
+	f.calls[a.Attempt] = cancel
+	if _, again := f.sentAt[a.Attempt]; !again {
+		f.sentAt[a.Attempt] = f.box.now()
+	}
+	f.mu.Unlock()
+	f.box.background.Add(1)
+	go func() {
+		defer f.box.background.Done()
+		defer cancel()
+		f.call(ctx, a)
+	}()
+}
+
+// call makes the call if everything that was decided still holds at this moment, and posts its end.
+func (f *flight) call(ctx context.Context, a core.Send) {
+	server, why := f.check(ctx, a)
+	if why != 0 {
+		f.post(core.Failed{Attempt: a.Attempt, Failure: why})
+		return
+	}
+	stage := f.req.Pipeline().Stages()[a.Attempt.Stage]
+	ctx, cancel := context.WithTimeout(ctx, f.limit(stage))
+	defer cancel()
+	stall := newStallWatch(stage, cancel)
+	defer stall.end()
+	emit := func(offset int, data []byte) {
+		stall.alive()
+		f.post(core.Chunk{Attempt: a.Attempt, Offset: offset, Data: data})
+	}
+	res, err := f.box.Backends.Call(ctx, server, f.request(a, stage), emit)
+	if err != nil {
+		f.post(core.Failed{Attempt: a.Attempt, Failure: err.Failure, Message: err.Message})
+		return
+	}
+	if res.Stream && stage.Kind() == config.Generate {
+		f.box.est.LearnTokens(f.req.Pipeline(), stage, res.Length/standardTokenBytes, stage.MaxTokens())
+	}
+	f.post(core.Done{Attempt: a.Attempt, Output: res.Output, Length: res.Length, Stream: res.Stream, Use: res.Use})
+}
+
+// standardTokenBytes is the rough size of a token in an output.
+const standardTokenBytes = 4
+
+// check looks once more at what the placement rested on: this process was not paused since, and the
+// configuration in force now still lets the stage run there. Nothing has been sent when it fails.
+func (f *flight) check(ctx context.Context, a core.Send) (*config.BackendServer, core.Failure) {
+	for !f.box.awake() {
+		select {
+		case <-ctx.Done():
+			return nil, core.NotSent
+		case <-time.After(core.TickEvery):
+		}
+	}
+	c := f.box.Config()
+	server := c.BackendServer(a.Server)
+	w := c.Workspace(f.req.Workspace().Name())
+	stage := f.req.Pipeline().Stages()[a.Attempt.Stage]
+	if server == nil || w == nil || !config.MayRun(w, stage, server.Domain()) {
+		return nil, core.NotSent
+	}
+	if p := c.Pipeline(f.req.Pipeline().Name()); p != nil {
+		if s := stageNamed(p, stage.Name()); s != nil && !config.MayRun(w, s, server.Domain()) {
+			return nil, core.NotSent
+		}
+	}
+	if server.Leaving() && !a.Resume {
+		return nil, core.NotSent
+	}
+	return server, 0
+}
+
+func stageNamed(p *config.Pipeline, name string) *config.Stage {
+	for _, s := range p.Stages() {
+		if s.Name() == name {
+			return s
+		}
+	}
+	return nil
+}
+
+// limit is how long one call may take.
+func (f *flight) limit(s *config.Stage) time.Duration {
+	left := f.req.GiveUp(f.begun).Sub(f.box.now())
+	if s.Once() {
+		return left + core.OnceGrace
+	}
+	if s.Kind() == config.Generate {
+		return left
+	}
+	return min(left, max(core.AttemptFloor, core.AttemptFactor*f.box.est.Run(f.req.Pipeline(), s)))
+}
+
+func (f *flight) request(a core.Send, s *config.Stage) port.CallRequest {
+	r := port.CallRequest{
+		Attempt: a.Attempt.Wire(f.box.ID), Kind: string(s.Kind()), Input: a.Input, Offset: a.Offset,
+		Priority: int(f.req.Pipeline().Class()), Salt: f.req.Workspace().Name(), Model: s.Model(), Adapter: s.Adapter(),
+		Once: a.Once, Resume: a.Resume,
+	}
+	if s.Kind() == config.Generate {
+		r.Continue = a.Continue
+		r.MaxTokens = f.req.TokenLimit(s) - len(a.Continue)/standardTokenBytes
+		r.Prefix = core.PrefixBlocks(f.req.Workspace().Name(), a.Input)
+	}
+	return r
+}
+
+// stallWatch cancels a stream that stays silent.
+type stallWatch struct{ t *time.Timer }
+
+func newStallWatch(s *config.Stage, cancel func()) *stallWatch {
+	if s.Kind() != config.Generate {
+		return &stallWatch{}
+	}
+	return &stallWatch{t: time.AfterFunc(core.StallLimit, cancel)}
+}
+
+func (w *stallWatch) alive() {
+	if w.t != nil {
+		w.t.Reset(core.StallLimit)
+	}
+}
+
+func (w *stallWatch) end() {
+	if w.t != nil {
+		w.t.Stop()
+	}
+}
+
+func (f *flight) stop(a core.Stop) {
+	f.mu.Lock()
+	cancel := f.calls[a.Attempt]
+	f.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+	server := f.conf.BackendServer(a.Server)
+	if server == nil {
+		return
+	}
+	f.box.background.Add(1)
+	go func() {
+		defer f.box.background.Done()
+		ctx, done := context.WithTimeout(context.Background(), stopWait)
+		defer done()
+		f.box.Backends.Stop(ctx, server, a.Attempt.Wire(f.box.ID))
+	}()
+}
+
+// stopWait bounds the message that cancels a call.
+const stopWait = time.Second
+
+// settle tells the pool and the cost account how a call ended.
+func (f *flight) settle(a core.Settle) {
+	now := f.box.now()
+	f.mu.Lock()
+	took := now.Sub(f.sentAt[a.Attempt])
+	delete(f.calls, a.Attempt)
+	delete(f.sentAt, a.Attempt)
+	f.mu.Unlock()
+	if p := f.box.pools.get(a.Pool); p != nil {
+		p.done(now, a)
+	}
+	stage := f.req.Pipeline().Stages()[a.Attempt.Stage]
+	f.box.cost.Add(f.req.Pipeline(), stage, a.Attempt.N, a.Use, took, a.Wasted)
+	if f.box.Watch.Settled != nil {
+		f.box.Watch.Settled(a.Pool, a.Failure, took)
+	}
+}
+
+func (f *flight) emit(data []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.box.now()
+	if f.firstOut.IsZero() {
+		f.firstOut = now
+	}
+	f.lastOut = now
+	f.answer = append(f.answer, data...)
+	f.wakeLocked()
+}
+
+func (f *flight) wakeLocked() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// finish gives the final answer at once: to the ledger first, so that no copy runs after a refusal.
+func (f *flight) finish(err *code.Error) {
+	b := f.box
+	key := f.req.Key()
+	end := port.End{Err: err, MayRepeat: f.req.MayRepeat(), Uses: f.req.Uses()}
+	f.mu.Lock()
+	end.Length = len(f.answer)
+	answer := f.answer
+	f.mu.Unlock()
+	s := b.shardOf(key)
+	s.mu.Lock()
+	s.ledger.Close(b.now(), key, err, answer, end.Uses, end.MayRepeat)
+	delete(s.flights, key.ID)
+	s.mu.Unlock()
+	f.mu.Lock()
+	f.ended, f.end = true, end
+	admitted := f.admitted
+	if f.deadline != nil {
+		f.deadline.Stop()
+	}
+	f.wakeLocked()
+	f.mu.Unlock()
+	b.closeAccounts(f, err, admitted)
+}
+
+// follow gives events of the answer from an offset on, until the end or until ctx is done.
+func (f *flight) follow(ctx context.Context, offset int, emit func(port.ForwardEvent) error) error {
+	for {
+		f.mu.Lock()
+		data := f.answer[min(offset, len(f.answer)):]
+		ended, end, changed := f.ended, f.end, f.changed
+		f.mu.Unlock()
+		if len(data) > 0 {
+			if err := emit(port.ForwardEvent{Chunk: &port.Chunk{Offset: offset, Data: data}}); err != nil {
+				return err
+			}
+			offset += len(data)
+		}
+		if ended {
+			return emit(port.ForwardEvent{End: &end})
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/src/box/serve.go
@@ -0,0 +1,339 @@
+package box
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/config"
+	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/port"
+)
+
+// Request is what a caller asks for.
+type Request struct {
+	Workspace string
+	Pipeline  string
+	Key       string
+	Input     []byte
+	Deadline  time.Duration // 0 means the pipeline's own
+	MaxTokens int
+}
+
+// Emit takes the events of an answer; an error means that the caller is gone.
+type Emit func(port.ForwardEvent) error
+
+// asked is a request that passed the checks of its form.
+type asked struct {
+	conf      *config.Config
+	workspace *config.Workspace
+	pipeline  *config.Pipeline
+	key       core.Key
+	input     []byte
+	deadline  time.Time
+	maxTokens int
+	offset    int // bytes of the answer the caller has already
+}
+
+// Serve runs a caller's request; the last event is an End. The error is the caller's absence, which
+// does not stop the request.
+func (b *Box) Serve(ctx context.Context, r Request, emit Emit) error {
+	q, err := b.check(r)
+	if err != nil {
+		return emit(refusal(err))
+	}
+	if q.pipeline.Once() {
+		return b.runOnce(ctx, q, emit)
+	}
+	if b.draining.Load() {
+		return emit(refusal(code.New(code.Draining, "", "box %s is stopping", b.ID.Name)))
+	}
+	return b.runHere(ctx, q, emit)
+}
+
+func refusal(err *code.Error) port.ForwardEvent {
+	return port.ForwardEvent{End: &port.End{Err: err, MayRepeat: err.DidRun() == code.RanNo}}
+}
+
+// check judges everything about a request that can be judged without running it.
+func (b *Box) check(r Request) (*asked, *code.Error) {
+	c := b.Config()
+	if c == nil || !b.ready.Load() {
+		err := code.New(code.NotReady, "", "box %s has no configuration in force yet", b.ID.Name).After(time.Second)
+		if r.Key != "" {
+			err = err.WithRan(code.RanUnknown) // it may be a copy of a request that runs elsewhere
+		}
+		return nil, err
+	}
+	q := &asked{conf: c, input: r.Input, maxTokens: r.MaxTokens}
+	if q.workspace = c.Workspace(r.Workspace); q.workspace == nil {
+		return nil, b.byConfig(code.New(code.UnknownWorkspace, "workspace", "no workspace %q in version %d", r.Workspace, c.Version()))
+	}
+	if q.pipeline = c.Pipeline(r.Pipeline); q.pipeline == nil || !q.workspace.May(r.Pipeline) {
+		return nil, b.byConfig(code.New(code.UnknownPipeline, "pipeline", "no pipeline %q for the workspace in version %d", r.Pipeline, c.Version()))
+	}
+	if err := b.checkKey(q, r.Key); err != nil {
+		return nil, err
+	}
+	if len(r.Input) > q.pipeline.MaxInputBytes() {
+		return nil, code.New(code.MessageTooLarge, "input", "%d bytes, at most %d", len(r.Input), q.pipeline.MaxInputBytes())
+	}
+	if r.MaxTokens < 0 {
+		return nil, code.New(code.BadField, "max_tokens", "must not be negative")
+	}
+	if r.Deadline < 0 || r.Deadline > q.pipeline.MaxDeadline() {
+		return nil, code.New(code.BadDeadline, "deadline", "must be above 0 and at most %s", q.pipeline.MaxDeadline())
+	}
+	if r.Deadline == 0 {
+		r.Deadline = q.pipeline.Deadline()
+	}
+	q.deadline = b.now().Add(r.Deadline)
+	if err := b.checkBoundary(q); err != nil {
+		if q.pipeline.Once() {
+			err = err.WithRan(code.RanUnknown) // another box may have taken another copy
+		}
+		return nil, err
+	}
+	return q, nil
+}
+
+// checkBoundary says whether this box may hold the request.
+func (b *Box) checkBoundary(q *asked) *code.Error {
+	if !config.MayEnter(q.workspace, b.domainOf(q.conf)) {
+		return b.byConfig(code.New(code.BoxOutsideBoundary, "workspace", "workspace %q may not be entered in failure domain %q", q.workspace.Name(), b.Settings.FailureDomain))
+	}
+	if q.workspace.RefuseUnconfirmed() && b.now().Sub(b.docs.confirmed()) > core.UnconfirmedAfter {
+		return b.byConfig(code.New(code.BoundaryUnproven, "workspace", "the configuration was last confirmed too long ago").After(time.Second))
+	}
+	return nil
+}
+
+// byConfig marks a refusal that rests on the configuration: a box that can't confirm its own does not
+// know what a box with a newer one did with another copy.
+func (b *Box) byConfig(err *code.Error) *code.Error {
+	if b.now().Sub(b.docs.confirmed()) > core.UnconfirmedAfter {
+		return err.WithRan(code.RanUnknown)
+	}
+	return err
+}
+
+func (b *Box) checkKey(q *asked, key string) *code.Error {
+	if key == "" {
+		if q.pipeline.Once() {
+			return code.New(code.BadKey, "key", "pipeline %q may not be repeated, so its requests need a key", q.pipeline.Name())
+		}
+		q.key = core.Key{ID: b.newID()}
+		return nil
+	}
+	k, err := core.ParseKey(key)
+	q.key = k
+	return err
+}
+
+func (b *Box) newID() uuid.UUID {
+	id, err := uuid.NewV7()
+	if err != nil {
+		panic(err) // the system has no randomness left
+	}
+	return id
+}
+
+// runHere runs a request on this box, or joins the one that runs or ran under its key.
+func (b *Box) runHere(ctx context.Context, q *asked, emit Emit) error {
+	f, entry, err := b.open(q)
+	if err != nil {
+		return emit(refusal(err))
+	}
+	token := core.AttachToken{Key: q.key, Holder: b.ID}
+	if err := emit(port.ForwardEvent{Accepted: &port.Accepted{Token: token, ConfigVersion: q.conf.Version()}}); err != nil {
+		return err
+	}
+	if f != nil {
+		return f.follow(ctx, q.offset, emit)
+	}
+	return replay(entry, q.offset, emit)
+}
+
+// open enters the key and starts the request if it is the first copy.
+func (b *Box) open(q *asked) (*flight, *core.Entry, *code.Error) {
+	s := b.shardOf(q.key)
+	print := core.Fingerprint(q.workspace.Name(), q.pipeline.Name(), q.input)
+	s.mu.Lock()
+	entry, fresh, err := s.ledger.Open(q.key, q.pipeline.Once(), q.workspace.Name(), q.pipeline.Name(), print)
+	if err != nil {
+		s.mu.Unlock()
+		return nil, nil, err
+	}
+	if !fresh {
+		defer s.mu.Unlock()
+		return s.flights[q.key.ID], entry, nil
+	}
+	req := core.NewRequest(q.key, q.workspace, q.pipeline, q.input, q.deadline, q.maxTokens, b.est)
+	f := newFlight(b, req, q.conf)
+	s.flights[q.key.ID] = f
+	s.mu.Unlock()
+	if err := b.admit(q); err != nil {
+		f.finish(err)
+		return f, nil, nil
+	}
+	f.start()
+	return f, nil, nil
+}
+
+func (b *Box) admit(q *asked) *code.Error {
+	if b.draining.Load() {
+		return code.New(code.Draining, "", "box %s is stopping", b.ID.Name).WithRan(code.RanNo)
+	}
+	b.entries.mu.Lock()
+	defer b.entries.mu.Unlock()
+	err := b.entries.core.Enter(b.now(), q.workspace, q.pipeline, q.deadline, b.est, b.pools.waitFor)
+	if err != nil {
+		return err.WithRan(code.RanNo)
+	}
+	return nil
+}
+
+// closeAccounts books the end of a request.
+func (b *Box) closeAccounts(f *flight, err *code.Error, admitted bool) {
+	now := b.now()
+	if admitted {
+		b.entries.mu.Lock()
+		b.entries.core.Leave(f.req.Workspace().Name())
+		b.entries.mu.Unlock()
+	}
+	p := f.req.Pipeline()
+	sample := core.Sample{Class: p.Class(), Attained: err == nil && !now.After(f.req.Deadline())}
+	f.mu.Lock()
+	first := time.Duration(0)
+	if !f.firstOut.IsZero() {
+		first = f.firstOut.Sub(f.begun)
+	}
+	if tokens := len(f.answer) / standardTokenBytes; tokens > 1 && f.lastOut.After(f.firstOut) {
+		sample.FirstToken = first
+		sample.BetweenTokens = f.lastOut.Sub(f.firstOut) / time.Duration(tokens-1)
+	}
+	f.mu.Unlock()
+	b.burn.Add(now, sample)
+	b.past.add(f, err)
+	if b.Watch.Ended != nil {
+		b.Watch.Ended(p, err, now.Sub(f.begun), first)
+	}
+}
+
+// replay gives an ended request's answer again.
+func replay(e *core.Entry, offset int, emit Emit) error {
+	if e.State() == core.EntryRefused {
+		return emit(port.ForwardEvent{End: &port.End{Err: e.Err(), MayRepeat: e.MayRepeat(), Uses: e.Uses()}})
+	}
+	answer, ok := e.Answer()
+	if !ok {
+		err := code.New(code.NotFound, "key", "the request finished and its answer is no longer kept").WithRan(code.RanYes)
+		return emit(port.ForwardEvent{End: &port.End{Err: err, Uses: e.Uses()}})
+	}
+	if offset > len(answer) {
+		return emit(refusal(code.New(code.BadOffset, "offset", "%d is past the end at %d", offset, len(answer))))
+	}
+	if offset < len(answer) {
+		if err := emit(port.ForwardEvent{Chunk: &port.Chunk{Offset: offset, Data: answer[offset:]}}); err != nil {
+			return err
+		}
+	}
+	return emit(port.ForwardEvent{End: &port.End{Length: len(answer), Uses: e.Uses()}})
+}
+
+// Attach gives a request's answer again from an offset, wherever it runs or ran.
+func (b *Box) Attach(ctx context.Context, workspace, token string, offset int, emit Emit) error {
+	t, err := core.ParseAttachToken(token)
+	if err != nil {
+		return emit(refusal(err))
+	}
+	if b.holds(t.Holder) {
+		return b.attachHere(ctx, workspace, t, offset, emit)
+	}
+	f := port.Forward{From: b.ID, Attach: true, Key: t.Key, Holder: t.Holder, Workspace: workspace, Offset: offset}
+	return b.forwardTo(ctx, t.Holder, f, emit)
+}
+
+// holds says whether this box answers for an incarnation: itself, or one whose ledger it took over.
+func (b *Box) holds(id core.BoxID) bool { return id == b.ID || b.imported.has(id) }
+
+func (b *Box) attachHere(ctx context.Context, workspace string, t core.AttachToken, offset int, emit Emit) error {
+	s := b.shardOf(t.Key)
+	s.mu.Lock()
+	f, entry := s.flights[t.Key.ID], s.ledger.Find(t.Key)
+	s.mu.Unlock()
+	if entry == nil || entry.Workspace() != workspace {
+		return emit(refusal(code.New(code.NotFound, "attach_token", "box %s knows no such request", b.ID.Name)))
+	}
+	if err := emit(port.ForwardEvent{Accepted: &port.Accepted{Token: t}}); err != nil {
+		return err
+	}
+	if f != nil {
+		return f.follow(ctx, offset, emit)
+	}
+	return replay(entry, offset, emit)
+}
+
+// Cancel stops a request, wherever it runs; it says whether one was running.
+func (b *Box) Cancel(ctx context.Context, workspace, token string) (bool, *code.Error) {
+	t, err := core.ParseAttachToken(token)
+	if err != nil {
+		return false, err
+	}
+	c := port.Cancel{Key: t.Key, Holder: t.Holder, Workspace: workspace}
+	if b.holds(t.Holder) {
+		return b.cancelHere(c), nil
+	}
+	address := b.fleet.addressOf(t.Holder)
+	if address == "" {
+		return false, code.New(code.NotFound, "attach_token", "box %s is gone", t.Holder)
+	}
+	a, aerr := b.Peers.Ask(ctx, address, port.Question{Cancel: &c})
+	if aerr != nil {
+		return false, code.New(code.NotFound, "attach_token", "box %s can't be reached", t.Holder.Name)
+	}
+	return a.Cancelled, nil
+}
+
+func (b *Box) cancelHere(c port.Cancel) bool {
+	s := b.shardOf(c.Key)
+	s.mu.Lock()
+	f, entry := s.flights[c.Key.ID], s.ledger.Find(c.Key)
+	s.mu.Unlock()
+	if f == nil || entry == nil || entry.Workspace() != c.Workspace {
+		return false
+	}
+	f.post(core.CancelAsked{})
+	return true
+}
+
+// maxTickets is how many tickets one call may take.
+const maxTickets = 1000
+
+// IssueTickets makes tickets bound to this incarnation.
+func (b *Box) IssueTickets(workspace string, count int) ([]string, *code.Error) {
+	c := b.Config()
+	if c == nil || !b.ready.Load() {
+		return nil, code.New(code.NotReady, "", "box %s has no configuration in force yet", b.ID.Name).After(time.Second)
+	}
+	w := c.Workspace(workspace)
+	if w == nil {
+		return nil, code.New(code.UnknownWorkspace, "workspace", "no workspace %q", workspace)
+	}
+	if b.draining.Load() {
+		return nil, code.New(code.Draining, "", "box %s is stopping", b.ID.Name)
+	}
+	if !config.MayEnter(w, b.domainOf(c)) {
+		return nil, code.New(code.BoxOutsideBoundary, "workspace", "workspace %q may not be entered in failure domain %q", workspace, b.Settings.FailureDomain)
+	}
+	if count < 1 || count > maxTickets {
+		return nil, code.New(code.BadField, "count", "must be 1 to %d", maxTickets)
+	}
+	out := make([]string, count)
+	for i := range out {
+		out[i] = core.Key{ID: b.newID(), Issuer: b.ID}.String()
+	}
+	return out, nil
+}
--- /dev/null
+++ b/src/cli/cli.go
@@ -0,0 +1,89 @@
+// Package cli is the command line: every part of stilemast is a command of one binary.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/rpc"
+)
+
+// Release is the version of the program.
+const Release = "0.1.0"
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailed  = 1 // the command failed
+	exitRefused = 2 // refused: nothing ran
+	exitUnknown = 3 // the outcome is not known
+	exitRan     = 4 // refused after something ran
+)
+
+// Main runs the command line and gives the exit code.
+func Main(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	root := &cli.Command{
+		Name:                  "stilemast",
+		Usage:                 "serve multi-stage model pipelines inside the boundaries an operator sets",
+		Version:               Release,
+		EnableShellCompletion: true,
+		Commands: []*cli.Command{
+			serveCommand(), demoCommand(), runCommand(), loadCommand(),
+			validateCommand(), planCommand(), statusCommand(), drainCommand(), explainCommand(),
+			costCommand(), burnCommand(), exampleCommand(), standinCommand(),
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	err := root.Run(ctx, args)
+	if err == nil {
+		return exitOK
+	}
+	if !errors.Is(err, errSilent) {
+		fmt.Fprintln(os.Stderr, "stilemast:", err)
+	}
+	return exitCode(err)
+}
+
+// errSilent ends a command that has already said what was wrong.
+var errSilent = errors.New("failed")
+
+// exitCode tells scripts whether anything ran.
+func exitCode(err error) int {
+	if r := rpc.ResultOf(err); r != nil {
+		switch code.Ran(r.GetRan()) {
+		case code.RanNo:
+			return exitRefused
+		case code.RanUnknown:
+			return exitUnknown
+		case code.RanYes:
+			return exitRan
+		}
+	}
+	return exitFailed
+}
+
+// logger writes JSON lines to standard error.
+func logger(level string) *slog.Logger {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(level)); err != nil {
+		l = slog.LevelInfo
+	}
+	return slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: l}))
+}
+
+// stopSignals are what asks a process to stop.
+func stopSignals() chan os.Signal {
+	c := make(chan os.Signal, 2)
+	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT)
+	return c
+}
--- /dev/null
+++ b/src/cli/operate.go
@@ -0,0 +1,249 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/stilemast/stilemast/src/api/stilemast/v1"
+	"github.com/stilemast/stilemast/src/config"
+	"github.com/stilemast/stilemast/src/load"
+)
+
+// boxFlags say which box a command talks to, and as whom.
+func boxFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "box", Usage: "callers' `ADDRESS` of a box", Value: "127.0.0.1:7000"},
+		&cli.StringFlag{Name: "token", Usage: "`TOKEN` to show", Sources: cli.EnvVars("STILEMAST_TOKEN")},
+		&cli.StringFlag{Name: "ca", Usage: "PEM `FILE` of the authority that signs the boxes' certificates"},
+		&cli.StringFlag{Name: "cert", Usage: "PEM `FILE` of the own certificate"},
+		&cli.StringFlag{Name: "key", Usage: "PEM `FILE` of the own key"},
+		&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+	}
+}
+
+// operator connects to a box's operators' interface.
+func operator(c *cli.Command) (pb.OperationsClient, func(), error) {
+	cfg, err := clientTLS(c)
+	if err != nil {
+		return nil, nil, err
+	}
+	conn, err := load.Dial(c.String("box"), cfg, c.String("token"))
+	if err != nil {
+		return nil, nil, err
+	}
+	return pb.NewOperationsClient(conn), func() { _ = conn.Close() }, nil
+}
+
+func printJSON(m proto.Message) error {
+	b, err := protojson.MarshalOptions{Multiline: true}.Marshal(m)
+	if err != nil {
+		return eris.Wrap(err, "answer can't be printed")
+	}
+	fmt.Println(string(b))
+	return nil
+}
+
+func table() *tabwriter.Writer { return tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0) }
+
+func validateCommand() *cli.Command {
+	return &cli.Command{
+		Name: "validate", Usage: "check a configuration, or settings, as a box would; no box is needed", ArgsUsage: "FILE",
+		Flags: []cli.Flag{&cli.BoolFlag{Name: "settings", Usage: "the file holds a box's settings"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Bool("settings") {
+				_, err := config.ReadSettings(c.Args().First())
+				return err
+			}
+			raw, err := os.ReadFile(c.Args().First())
+			if err != nil {
+				return eris.Wrap(err, "configuration")
+			}
+			conf, faults := config.Parse(raw)
+			for _, f := range faults {
+				fmt.Println(f.Error())
+			}
+			if len(faults) > 0 {
+				return errSilent
+			}
+			fmt.Printf("version %d is valid: %d pipelines, %d workspaces, %d backend servers, digest %s\n",
+				conf.Version(), len(conf.Pipelines()), len(conf.Workspaces()), len(conf.BackendServers()), conf.Digest())
+			return nil
+		},
+	}
+}
+
+func planCommand() *cli.Command {
+	return &cli.Command{
+		Name: "plan", Usage: "tell what a configuration would change against the one in force at a box", ArgsUsage: "FILE",
+		Flags: boxFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			raw, err := os.ReadFile(c.Args().First())
+			if err != nil {
+				return eris.Wrap(err, "configuration")
+			}
+			ops, done, err := operator(c)
+			if err != nil {
+				return err
+			}
+			defer done()
+			r, err := ops.Plan(ctx, &pb.PlanRequest{Configuration: raw})
+			if err != nil {
+				return err
+			}
+			if c.Bool("json") {
+				return printJSON(r)
+			}
+			return printPlan(r)
+		},
+	}
+}
+
+func printPlan(r *pb.PlanReply) error {
+	for _, f := range r.GetFaults() {
+		fmt.Printf("%d %s: %s\n", f.GetCode(), f.GetField(), f.GetMessage())
+	}
+	if len(r.GetFaults()) > 0 {
+		return errSilent
+	}
+	fmt.Printf("version %d -> %d, %d changes\n", r.GetFromVersion(), r.GetToVersion(), len(r.GetChanges()))
+	for _, ch := range r.GetChanges() {
+		fmt.Printf("%s\n  - %s\n  + %s\n", ch.GetSubject(), ch.GetBefore(), ch.GetAfter())
+	}
+	return nil
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name: "status", Usage: "tell what a box knows, with the age of each fact", Flags: boxFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ops, done, err := operator(c)
+			if err != nil {
+				return err
+			}
+			defer done()
+			r, err := ops.Status(ctx, &pb.StatusRequest{})
+			if err != nil {
+				return err
+			}
+			if c.Bool("json") {
+				return printJSON(r)
+			}
+			return printStatus(r)
+		},
+	}
+}
+
+func printStatus(r *pb.StatusReply) error {
+	fmt.Printf("box %s (incarnation %d, release %s): ready %t, draining %t\n", r.GetBox(), r.GetIncarnation(), r.GetVersion(), r.GetReady(), r.GetDraining())
+	fmt.Printf("configuration %d (%s), confirmed %s ago; box list confirmed %s ago\n", r.GetConfigVersion(), r.GetConfigDigest(),
+		brief(r.GetConfigConfirmedAge().AsDuration()), brief(r.GetListConfirmedAge().AsDuration()))
+	if v := r.GetConfigConflictVersion(); v > 0 {
+		fmt.Printf("CONFLICT: version %d was published again with other content\n", v)
+	}
+	if why := r.GetConfigRefusal(); why != "" {
+		fmt.Printf("REFUSED: the newest published configuration: %s\n", why)
+	}
+	fmt.Printf("running %d, waiting %d, keys remembered %d\n\n", r.GetRunning(), r.GetWaiting(), r.GetLedgerEntries())
+	w := table()
+	fmt.Fprintln(w, "BOX\tFAILURE DOMAIN\tSTATE\tLISTED\tHEARD\tVERSION")
+	for _, m := range r.GetMembers() {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%s ago\t%d\n", m.GetBox(), m.GetFailureDomain(), m.GetState(), m.GetListed(), brief(m.GetAge().AsDuration()), m.GetConfigVersion())
+	}
+	fmt.Fprintln(w, "\nBACKEND SERVER\tFAILURE DOMAIN\tSTATE\tIN FLIGHT\tWINDOW\tREPORT\tERRORS")
+	for _, b := range r.GetBackendServers() {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s ago\t%.0f%%\n", b.GetBackendServer(), b.GetFailureDomain(), b.GetState(), b.GetInFlight(), b.GetWindow(), brief(b.GetReportAge().AsDuration()), 100*b.GetErrorShare())
+	}
+	return w.Flush()
+}
+
+func brief(d time.Duration) string {
+	if d < 0 {
+		return "never"
+	}
+	return d.Round(time.Millisecond).String()
+}
+
+func drainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "drain", Usage: "begin the planned stop of a box", Flags: boxFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ops, done, err := operator(c)
+			if err != nil {
+				return err
+			}
+			defer done()
+			r, err := ops.Drain(ctx, &pb.DrainRequest{})
+			if err != nil {
+				return err
+			}
+			fmt.Printf("stopping; %d requests run and will end first\n", r.GetRunning())
+			return nil
+		},
+	}
+}
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "explain", Usage: "tell how each stage of a recent request was placed", ArgsUsage: "KEY", Flags: boxFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ops, done, err := operator(c)
+			if err != nil {
+				return err
+			}
+			defer done()
+			r, err := ops.Explain(ctx, &pb.ExplainRequest{Key: c.Args().First()})
+			if err != nil {
+				return err
+			}
+			if c.Bool("json") {
+				return printJSON(r)
+			}
+			fmt.Printf("request %s on box %s: %s\n", r.GetKey(), r.GetBox(), r.GetOutcome())
+			for _, p := range r.GetPlacements() {
+				fmt.Printf("stage %s, attempt %d: %s, waited %s, took %s: %s\n", p.GetStage(), p.GetAttempt()+1, p.GetChosen(),
+					brief(p.GetWaited().AsDuration()), brief(p.GetServed().AsDuration()), p.GetOutcome())
+				for _, cand := range p.GetCandidates() {
+					if cand.GetPassedOver() != "" {
+						fmt.Printf("    not %s: %s\n", cand.GetBackendServer(), cand.GetPassedOver())
+					}
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func costCommand() *cli.Command {
+	return &cli.Command{
+		Name: "cost", Usage: "sum what each stage consumed at a box", Flags: boxFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ops, done, err := operator(c)
+			if err != nil {
+				return err
+			}
+			defer done()
+			r, err := ops.CostByStage(ctx, &pb.CostByStageRequest{})
+			if err != nil {
+				return err
+			}
+			if c.Bool("json") {
+				return printJSON(r)
+			}
+			w := table()
+			fmt.Fprintln(w, "PIPELINE\tCLASS\tSTAGE\tCALLS\tRETRIES\tSECONDS\tCOMPUTED\tCACHED\tGENERATED\tWASTED")
+			for _, s := range r.GetStages() {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%.1f\t%d\t%d\t%d\t%d\n", s.GetPipeline(), s.GetClass(), s.GetStage(), s.GetCalls(), s.GetRetries(),
+					s.GetEngineSeconds(), s.GetComputedTokens(), s.GetCachedTokens(), s.GetGeneratedTokens(), s.GetWastedTokens())
+			}
+			return w.Flush()
+		},
+	}
+}
--- /dev/null
+++ b/src/cli/serve.go
@@ -0,0 +1,144 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/stilemast/stilemast/src/config"
+	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/node"
+	"github.com/stilemast/stilemast/src/standin"
+	"github.com/stilemast/stilemast/src/web"
+)
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run one box until it is told to stop; SIGTERM is a planned stop, a second one cuts",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "TOML `FILE` with the box's settings", Required: true}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			s, err := config.ReadSettings(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			return serve(s)
+		},
+	}
+}
+
+func serve(s *config.Settings) error {
+	log := logger(s.LogLevel).With("box", s.Box)
+	n := &node.Node{Settings: s, Log: log, Release: Release}
+	signals := stopSignals()
+	if err := n.Start(); err != nil {
+		return err
+	}
+	log.Info("serving", "callers", n.CallersAddress(), "peers", n.PeersAddress(), "release", Release)
+	select {
+	case <-signals:
+	case <-n.Stopped():
+		return nil
+	}
+	cut := make(chan int, 1)
+	go func() { cut <- n.Stop() }()
+	select {
+	case left := <-cut:
+		if left > 0 {
+			return eris.Errorf("the planned stop ran out of time with %d requests running", left)
+		}
+		return nil
+	case <-signals:
+		return eris.New("stopped at once by a second signal; running requests were cut")
+	}
+}
+
+func standinCommand() *cli.Command {
+	listen := &cli.StringFlag{Name: "listen", Usage: "`ADDRESS` to serve on", Value: "127.0.0.1:0"}
+	slots := &cli.IntFlag{Name: "slots", Usage: "calls at once", Value: 8}
+	return &cli.Command{
+		Name:  "standin",
+		Usage: "run one stand-in as a process of its own, for trials",
+		Commands: []*cli.Command{
+			{
+				Name: "engine", Usage: "a model engine",
+				Flags: []cli.Flag{listen, slots, &cli.BoolFlag{Name: "checks-orders", Value: true, Usage: "refuse orders with an old fence"}},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					e := &standin.Engine{Name: "engine", Cost: standin.DefaultEngineCost(c.Int("slots")), ChecksOrders: c.Bool("checks-orders"), Store: &standin.WeightStore{}, EventLag: 300 * time.Millisecond, EventGap: 17}
+					e.Init()
+					go e.Run(ctx)
+					h, err := e.Handler()
+					return serveStandin(ctx, c.String("listen"), h, err)
+				},
+			},
+			{
+				Name: "service", Usage: "a plain service, encoder, retriever or reranker; GET /ran lists what it ran",
+				Flags: []cli.Flag{listen, slots, &cli.DurationFlag{Name: "time", Value: 10 * time.Millisecond, Usage: "typical `DURATION` of one call"}},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					s := &standin.Service{Name: "service", Slots: c.Int("slots"), Base: c.Duration("time")}
+					h, err := s.Handler()
+					return serveStandin(ctx, c.String("listen"), h, err)
+				},
+			},
+			{
+				Name: "platform", Usage: "the configuration service and box list, read from files again and again",
+				Flags: []cli.Flag{listen,
+					&cli.StringFlag{Name: "config", Required: true, Usage: "published configuration, a TOML `FILE`"},
+					&cli.StringFlag{Name: "boxes", Required: true, Usage: "box list, a JSON `FILE`"}},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					p := &standin.Platform{}
+					if err := loadPlatform(p, c.String("config"), c.String("boxes")); err != nil {
+						return err
+					}
+					go func() {
+						for ctx.Err() == nil {
+							time.Sleep(500 * time.Millisecond)
+							_ = loadPlatform(p, c.String("config"), c.String("boxes"))
+						}
+					}()
+					h, err := p.Handler()
+					return serveStandin(ctx, c.String("listen"), h, err)
+				},
+			},
+		},
+	}
+}
+
+func loadPlatform(p *standin.Platform, conf, boxes string) error {
+	raw, err := os.ReadFile(conf)
+	if err != nil {
+		return eris.Wrap(err, "configuration")
+	}
+	p.Publish(raw)
+	b, err := os.ReadFile(boxes)
+	if err != nil {
+		return eris.Wrap(err, "box list")
+	}
+	var list []core.ListedBox
+	if err := json.Unmarshal(b, &list); err != nil {
+		return eris.Wrap(err, "box list")
+	}
+	p.SetBoxesIfChanged(list)
+	return nil
+}
+
+func serveStandin(ctx context.Context, address string, h http.Handler, err error) error {
+	if err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "listen")
+	}
+	fmt.Println(l.Addr())
+	srv := web.Start(l, h, nil)
+	<-ctx.Done()
+	return srv.Close()
+}
--- /dev/null
+++ b/src/config/check.go
@@ -0,0 +1,378 @@
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/stilemast/stilemast/src/code"
+)
+
+// Bounds that every configuration keeps.
+const (
+	maxDomains      = 64
+	minStages       = 3
+	maxStages       = 6
+	maxSlots        = 4096
+	defaultInput    = 256 << 10
+	defaultInFlight = 2000
+	defaultTokens   = 256
+	LongestDeadline = time.Hour // the longest deadline any pipeline may have
+)
+
+// checker compiles a document and collects every fault with its field.
+type checker struct {
+	c  *Config
+	fs Faults
+}
+
+func (k *checker) fault(c code.Code, field, format string, args ...any) {
+	k.fs = append(k.fs, code.New(c, field, format, args...))
+}
+
+func (k *checker) bad(field, format string, args ...any) {
+	k.fault(code.ConfigBadValue, field, format, args...)
+}
+
+// compile checks a document and builds its Config.
+func compile(d *Document) (*Config, Faults) {
+	k := &checker{c: &Config{
+		version:    d.Version,
+		byDomain:   map[string]int{},
+		byServer:   map[string]*BackendServer{},
+		pools:      map[string][]*BackendServer{},
+		models:     map[string]ModelDoc{},
+		pipelines:  map[string]*Pipeline{},
+		workspaces: map[string]*Workspace{},
+		owners:     map[string]string{},
+		levels:     d.Objectives,
+	}}
+	if d.Version == 0 {
+		k.bad("version", "must be at least 1")
+	}
+	k.domains(d.FailureDomains)
+	k.models(d.Models)
+	k.servers(d.BackendServers)
+	k.pipelines(d.Pipelines)
+	k.workspaces(d.Workspaces)
+	k.levels(d.Objectives)
+	if len(k.fs) == 0 {
+		k.reachable(d.Workspaces)
+	}
+	return k.c, k.fs
+}
+
+// name checks that a name is given and new.
+func name[T any](k *checker, field, n string, seen map[string]T) bool {
+	if n == "" {
+		k.bad(field+".name", "is missing")
+		return false
+	}
+	if _, twice := seen[n]; twice {
+		k.bad(field+".name", "%q is used twice", n)
+		return false
+	}
+	return true
+}
+
+func at(list string, i int) string { return fmt.Sprintf("%s[%d]", list, i) }
+
+func (k *checker) domains(docs []FailureDomainDoc) {
+	if len(docs) == 0 || len(docs) > maxDomains {
+		k.bad("failure_domains", "needs 1 to %d entries", maxDomains)
+		return
+	}
+	for i, d := range docs {
+		f := at("failure_domains", i)
+		if d.Region == "" {
+			k.bad(f+".region", "is missing")
+		}
+		if name(k, f, d.Name, k.c.byDomain) {
+			k.c.byDomain[d.Name] = len(k.c.domains)
+			k.c.domains = append(k.c.domains, FailureDomain{name: d.Name, region: d.Region})
+		}
+	}
+}
+
+func (k *checker) models(docs []ModelDoc) {
+	for i, m := range docs {
+		f := at("models", i)
+		if !name(k, f, m.Name, k.c.models) {
+			continue
+		}
+		if m.LoadTime < 0 {
+			k.bad(f+".load_time", "must not be negative")
+		}
+		k.c.models[m.Name] = m
+	}
+}
+
+func (k *checker) servers(docs []BackendServerDoc) {
+	for i, d := range docs {
+		f := at("backend_servers", i)
+		if !name(k, f, d.Name, k.c.byServer) {
+			continue
+		}
+		k.server(f, d)
+	}
+}
+
+func (k *checker) server(f string, d BackendServerDoc) {
+	if _, err := netip.ParseAddrPort(d.Address); err != nil {
+		k.bad(f+".address", "%q is not an IP number with a port", d.Address)
+	}
+	domain, ok := k.c.byDomain[d.FailureDomain]
+	if !ok {
+		k.fault(code.ConfigDangling, f+".failure_domain", "no failure domain %q", d.FailureDomain)
+		return
+	}
+	if d.Pool == "" {
+		k.bad(f+".pool", "is missing")
+	}
+	if d.Slots < 1 || d.Slots > maxSlots {
+		k.bad(f+".slots", "must be 1 to %d", maxSlots)
+	}
+	switch d.Role {
+	case "", "mixed", "prefill", "decode":
+	default:
+		k.bad(f+".role", "%q is not mixed, prefill or decode", d.Role)
+	}
+	k.serverModel(f, d)
+	b := &BackendServer{doc: d, domain: domain, region: k.c.domains[domain].region}
+	k.c.servers = append(k.c.servers, b)
+	k.c.byServer[d.Name] = b
+	k.c.pools[d.Pool] = append(k.c.pools[d.Pool], b)
+}
+
+func (k *checker) serverModel(f string, d BackendServerDoc) {
+	if d.Model == "" {
+		if len(d.Adapters) > 0 {
+			k.bad(f+".adapters", "need a model")
+		}
+		return
+	}
+	m, ok := k.c.models[d.Model]
+	if !ok {
+		k.fault(code.ConfigDangling, f+".model", "no model %q", d.Model)
+		return
+	}
+	for j, a := range d.Adapters {
+		if !contains(m.Adapters, a) {
+			k.fault(code.ConfigDangling, at(f+".adapters", j), "model %q has no adapter %q", m.Name, a)
+		}
+	}
+}
+
+func contains(list []string, s string) bool {
+	for _, e := range list {
+		if e == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *checker) pipelines(docs []PipelineDoc) {
+	for i, d := range docs {
+		f := at("pipelines", i)
+		if name(k, f, d.Name, k.c.pipelines) {
+			k.pipeline(f, d)
+		}
+	}
+}
+
+func (k *checker) pipeline(f string, d PipelineDoc) {
+	p := &Pipeline{}
+	switch d.Class {
+	case Prompt.String():
+	case MayWait.String():
+		p.class = MayWait
+	default:
+		k.bad(f+".class", "%q is not %s or %s", d.Class, Prompt, MayWait)
+	}
+	if d.Deadline <= 0 || time.Duration(d.Deadline) > LongestDeadline {
+		k.bad(f+".deadline", "must be above 0 and at most %s", LongestDeadline)
+	}
+	if d.MaxDeadline == 0 {
+		d.MaxDeadline = 4 * d.Deadline
+	}
+	if d.MaxDeadline < d.Deadline {
+		k.bad(f+".max_deadline", "must not be below deadline")
+	}
+	if d.Weight == 0 {
+		d.Weight = 1
+	}
+	if d.Weight < 0 {
+		k.bad(f+".weight", "must be above 0")
+	}
+	if d.MaxInputBytes == 0 {
+		d.MaxInputBytes = defaultInput
+	}
+	if d.MaxInputBytes < 0 || d.MaxInputBytes > MaxBytes {
+		k.bad(f+".max_input_bytes", "must be 1 to %d", MaxBytes)
+	}
+	if len(d.Stages) < minStages || len(d.Stages) > maxStages {
+		k.bad(f+".stages", "needs %d to %d stages", minStages, maxStages)
+	}
+	p.doc = d
+	seen := map[string]bool{}
+	for i, s := range d.Stages {
+		sf := at(f+".stages", i)
+		if !name(k, sf, s.Name, seen) {
+			continue
+		}
+		seen[s.Name] = true
+		st := k.stage(sf, s, i)
+		p.stages = append(p.stages, st)
+		p.once = p.once || s.Once
+	}
+	k.c.pipelines[d.Name] = p
+}
+
+func (k *checker) stage(f string, d StageDoc, index int) *Stage {
+	switch Kind(d.Kind) {
+	case Encode, Retrieve, Rerank, Generate, Service:
+	default:
+		k.bad(f+".kind", "%q is not encode, retrieve, rerank, generate or service", d.Kind)
+	}
+	if d.Once && Kind(d.Kind) == Generate {
+		k.bad(f+".once", "a generate stage can always be repeated")
+	}
+	if len(k.c.pools[d.Pool]) == 0 {
+		k.fault(code.ConfigDangling, f+".pool", "no backend server is in pool %q", d.Pool)
+	}
+	if _, ok := k.c.models[d.Model]; d.Model != "" && !ok {
+		k.fault(code.ConfigDangling, f+".model", "no model %q", d.Model)
+	}
+	if d.MaxTokens < 0 {
+		k.bad(f+".max_tokens", "must not be negative")
+	}
+	if d.MaxTokens == 0 {
+		d.MaxTokens = defaultTokens
+	}
+	if d.TypicalRun < 0 {
+		k.bad(f+".typical_run", "must not be negative")
+	}
+	return &Stage{doc: d, runIn: k.domainSet(f+".run_in", d.RunIn, true), index: index}
+}
+
+// domainSet resolves names; an absent list means everywhere where that is allowed.
+func (k *checker) domainSet(f string, names []string, absentIsAll bool) DomainSet {
+	if len(names) == 0 {
+		if absentIsAll {
+			return DomainSet(1)<<uint(len(k.c.domains)) - 1
+		}
+		k.bad(f, "must name at least one failure domain")
+	}
+	var s DomainSet
+	for i, n := range names {
+		d, ok := k.c.byDomain[n]
+		if !ok {
+			k.fault(code.ConfigDangling, at(f, i), "no failure domain %q", n)
+			continue
+		}
+		s |= 1 << uint(d)
+	}
+	return s
+}
+
+func (k *checker) workspaces(docs []WorkspaceDoc) {
+	for i, d := range docs {
+		f := at("workspaces", i)
+		if name(k, f, d.Name, k.c.workspaces) {
+			k.workspace(f, d)
+		}
+	}
+}
+
+func (k *checker) workspace(f string, d WorkspaceDoc) {
+	if d.Weight == 0 {
+		d.Weight = 1
+	}
+	if d.Weight < 0 {
+		k.bad(f+".weight", "must be above 0")
+	}
+	if d.MaxInFlight == 0 {
+		d.MaxInFlight = defaultInFlight
+	}
+	if d.MaxInFlight < 0 {
+		k.bad(f+".max_in_flight", "must not be negative")
+	}
+	switch d.Unconfirmed {
+	case "", "serve", "refuse":
+	default:
+		k.bad(f+".unconfirmed", "%q is not serve or refuse", d.Unconfirmed)
+	}
+	w := &Workspace{allowed: map[string]bool{}}
+	for i, p := range d.Pipelines {
+		if k.c.pipelines[p] == nil {
+			k.fault(code.ConfigDangling, at(f+".pipelines", i), "no pipeline %q", p)
+		}
+		w.allowed[p] = true
+	}
+	for i, t := range d.TokensSHA256 {
+		if b, err := hex.DecodeString(t); err != nil || len(b) != 32 {
+			k.bad(at(f+".tokens_sha256", i), "is not 64 hexadecimal digits")
+		}
+	}
+	w.entryIn = k.domainSet(f+".entry_in", d.EntryIn, false)
+	w.runIn = k.domainSet(f+".run_in", d.RunIn, false)
+	w.restIn = k.domainSet(f+".rest_in", d.RestIn, false)
+	if w.entryIn&w.restIn == 0 {
+		k.fault(code.ConfigNowhere, f+".entry_in", "no failure domain is in both entry_in and rest_in, so no box may hold its requests")
+	}
+	for _, credential := range append(d.TokensSHA256, d.CertificateNames...) {
+		k.c.owners[credential] = d.Name
+	}
+	w.doc = d
+	k.c.workspaces[d.Name] = w
+}
+
+func (k *checker) levels(docs []ServiceLevelDoc) {
+	for i, l := range docs {
+		f := at("service_levels", i)
+		if l.Name == "" {
+			k.bad(f+".name", "is missing")
+		}
+		if l.Class != Prompt.String() && l.Class != MayWait.String() {
+			k.bad(f+".class", "%q is not %s or %s", l.Class, Prompt, MayWait)
+		}
+		if l.Objective <= 0 || l.Objective >= 1 {
+			k.bad(f+".objective", "must lie between 0 and 1")
+		}
+		switch l.Measure {
+		case "attainment":
+		case "first_token", "between_tokens":
+			if l.Within <= 0 {
+				k.bad(f+".within", "must be above 0")
+			}
+		default:
+			k.bad(f+".measure", "%q is not attainment, first_token or between_tokens", l.Measure)
+		}
+	}
+}
+
+// reachable faults each stage that has nowhere to run inside a boundary that uses it.
+func (k *checker) reachable(docs []WorkspaceDoc) {
+	for _, d := range docs {
+		w := k.c.workspaces[d.Name]
+		for _, pn := range w.doc.Pipelines {
+			for _, s := range k.c.pipelines[pn].stages {
+				if !k.anywhere(w, s) {
+					k.fault(code.ConfigNowhere, "workspaces."+w.Name()+".pipelines."+pn+".stages."+s.Name(),
+						"no backend server of pool %q lies inside the boundary", s.Pool())
+				}
+			}
+		}
+	}
+}
+
+func (k *checker) anywhere(w *Workspace, s *Stage) bool {
+	for _, b := range k.c.pools[s.Pool()] {
+		if MayRun(w, s, b.domain) && b.fits(s) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/src/config/settings.go
@@ -0,0 +1,214 @@
+package config
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/stilemast/stilemast/src/code"
+)
+
+// Settings are what one process is told at its start; they never change while it runs.
+type Settings struct {
+	Box           string           `toml:"box"`
+	FailureDomain string           `toml:"failure_domain"`
+	Listen        ListenSettings   `toml:"listen"`
+	Platform      PlatformSettings `toml:"platform"`
+	AtMostOnce    OnceSettings     `toml:"at_most_once"`
+	Answers       AnswerSettings   `toml:"answers"`
+	Policy        PolicySettings   `toml:"policy"`
+	TLS           TLSSettings      `toml:"tls"`
+	Callers       CallerSettings   `toml:"callers"`
+	Operators     OperatorSettings `toml:"operators"`
+	StopWithin    Duration         `toml:"stop_within"`
+	LogLevel      string           `toml:"log_level"`
+}
+
+// ListenSettings are the box's own addresses, each an IP number with a port.
+type ListenSettings struct {
+	Callers   string `toml:"callers"`
+	Peers     string `toml:"peers"`
+	Metrics   string `toml:"metrics"`
+	Advertise string `toml:"advertise_peers"`
+}
+
+// PlatformSettings say where the platform publishes and how stale it may be.
+type PlatformSettings struct {
+	Addresses   []string `toml:"addresses"`
+	PollEvery   Duration `toml:"poll_every"`
+	CallTimeout Duration `toml:"call_timeout"`
+}
+
+// OnceSettings bound clocks and lists for calls that may not be repeated.
+// A box is settled as a key's home only over the window FreshWithin + ListLag + ClockSkew.
+type OnceSettings struct {
+	ListLag     Duration `toml:"list_lag"`
+	FreshWithin Duration `toml:"fresh_within"`
+	ClockSkew   Duration `toml:"clock_skew"`
+	LedgerKeep  Duration `toml:"ledger_keep"`
+}
+
+// AnswerSettings bound the finished answers kept for callers who come back.
+type AnswerSettings struct {
+	Keep     Duration `toml:"keep"`
+	MaxBytes int      `toml:"max_bytes"`
+}
+
+// PolicySettings choose how backend servers are picked; all but "expected_finish" are baselines.
+type PolicySettings struct {
+	Placement   string `toml:"placement"`
+	NoAdmission bool   `toml:"no_admission"`
+	WaitingRoom int    `toml:"waiting_room"`
+	SubsetSize  int    `toml:"subset_size"`
+}
+
+// TLSSettings name PEM files; without them listeners speak plain TCP.
+type TLSSettings struct {
+	Certificate   string `toml:"certificate"`
+	Key           string `toml:"key"`
+	Authority     string `toml:"authority"`
+	RequireClient bool   `toml:"require_client"`
+}
+
+// CallerSettings say who may call without credentials.
+type CallerSettings struct {
+	// Anyone lets callers without credentials use workspaces that list none; for trials.
+	Anyone bool `toml:"anyone"`
+}
+
+// OperatorSettings say who may call Operations. They are settings rather than configuration so
+// that an operator can still look into a box that has no configuration.
+type OperatorSettings struct {
+	TokensSHA256     []string `toml:"tokens_sha256"`
+	CertificateNames []string `toml:"certificate_names"`
+	Anyone           bool     `toml:"anyone"`
+}
+
+// Window is how long a box must have ranked first before it acts as a key's home.
+func (o OnceSettings) Window() time.Duration {
+	return time.Duration(o.FreshWithin) + time.Duration(o.ListLag) + time.Duration(o.ClockSkew)
+}
+
+// DefaultSettings are what an absent field means.
+func DefaultSettings() Settings {
+	return Settings{
+		Platform: PlatformSettings{
+			PollEvery:   Duration(2 * time.Second),
+			CallTimeout: Duration(time.Second),
+		},
+		AtMostOnce: OnceSettings{
+			ListLag:     Duration(5 * time.Second),
+			FreshWithin: Duration(4 * time.Second),
+			ClockSkew:   Duration(time.Second),
+			LedgerKeep:  Duration(10 * time.Minute),
+		},
+		Answers:    AnswerSettings{Keep: Duration(2 * time.Minute), MaxBytes: 16 << 20},
+		Policy:     PolicySettings{Placement: "expected_finish", WaitingRoom: 2000, SubsetSize: 24},
+		StopWithin: Duration(time.Minute),
+		LogLevel:   "info",
+	}
+}
+
+// ReadSettings reads and checks a settings file.
+func ReadSettings(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "settings can't be read")
+	}
+	return ParseSettings(b)
+}
+
+// ParseSettings decodes settings over the defaults; an unknown key or a bad value is an error.
+func ParseSettings(b []byte) (*Settings, error) {
+	s := DefaultSettings()
+	if fs := decode(b, &s); len(fs) > 0 {
+		return nil, fs
+	}
+	if fs := s.Check(); len(fs) > 0 {
+		return nil, fs
+	}
+	return &s, nil
+}
+
+// Check faults each bad field.
+func (s *Settings) Check() Faults {
+	k := &checker{}
+	if s.Box == "" {
+		k.bad("box", "is missing")
+	}
+	if s.FailureDomain == "" {
+		k.bad("failure_domain", "is missing")
+	}
+	k.address("listen.callers", s.Listen.Callers, true)
+	k.address("listen.peers", s.Listen.Peers, true)
+	k.address("listen.metrics", s.Listen.Metrics, false)
+	k.address("listen.advertise_peers", s.Listen.Advertise, false)
+	if len(s.Platform.Addresses) == 0 {
+		k.bad("platform.addresses", "is missing")
+	}
+	for i, a := range s.Platform.Addresses {
+		k.address(at("platform.addresses", i), a, true)
+	}
+	k.positive("platform.poll_every", s.Platform.PollEvery)
+	k.positive("platform.call_timeout", s.Platform.CallTimeout)
+	k.positive("at_most_once.list_lag", s.AtMostOnce.ListLag)
+	k.positive("at_most_once.fresh_within", s.AtMostOnce.FreshWithin)
+	k.positive("at_most_once.clock_skew", s.AtMostOnce.ClockSkew)
+	k.positive("at_most_once.ledger_keep", s.AtMostOnce.LedgerKeep)
+	if time.Duration(s.AtMostOnce.LedgerKeep) < 2*s.AtMostOnce.Window() {
+		k.bad("at_most_once.ledger_keep", "must be at least twice the window of %s", s.AtMostOnce.Window())
+	}
+	k.positive("answers.keep", s.Answers.Keep)
+	if s.Answers.MaxBytes < 1<<20 {
+		k.bad("answers.max_bytes", "must be at least %d", 1<<20)
+	}
+	k.policy(s.Policy)
+	k.positive("stop_within", s.StopWithin)
+	k.tls(s.TLS)
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		k.bad("log_level", "%q is not debug, info, warn or error", s.LogLevel)
+	}
+	return k.fs
+}
+
+func (k *checker) address(field, a string, needed bool) {
+	if a == "" && !needed {
+		return
+	}
+	if _, err := netip.ParseAddrPort(a); err != nil {
+		k.bad(field, "%q is not an IP number with a port", a)
+	}
+}
+
+func (k *checker) positive(field string, d Duration) {
+	if d <= 0 {
+		k.bad(field, "must be above 0")
+	}
+}
+
+func (k *checker) policy(p PolicySettings) {
+	switch p.Placement {
+	case "expected_finish", "round_robin", "least_in_flight", "two_choices":
+	default:
+		k.bad("policy.placement", "%q is not expected_finish, round_robin, least_in_flight or two_choices", p.Placement)
+	}
+	if p.WaitingRoom < 1 {
+		k.bad("policy.waiting_room", "must be at least 1")
+	}
+	if p.SubsetSize < 1 {
+		k.bad("policy.subset_size", "must be at least 1")
+	}
+}
+
+func (k *checker) tls(t TLSSettings) {
+	if (t.Certificate == "") != (t.Key == "") {
+		k.fault(code.ConfigBadValue, "tls.key", "certificate and key come together")
+	}
+	if t.RequireClient && (t.Authority == "" || t.Certificate == "") {
+		k.fault(code.ConfigBadValue, "tls.require_client", "needs certificate, key and authority")
+	}
+}
--- /dev/null
+++ b/src/core/home.go
@@ -0,0 +1,275 @@
+package core
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/stilemast/stilemast/src/code"
+)
+
+// Views decides whether this box is the one home of a caller's key.
+//
+// Idea. The key's label carries the time m at which the caller made it. The home is the box that
+// ranks first by rendezvous hashing among those that may hold the workspace's requests. This box
+// acts as home only if it ranked first in every view it held from m-W to m, and its newest view was
+// confirmed by a read no earlier than m-L. Two boxes can't both meet this when list and
+// configuration reach any fresh reader within D and W >= L + D + skew: the one whose reign began
+// later would have had to see itself first before the other's last confirmation. The rule looks at
+// the label and not at the clock at sending, so a pause between check and send changes nothing.
+//
+// Cost. One hash per box and view inside the window; views change a few times an hour.
+//
+// Trade-offs. After each change of who ranks first, keys of that share have no home for W. A box
+// that is not sure says so; callers who can't wait take tickets, which need no home. A list that
+// flaps within W is guarded by counting a box as present if any view in the window or any peer's
+// heartbeat in it showed it. Not safe for concurrent use.
+type Views struct {
+	Self       BoxID
+	FreshFor   time.Duration // L
+	ListLag    time.Duration // D
+	ClockSkew  time.Duration
+	LedgerKeep time.Duration
+
+	views         []view
+	heard         map[string]heardBox
+	listConfirmed time.Time
+	confConfirmed time.Time
+}
+
+// heardBox is a box that heartbeats showed alive.
+type heardBox struct {
+	domain string
+	last   time.Time
+}
+
+// ListedBox is one entry of the platform's box list.
+type ListedBox struct {
+	Name          string `json:"name" msgpack:"n"`
+	Address       string `json:"address" msgpack:"a"`
+	FailureDomain string `json:"failure_domain" msgpack:"d"`
+	Leaving       bool   `json:"leaving" msgpack:"l"`
+}
+
+// DomainFilter says whether boxes of a failure domain may hold a workspace's requests, under the
+// configuration of one view.
+type DomainFilter func(workspace, failureDomain string) bool
+
+type view struct {
+	from  time.Time
+	boxes []ListedBox
+	may   DomainFilter
+}
+
+// NewViews makes an empty history; set its exported fields before use.
+func NewViews(self BoxID) *Views {
+	return &Views{Self: self, heard: map[string]heardBox{}}
+}
+
+func (v *Views) window() time.Duration { return v.FreshFor + v.ListLag + v.ClockSkew }
+
+// Observe takes a list and configuration that are in force at this box from now on.
+func (v *Views) Observe(now time.Time, boxes []ListedBox, may DomainFilter) {
+	v.views = append(v.views, view{from: now, boxes: boxes, may: may})
+	keep := now.Add(-v.LedgerKeep - v.window())
+	for len(v.views) > 1 && v.views[1].from.Before(keep) {
+		v.views = v.views[1:]
+	}
+}
+
+// Confirm notes that a read showed list and configuration unchanged as of these times.
+func (v *Views) Confirm(list, conf time.Time) {
+	if list.After(v.listConfirmed) {
+		v.listConfirmed = list
+	}
+	if conf.After(v.confConfirmed) {
+		v.confConfirmed = conf
+	}
+}
+
+// Heard notes the heartbeat of a box that is not leaving: it lives, whatever the list says.
+func (v *Views) Heard(now time.Time, name, domain string) {
+	v.heard[name] = heardBox{domain: domain, last: now}
+	for n, h := range v.heard {
+		if now.Sub(h.last) > 2*v.window() {
+			delete(v.heard, n)
+		}
+	}
+}
+
+// Confirmed is the older of the two confirmations.
+func (v *Views) Confirmed() time.Time {
+	if v.listConfirmed.Before(v.confConfirmed) {
+		return v.listConfirmed
+	}
+	return v.confConfirmed
+}
+
+// Homing is the verdict on a key.
+type Homing struct {
+	Me  bool
+	Box string      // the box to forward to when it isn't this one; "" when none is known
+	Err *code.Error // why no box can be named or this one isn't sure
+}
+
+// Judge says which box is home to a key.
+func (v *Views) Judge(now time.Time, k Key, workspace string) Homing {
+	m := k.Minted()
+	if m.After(now.Add(v.ClockSkew)) {
+		return Homing{Err: code.New(code.KeyFromFuture, "key", "made %s ahead of this box's clock", m.Sub(now).Round(time.Millisecond))}
+	}
+	if now.Sub(m) > v.LedgerKeep {
+		return Homing{Err: code.New(code.KeyExpired, "key", "made %s ago, longer than outcomes are kept", now.Sub(m).Round(time.Second))}
+	}
+	held := v.between(m.Add(-v.window()), m)
+	if len(held) == 0 {
+		held = v.views
+	}
+	if len(held) == 0 {
+		return Homing{Err: code.New(code.NotReady, "", "no box list yet")}
+	}
+	first := v.firsts(held, k, workspace)
+	newest := first[len(first)-1]
+	if newest == "" {
+		return Homing{Err: code.New(code.BoxOutsideBoundary, "workspace", "no box lies inside the workspace's boundary").WithRan(code.RanUnknown)}
+	}
+	if newest != v.Self.Name {
+		return Homing{Box: newest}
+	}
+	if why := v.unsettled(first, held, k, workspace); why != "" {
+		return Homing{Err: code.New(code.HomeUnsettled, "key", "%s", why)}
+	}
+	return Homing{Me: true}
+}
+
+// Witnesses lists every box that might think itself home to a key. If each of them promises that the
+// key never ran and never will there, it did not run. ok is false when this box has not watched for
+// long enough to name them all.
+func (v *Views) Witnesses(k Key, workspace string) (names []string, ok bool) {
+	m := k.Minted()
+	held := v.between(m.Add(-v.window()), m)
+	if len(held) == 0 || held[0].from.After(m.Add(-v.window())) {
+		return nil, false
+	}
+	names = v.everyone(held, workspace)
+	return names, len(names) > 0 && len(names) <= renounceAskAll
+}
+
+// unsettled says why this box, first in its newest view, may not act as home; "" if it may.
+func (v *Views) unsettled(first []string, held []view, k Key, workspace string) string {
+	m := k.Minted()
+	if held[0].from.After(m.Add(-v.window())) {
+		return "this box has not held a view for long enough"
+	}
+	for _, f := range first {
+		if f != v.Self.Name {
+			return "the key's home changed shortly before it was made"
+		}
+	}
+	if v.Confirmed().Before(m.Add(-v.FreshFor)) {
+		return "this box could not confirm its view lately"
+	}
+	if v.outranked(held[len(held)-1], k, workspace, m) {
+		return "a box that heartbeats show alive ranks higher"
+	}
+	return ""
+}
+
+// outranked says whether a box heard within the window ranks above this one, listed or not.
+func (v *Views) outranked(w view, k Key, workspace string, m time.Time) bool {
+	own := rendezvous(k, v.Self.Name)
+	for n, h := range v.heard {
+		if n == v.Self.Name || h.last.Before(m.Add(-v.window())) || !w.may(workspace, h.domain) {
+			continue
+		}
+		if rendezvous(k, n) > own {
+			return true
+		}
+	}
+	return false
+}
+
+// between lists the views held at some moment from a to b.
+func (v *Views) between(a, b time.Time) []view {
+	lo := 0
+	for lo+1 < len(v.views) && !v.views[lo+1].from.After(a) {
+		lo++
+	}
+	hi := lo
+	for hi < len(v.views) && !v.views[hi].from.After(b) {
+		hi++
+	}
+	return v.views[lo:hi]
+}
+
+// firsts gives the box that ranks first in each view.
+func (v *Views) firsts(held []view, k Key, workspace string) []string {
+	out := make([]string, len(held))
+	for i, w := range held {
+		out[i] = v.first(w, k, workspace)
+	}
+	return out
+}
+
+func (v *Views) first(w view, k Key, workspace string) string {
+	best, most := "", uint64(0)
+	rank := func(name, domain string) {
+		if !w.may(workspace, domain) {
+			return
+		}
+		if r := rendezvous(k, name); best == "" || r > most || r == most && name < best {
+			best, most = name, r
+		}
+	}
+	for _, b := range w.boxes {
+		if !b.Leaving {
+			rank(b.Name, b.FailureDomain)
+		}
+	}
+	return best
+}
+
+// everyone lists every box that could think itself home: listed in a held view, or heard.
+func (v *Views) everyone(held []view, workspace string) []string {
+	var names []string
+	for _, w := range held {
+		for _, b := range w.boxes {
+			if w.may(workspace, b.FailureDomain) {
+				names = append(names, b.Name)
+			}
+		}
+	}
+	last := held[len(held)-1]
+	for n, h := range v.heard {
+		if last.may(workspace, h.domain) {
+			names = append(names, n)
+		}
+	}
+	return distinct(names)
+}
+
+func distinct(names []string) []string {
+	seen := map[string]bool{}
+	var out []string
+	for _, n := range names {
+		if n != "" && !seen[n] {
+			seen[n] = true
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// rendezvous ranks a box for a key; the highest is first.
+func rendezvous(k Key, name string) uint64 { return rank(k.Hash(), name) }
+
+// rank mixes a hash with a name.
+func rank(h uint64, name string) uint64 {
+	x := h ^ xxhash.Sum64String(name)
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/src/core/key.go
@@ -0,0 +1,154 @@
+package core
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/stilemast/stilemast/src/code"
+)
+
+// BoxID names one life of one box.
+type BoxID struct {
+	Name        string `msgpack:"n"`
+	Incarnation uint64 `msgpack:"i"`
+}
+
+// String writes the id as name@incarnation.
+func (b BoxID) String() string { return b.Name + "@" + strconv.FormatUint(b.Incarnation, 10) }
+
+// Key identifies a request. It is a UUID version 7 the caller made, or a ticket: the same kind of
+// UUID bound to the box incarnation that issued it.
+type Key struct {
+	ID     uuid.UUID
+	Issuer BoxID // zero for a caller's own key
+}
+
+// Zero says whether there is no key.
+func (k Key) Zero() bool { return k.ID == uuid.Nil }
+
+// Ticket says whether the key is bound to an incarnation.
+func (k Key) Ticket() bool { return k.Issuer.Name != "" }
+
+// Minted is the time in the label, which every copy of the request carries.
+func (k Key) Minted() time.Time {
+	var b [8]byte
+	copy(b[2:], k.ID[:6])
+	return time.UnixMilli(int64(binary.BigEndian.Uint64(b[:])))
+}
+
+// Hash spreads keys over shards and boxes.
+func (k Key) Hash() uint64 { return xxhash.Sum64(k.ID[:]) }
+
+const ticketMark = "t1."
+
+// String writes a key as callers pass it. A ticket is t1.<uuid>.<incarnation>.<box>.
+func (k Key) String() string {
+	if !k.Ticket() {
+		return k.ID.String()
+	}
+	return ticketMark + k.ID.String() + "." + strconv.FormatUint(k.Issuer.Incarnation, 16) + "." + k.Issuer.Name
+}
+
+// ParseKey reads what a caller passed.
+func ParseKey(s string) (Key, *code.Error) {
+	if strings.HasPrefix(s, ticketMark) {
+		return parseTicket(s)
+	}
+	id, err := uuid.Parse(s)
+	if err != nil || id.Version() != 7 {
+		return Key{}, code.New(code.BadKey, "key", "neither a UUID version 7 nor a ticket")
+	}
+	return Key{ID: id}, nil
+}
+
+func parseTicket(s string) (Key, *code.Error) {
+	bad := code.New(code.BadKey, "key", "not a ticket of this system")
+	parts := strings.SplitN(strings.TrimPrefix(s, ticketMark), ".", 3)
+	if len(parts) != 3 || parts[2] == "" {
+		return Key{}, bad
+	}
+	id, err := uuid.Parse(parts[0])
+	if err != nil || id.Version() != 7 {
+		return Key{}, bad
+	}
+	inc, err := strconv.ParseUint(parts[1], 16, 64)
+	if err != nil || inc == 0 {
+		return Key{}, bad
+	}
+	return Key{ID: id, Issuer: BoxID{Name: parts[2], Incarnation: inc}}, nil
+}
+
+// AttachToken names a request and the incarnation that holds it.
+type AttachToken struct {
+	Key    Key
+	Holder BoxID
+}
+
+// String writes the token: hexadecimal of the key, a bar and the holder.
+func (t AttachToken) String() string {
+	raw := t.Key.String() + "|" + strconv.FormatUint(t.Holder.Incarnation, 16) + "|" + t.Holder.Name
+	return hex.EncodeToString([]byte(raw))
+}
+
+// ParseAttachToken reads a token.
+func ParseAttachToken(s string) (AttachToken, *code.Error) {
+	bad := code.New(code.BadAttachToken, "attach_token", "not an attach token of this system")
+	raw, err := hex.DecodeString(s)
+	if err != nil {
+		return AttachToken{}, bad
+	}
+	parts := strings.SplitN(string(raw), "|", 3)
+	if len(parts) != 3 || parts[2] == "" {
+		return AttachToken{}, bad
+	}
+	key, kerr := ParseKey(parts[0])
+	inc, err := strconv.ParseUint(parts[1], 16, 64)
+	if kerr != nil || err != nil {
+		return AttachToken{}, bad
+	}
+	return AttachToken{Key: key, Holder: BoxID{Name: parts[2], Incarnation: inc}}, nil
+}
+
+// Attempt is one dispatch of one stage of one request; replies are matched by all three parts.
+type Attempt struct {
+	Key   Key
+	Stage int
+	N     int
+}
+
+// Wire writes the attempt as backend servers see it. It names the box's incarnation too: two boxes
+// that got copies of one request must not share an identity at a server.
+func (a Attempt) Wire(by BoxID) string {
+	return a.Key.ID.String() + "/" + strconv.Itoa(a.Stage) + "/" + strconv.Itoa(a.N) + "/" + by.String()
+}
+
+// Fingerprint tells two requests under one key apart without keeping their content.
+func Fingerprint(workspace, pipeline string, input []byte) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(workspace)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(pipeline)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(input)
+	return d.Sum64()
+}
+
+// PrefixBlocks hashes the input's leading blocks, each over all before it, salted by workspace so
+// that no workspace's cache serves another.
+func PrefixBlocks(workspace string, input []byte) []uint64 {
+	n := min(len(input)/BlockBytes, maxPrefixBlocks)
+	out := make([]uint64, 0, n)
+	d := xxhash.New()
+	_, _ = d.WriteString(workspace)
+	for i := range n {
+		_, _ = d.Write(input[i*BlockBytes : (i+1)*BlockBytes])
+		out = append(out, d.Sum64())
+	}
+	return out
+}
--- /dev/null
+++ b/src/core/pool.go
@@ -0,0 +1,521 @@
+package core
+
+import (
+	"container/heap"
+	"math"
+	"sort"
+	"time"
+
+	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/config"
+)
+
+// Pool decides for one pool of backend servers which waiting call goes next, and where.
+//
+// Idea. Calls wait here and not in the servers, so that the order can still change and a call
+// whose deadline is lost costs nothing. Order: a call's latest useful start, pushed back by how far
+// its workspace is ahead of its fair share (start-time fair queueing tags), so that deadlines
+// decide while there is enough and shares decide when there is not. May-wait work gets a floor of
+// the dispatches, and goes first once its own time runs short.
+//
+// Cost. Push and withdraw O(log n); one dispatch O(lanes + servers). Lanes are distinct boundaries,
+// few; servers are bounded by the subset the box uses.
+//
+// Trade-offs. A call's order is set when it comes and not revised; a workspace that went idle keeps
+// no credit. Not safe for concurrent use; each pool has its own lock in the shell.
+type Pool struct {
+	Name        string
+	Self        string // the box's name, which seeds its leanings
+	Domain      int    // the box's failure domain, -1 when unknown
+	Region      string
+	Room        int // calls that may wait
+	Estimates   *Estimates
+	Placement   Placer // how a server is picked
+	NoAdmission bool   // baseline: first come first served, nothing refused, no windows
+	DeferPrefix bool   // wait for a prefix that is being computed; measured and left off
+
+	servers map[string]*server
+	order   []*server
+	lanes   map[laneKey]*lane
+	laneSeq []*lane
+	waiting map[Attempt]*Call
+	retries budget
+	hedges  budget
+	tags    map[string]float64 // last fair-queueing tag of each workspace
+	virtual float64
+	credit  float64 // what waiting may-wait work is owed
+	seed    uint64
+	fifo    float64
+	backlog [config.Classes]float64 // expected seconds of slots that wait
+	stats   PoolStats
+}
+
+// PoolStats counts what a pool did.
+type PoolStats struct {
+	Retries   int
+	Hedges    int
+	Dropped   int
+	Unsettled int
+}
+
+// Grant is a place for a call.
+type Grant struct {
+	Call   *Call
+	Server string
+	Trace  []Candidate
+}
+
+// Drop is a call that will not be placed.
+type Drop struct {
+	Call *Call
+	Err  *code.Error
+}
+
+// NewPool makes an empty pool; set its exported fields before use.
+func NewPool(name string) *Pool {
+	return &Pool{
+		Name: name, Domain: -1, Room: 2000, Placement: ExpectedFinish,
+		servers: map[string]*server{}, lanes: map[laneKey]*lane{}, waiting: map[Attempt]*Call{},
+		retries: newBudget(retryEarned, retryBankMax), hedges: newBudget(hedgeEarned, hedgeBankMax),
+		tags: map[string]float64{},
+	}
+}
+
+// SetServers takes the servers of a new configuration. What was learned of those that stay is kept;
+// those that go keep their running calls until these are done.
+func (p *Pool) SetServers(list []*config.BackendServer) {
+	next := make(map[string]*server, len(list))
+	p.order = p.order[:0]
+	for _, cfg := range list {
+		s := p.servers[cfg.Name()]
+		if s == nil {
+			s = newServer(cfg)
+			s.window = s.share()
+		}
+		s.cfg = cfg
+		next[cfg.Name()] = s
+		p.order = append(p.order, s)
+	}
+	p.servers = next
+}
+
+// SetUsers says how many boxes use a server.
+func (p *Pool) SetUsers(name string, n int) {
+	if s := p.servers[name]; s != nil {
+		s.users = max(1, n)
+	}
+}
+
+// Waiting counts the calls that wait.
+func (p *Pool) Waiting() int { return len(p.waiting) }
+
+// Stats gives the counters.
+func (p *Pool) Stats() PoolStats { return p.stats }
+
+// Push takes a call to wait, or says why not.
+func (p *Pool) Push(now time.Time, c *Call) *code.Error {
+	if err := p.admitExtra(c); err != nil {
+		return err
+	}
+	if len(p.waiting) >= p.Room && !c.Started {
+		p.stats.Dropped++
+		return code.New(code.QueueFull, "", "pool %s has %d calls waiting", p.Name, len(p.waiting)).After(p.comeBack())
+	}
+	if !p.anyServer(c) {
+		return code.New(code.NowhereToRun, "", "pool %s has no backend server inside the boundary", p.Name)
+	}
+	c.cost = p.costOf(now, c)
+	c.order = p.orderOf(now, c)
+	k := laneOf(c)
+	l := p.lanes[k]
+	if l == nil {
+		l = &lane{key: k}
+		p.lanes[k] = l
+		p.laneSeq = append(p.laneSeq, l)
+	}
+	c.lane = l
+	heap.Push(&l.classes[c.Pipeline.Class()], c)
+	p.waiting[c.Attempt] = c
+	p.backlog[c.Pipeline.Class()] += c.cost
+	return nil
+}
+
+// admitExtra charges retries and hedges to their budgets.
+func (p *Pool) admitExtra(c *Call) *code.Error {
+	switch {
+	case c.Hedge:
+		if len(p.waiting) > 0 || !p.hedges.spend() {
+			return code.New(code.RetryBudgetSpent, "", "no hedge for pool %s", p.Name)
+		}
+		p.stats.Hedges++
+	case c.Retry:
+		if !p.retries.spend() {
+			return code.New(code.RetryBudgetSpent, "", "pool %s is failing and its retry budget is spent", p.Name).After(time.Second)
+		}
+		p.stats.Retries++
+	default:
+		p.retries.earned()
+		p.hedges.earned()
+	}
+	return nil
+}
+
+func (p *Pool) anyServer(c *Call) bool {
+	for _, s := range p.order {
+		if config.MayRun(c.Workspace, c.Stage, s.cfg.Domain()) && fits(s, c) {
+			return true
+		}
+	}
+	return false
+}
+
+// costOf is the slot time a call is expected to take on a typical server.
+func (p *Pool) costOf(now time.Time, c *Call) float64 {
+	ratio := p.ratio(c)
+	best := math.Inf(1)
+	for _, s := range p.order {
+		if p.rejects(now, s, c) != "" {
+			continue
+		}
+		best = min(best, s.expect(now, c, ratio).run)
+	}
+	if math.IsInf(best, 1) {
+		return firstGuess(c.Stage).Seconds()
+	}
+	return best
+}
+
+func (p *Pool) ratio(c *Call) float64 {
+	if c.MaxTokens == 0 {
+		return 1
+	}
+	return p.Estimates.TokenRatio(c.Pipeline, c.Stage)
+}
+
+// orderOf is the latest useful start plus how far the workspace is ahead of its share, in seconds.
+func (p *Pool) orderOf(now time.Time, c *Call) float64 {
+	if p.NoAdmission {
+		p.fifo++
+		return p.fifo
+	}
+	w := c.Workspace.Name()
+	tag := max(p.virtual, p.tags[w])
+	p.tags[w] = tag + c.cost/c.Workspace.Weight()/max(1, float64(p.totalSlots()))
+	ahead := tag - p.virtual
+	start := float64(c.Deadline.Add(-c.Tail).UnixNano())/float64(time.Second) - c.cost
+	if len(p.waiting) == 0 && len(p.tags) > 4096 {
+		p.tags = map[string]float64{} // nobody waits, so nobody is ahead
+	}
+	return start + ahead*float64(max(1, len(p.tags)))
+}
+
+func (p *Pool) totalSlots() int {
+	n := 0
+	for _, s := range p.order {
+		n += s.slots()
+	}
+	return n
+}
+
+// Withdraw takes a waiting call out again; it says whether it was waiting.
+func (p *Pool) Withdraw(id Attempt) bool {
+	c := p.waiting[id]
+	if c == nil {
+		return false
+	}
+	p.remove(c)
+	return true
+}
+
+func (p *Pool) remove(c *Call) {
+	delete(p.waiting, c.Attempt)
+	h := &c.lane.classes[c.Pipeline.Class()]
+	heap.Remove(h, c.index)
+	p.backlog[c.Pipeline.Class()] = max(0, p.backlog[c.Pipeline.Class()]-c.cost)
+	if c.lane.empty() {
+		delete(p.lanes, c.lane.key)
+		p.dropLane(c.lane)
+	}
+}
+
+func (p *Pool) dropLane(l *lane) {
+	for i, o := range p.laneSeq {
+		if o == l {
+			p.laneSeq = append(p.laneSeq[:i], p.laneSeq[i+1:]...)
+			return
+		}
+	}
+}
+
+// Next places what can be placed now and drops what can't finish any more. The caller asks again
+// after each Push, Done, Report and at least every TickEvery while calls wait.
+func (p *Pool) Next(now time.Time) ([]Grant, []Drop) {
+	var grants []Grant
+	var drops []Drop
+	blocked := map[*lane]bool{}
+	for len(p.waiting) > 0 {
+		c := p.head(now, blocked)
+		if c == nil {
+			break
+		}
+		if err := p.hopeless(now, c); err != nil {
+			p.remove(c)
+			p.stats.Dropped++
+			drops = append(drops, Drop{Call: c, Err: err})
+			continue
+		}
+		s, trace := p.place(now, c)
+		if s == nil {
+			blocked[c.lane] = true
+			continue
+		}
+		p.remove(c)
+		p.dispatch(now, c, s)
+		grants = append(grants, Grant{Call: c, Server: s.cfg.Name(), Trace: trace})
+	}
+	return grants, drops
+}
+
+// head picks the call that is next in order over the lanes that are not blocked.
+func (p *Pool) head(now time.Time, blocked map[*lane]bool) *Call {
+	var best [config.Classes]*Call
+	for _, l := range p.laneSeq {
+		if blocked[l] {
+			continue
+		}
+		for class, h := range l.classes {
+			if len(h) > 0 && (best[class] == nil || h[0].order < best[class].order) {
+				best[class] = h[0]
+			}
+		}
+	}
+	return p.between(now, best[config.Prompt], best[config.MayWait])
+}
+
+// between chooses among the classes' heads: urgent may-wait work, then what the floor owes, then prompt.
+func (p *Pool) between(now time.Time, prompt, may *Call) *Call {
+	switch {
+	case prompt == nil:
+		return may
+	case may == nil:
+		return prompt
+	case p.NoAdmission:
+		if may.order < prompt.order {
+			return may
+		}
+		return prompt
+	case p.urgent(now, may), p.credit > 0:
+		return may
+	}
+	return prompt
+}
+
+// urgent says whether may-wait work has little slack left of the time it had.
+func (p *Pool) urgent(now time.Time, c *Call) bool {
+	had := c.Deadline.Sub(c.Enqueued)
+	return float64(c.slack(now, seconds(c.cost))) < urgentSlack*float64(had)
+}
+
+// hopeless says why a call can't finish in time wherever it went; accepted must-finish work never is.
+func (p *Pool) hopeless(now time.Time, c *Call) *code.Error {
+	if p.NoAdmission || c.Pipeline.MustFinish() || c.once() && c.Started {
+		return nil
+	}
+	if c.slack(now, seconds(c.cost)) >= 0 {
+		return nil
+	}
+	return code.New(code.CannotFinish, "", "stage %s could no longer finish by the deadline", c.Stage.Name()).After(p.comeBack())
+}
+
+// comeBack is when what waits now should have gone.
+func (p *Pool) comeBack() time.Duration {
+	wait := seconds((p.backlog[config.Prompt] + p.backlog[config.MayWait]) / max(1, p.capacity()))
+	return min(max(wait, 100*time.Millisecond), 30*time.Second)
+}
+
+// capacity is how many slots this box can count on over all servers.
+func (p *Pool) capacity() float64 {
+	sum := 0.0
+	for _, s := range p.order {
+		if !s.leaving() && s.rest == 0 {
+			sum += max(s.share(), s.window)
+		}
+	}
+	return sum
+}
+
+// WaitFor is how long a new call of a class would wait for its place.
+func (p *Pool) WaitFor(class config.Class) time.Duration {
+	ahead := p.backlog[config.Prompt]
+	if class == config.MayWait {
+		ahead += p.backlog[config.MayWait]
+	}
+	return seconds(ahead / max(1, p.capacity()))
+}
+
+// dispatch books a call at a server.
+func (p *Pool) dispatch(now time.Time, c *Call, s *server) {
+	w := s.expect(now, c, p.ratio(c))
+	s.mine[c.Attempt] = running{
+		sent: now, expect: w.total(), tokens: w.tokens, prefill: w.prefill, guessed: w.guessed, prefix: c.Prefix,
+	}
+	for _, h := range c.Prefix {
+		s.cache.add(h)
+	}
+	if s.rest > 0 {
+		s.probing = true
+	}
+	p.virtual = max(p.virtual, p.tags[c.Workspace.Name()]-c.cost/c.Workspace.Weight()/max(1, float64(p.totalSlots())))
+	if c.Pipeline.Class() == config.MayWait {
+		p.credit = max(0, p.credit-(1-mayWaitFloor)*c.cost)
+	} else if p.mayWaits() {
+		p.credit += mayWaitFloor * c.cost
+	}
+}
+
+func (p *Pool) mayWaits() bool {
+	for _, l := range p.laneSeq {
+		if len(l.classes[config.MayWait]) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Done ends a booked call; failure 0 is success. It says whether the call was booked.
+func (p *Pool) Done(now time.Time, id Attempt, name string, f Failure, u Use, wasted bool) bool {
+	s := p.servers[name]
+	if s == nil {
+		return false
+	}
+	r, ok := s.mine[id]
+	if !ok {
+		return false
+	}
+	delete(s.mine, id)
+	switch f {
+	case 0:
+		if wasted && u == (Use{}) {
+			s.probing = false // stopped by us: it says nothing about the server
+			return true
+		}
+		s.succeeded()
+		s.learn(now, r, u)
+	case Leaving:
+		s.answeredLeaving(now)
+	case Busy:
+		s.window = max(s.share(), windowCut*s.window)
+		s.failed(now)
+	case Wrong:
+		s.succeeded()
+	default:
+		s.failed(now)
+	}
+	return true
+}
+
+// Release gives back a place that was never used.
+func (p *Pool) Release(id Attempt, name string) {
+	if s := p.servers[name]; s != nil {
+		delete(s.mine, id)
+		s.probing = false
+	}
+}
+
+// Report takes a server's load report; it says whether it was news.
+func (p *Pool) Report(now time.Time, name string, r Report) bool {
+	s := p.servers[name]
+	return s != nil && s.take(now, r)
+}
+
+// ReportFailed notes that a server did not answer for its report.
+func (p *Pool) ReportFailed(now time.Time, name string) {
+	if s := p.servers[name]; s != nil {
+		s.failed(now)
+	}
+}
+
+// Events takes cache events of a server.
+func (p *Pool) Events(name string, events []CacheEvent) {
+	s := p.servers[name]
+	if s == nil {
+		return
+	}
+	for _, e := range events {
+		s.cache.event(e)
+	}
+}
+
+// PeerLoad takes another box's note of what it has at a server.
+func (p *Pool) PeerLoad(now time.Time, box, name string, n int) {
+	if s := p.servers[name]; s != nil {
+		s.peers[box] = peerLoad{n: n, at: now}
+	}
+}
+
+// ForgetPeer drops the notes of a box that is gone.
+func (p *Pool) ForgetPeer(box string) {
+	for _, s := range p.order {
+		delete(s.peers, box)
+	}
+}
+
+// HearLeaving takes another box's word that a server is leaving, in the report's own numbering.
+func (p *Pool) HearLeaving(now time.Time, name string, incarnation, seq uint64) {
+	s := p.servers[name]
+	if s == nil {
+		return
+	}
+	r := s.report
+	r.Incarnation, r.Seq, r.Leaving = incarnation, seq, true
+	if s.reportAt.IsZero() || r.newer(s.report) {
+		s.report.Incarnation, s.report.Seq, s.report.Leaving = incarnation, seq, true
+		s.saysLeaving = true
+		s.leavingUntil = now.Add(leavingSticks)
+	}
+}
+
+// Servers lists the names of the servers in use.
+func (p *Pool) Servers() []string {
+	out := make([]string, len(p.order))
+	for i, s := range p.order {
+		out[i] = s.cfg.Name()
+	}
+	return out
+}
+
+// LastEvent is the number of the last cache event taken of a server.
+func (p *Pool) LastEvent(name string) uint64 {
+	if s := p.servers[name]; s != nil {
+		return s.cache.seq
+	}
+	return 0
+}
+
+// ServerView is what the pool knows of one server, for status and for peers.
+type ServerView struct {
+	Name      string
+	Config    *config.BackendServer
+	Report    Report
+	ReportAt  time.Time
+	InFlight  int
+	Others    int
+	Window    int
+	FailShare float64
+	Leaving   bool
+	Resting   bool
+}
+
+// View lists the servers by name.
+func (p *Pool) View(now time.Time) []ServerView {
+	out := make([]ServerView, 0, len(p.order))
+	for _, s := range p.order {
+		out = append(out, ServerView{
+			Name: s.cfg.Name(), Config: s.cfg, Report: s.report, ReportAt: s.reportAt,
+			InFlight: len(s.mine), Others: s.others(now), Window: int(max(s.window, s.share())),
+			FailShare: s.failShare, Leaving: s.leaving(), Resting: s.resting(now),
+		})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
--- /dev/null
+++ b/src/core/server.go
@@ -0,0 +1,324 @@
+package core
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/stilemast/stilemast/src/config"
+)
+
+// Report is a backend server's own account of its load. It lags; Incarnation and Seq order reports
+// of one server, so that old news can't undo new news whichever way each came.
+type Report struct {
+	Incarnation uint64        `json:"incarnation" msgpack:"i"`
+	Seq         uint64        `json:"seq" msgpack:"q"`
+	Running     int           `json:"running" msgpack:"r"`
+	Waiting     int           `json:"waiting" msgpack:"w"`
+	Slots       int           `json:"slots" msgpack:"s"`
+	Leaving     bool          `json:"leaving" msgpack:"l"`
+	Model       string        `json:"model" msgpack:"m"`
+	Version     string        `json:"version" msgpack:"v"`
+	Adapters    []string      `json:"adapters" msgpack:"a"`
+	Role        string        `json:"role" msgpack:"o"`
+	Loading     time.Duration `json:"loading_ns" msgpack:"t"` // time until the ordered model serves
+	Fence       uint64        `json:"fence" msgpack:"f"`      // fence of the last order taken
+}
+
+// newer says whether r is later news than o.
+func (r Report) newer(o Report) bool {
+	if r.Incarnation != o.Incarnation {
+		return r.Incarnation > o.Incarnation
+	}
+	return r.Seq > o.Seq
+}
+
+// CacheEvent is one change of a server's prefix cache; events come late and with gaps.
+type CacheEvent struct {
+	Seq     uint64   `json:"seq"`
+	Stored  []uint64 `json:"stored"`
+	Removed []uint64 `json:"removed"`
+}
+
+// running is one call this box has at a server.
+type running struct {
+	sent    time.Time
+	expect  time.Duration
+	tokens  int // expected to be generated
+	prefill int // expected to be computed
+	guessed int // blocks guessed cached
+	prefix  []uint64
+}
+
+// peerLoad is what another box last said it has at a server.
+type peerLoad struct {
+	n  int
+	at time.Time
+}
+
+// server is what a pool knows of one backend server.
+type server struct {
+	cfg   *config.BackendServer
+	hash  uint64
+	mine  map[Attempt]running
+	peers map[string]peerLoad
+	users int // boxes that use this server
+
+	report       Report
+	reportAt     time.Time
+	mineAtReport int
+
+	window float64 // calls this box may have here, borrowed ones included
+
+	failShare float64
+	inARow    int
+	rest      time.Duration
+	restUntil time.Time
+	probing   bool
+
+	saysLeaving  bool
+	leavingUntil time.Time // an answer said so; reports of the same life don't undo it before
+
+	run      float64 // seconds of one call of a plain service or an encoder
+	token    float64 // seconds of one token on an empty engine
+	prefill  float64 // seconds of one computed prompt token
+	measured bool
+	cache    *prefixIndex
+}
+
+func newServer(cfg *config.BackendServer) *server {
+	return &server{
+		cfg: cfg, hash: xxhash.Sum64String(cfg.Name()), mine: map[Attempt]running{}, peers: map[string]peerLoad{}, users: 1,
+		run: defaultRun.Seconds(), token: defaultTokenTime.Seconds(), prefill: defaultPrefill.Seconds(),
+		cache: newPrefixIndex(),
+	}
+}
+
+// leaving says whether the server takes no new work, wherever the news came from.
+func (s *server) leaving() bool { return s.cfg.Leaving() || s.saysLeaving }
+
+// slots is the smaller of what was configured and what the server says.
+func (s *server) slots() int {
+	n := s.cfg.Slots()
+	if s.report.Slots > 0 && s.report.Slots < n {
+		n = s.report.Slots
+	}
+	return n
+}
+
+// share is what this box may have here whatever the others do.
+func (s *server) share() float64 {
+	return max(1, float64(s.slots())/float64(max(1, s.users)))
+}
+
+// others estimates what the other boxes have here: their own notes where all of them are fresh,
+// otherwise the larger of the notes and the server's lagging report.
+func (s *server) others(now time.Time) int {
+	heard, fresh := 0, 0
+	for _, p := range s.peers {
+		if now.Sub(p.at) <= peerLoadStale {
+			heard += p.n
+			fresh++
+		}
+	}
+	if fresh >= s.users-1 {
+		return heard
+	}
+	if now.Sub(s.reportAt) > reportStale || s.reportAt.IsZero() {
+		return heard
+	}
+	return max(heard, s.report.Running+s.report.Waiting-s.mineAtReport)
+}
+
+// open says whether this box may send one more call: within its share always, beyond it only
+// while the server has room that others leave idle and the window has grown that far.
+func (s *server) open(now time.Time) bool {
+	mine := float64(len(s.mine))
+	if mine+1 <= s.share() {
+		return true
+	}
+	return mine+1 <= s.window && len(s.mine)+s.others(now)+1 <= s.slots()
+}
+
+// adapt moves the borrowed window: up by one a report while there is room, down at once when the
+// server queues. The share is its floor.
+func (s *server) adapt(now time.Time) {
+	floor := s.share()
+	if s.report.Waiting > 0 {
+		s.window = max(floor, windowCut*s.window)
+		return
+	}
+	if len(s.mine)+s.others(now) < s.slots() {
+		s.window = min(float64(s.slots()), max(floor, s.window)+max(1, floor/2))
+	}
+}
+
+// take accepts a report unless it is old news.
+func (s *server) take(now time.Time, r Report) bool {
+	if !s.reportAt.IsZero() && !r.newer(s.report) {
+		return false
+	}
+	reborn := r.Incarnation > s.report.Incarnation && !s.reportAt.IsZero()
+	s.report = r
+	s.reportAt = now
+	s.mineAtReport = len(s.mine)
+	s.hearLeaving(now, r.Leaving, reborn)
+	s.adapt(now)
+	return true
+}
+
+// hearLeaving takes a report's word on leaving; a stale "staying" from the same life of the server
+// does not undo what an answer said.
+func (s *server) hearLeaving(now time.Time, leaving, reborn bool) {
+	if leaving || reborn || now.After(s.leavingUntil) {
+		s.saysLeaving = leaving
+	}
+}
+
+// answeredLeaving notes that the server itself refused a call because it is leaving.
+func (s *server) answeredLeaving(now time.Time) {
+	s.saysLeaving = true
+	s.leavingUntil = now.Add(leavingSticks)
+}
+
+// resting says whether the server failed lately and is left alone; after the rest one call at a
+// time tries it.
+func (s *server) resting(now time.Time) bool {
+	if s.rest == 0 {
+		return false
+	}
+	return now.Before(s.restUntil) || s.probing
+}
+
+func (s *server) succeeded() {
+	s.failShare = mix(s.failShare, 0, failRate)
+	s.inARow = 0
+	s.rest = 0
+	s.probing = false
+}
+
+func (s *server) failed(now time.Time) {
+	s.failShare = mix(s.failShare, 1, failRate)
+	s.inARow++
+	s.probing = false
+	if s.inARow >= failuresToRest {
+		s.rest = min(max(2*s.rest, restFirst), restLongest)
+		s.restUntil = now.Add(s.rest)
+	}
+}
+
+// ready says why a call may not go here now, or "".
+func (s *server) ready(now time.Time, c *Call) string {
+	switch {
+	case !config.MayRun(c.Workspace, c.Stage, s.cfg.Domain()):
+		return "outside the boundary"
+	case s.leaving():
+		return "leaving"
+	case !fits(s, c):
+		return "other model or adapter"
+	case s.resting(now):
+		return "resting after failures"
+	}
+	return ""
+}
+
+func fits(s *server, c *Call) bool {
+	if m := c.Stage.Model(); m != "" && s.cfg.Model() != m {
+		return false
+	}
+	if c.Stage.Adapter() == "" {
+		return true
+	}
+	for _, a := range s.cfg.Adapters() {
+		if a == c.Stage.Adapter() {
+			return true
+		}
+	}
+	return false
+}
+
+// work is how a call would go at a server.
+type work struct {
+	wait    float64 // seconds before it starts
+	run     float64 // seconds it runs
+	guessed int     // blocks guessed cached
+	prefill int     // prompt tokens to compute
+	tokens  int     // tokens to generate
+}
+
+func (w work) total() time.Duration { return seconds(w.wait + w.run) }
+
+// expect estimates a call at this server from the lagging report, what was sent since, what it
+// learned from answers, and how long its oldest call here has overrun.
+func (s *server) expect(now time.Time, c *Call, ratio float64) work {
+	var w work
+	load := len(s.mine) + s.others(now)
+	if c.MaxTokens > 0 {
+		w.guessed = s.cache.held(c.Prefix)
+		cached := int(float64(w.guessed*BlockBytes/bytesPerToken) * s.cache.trust)
+		w.prefill = max(0, c.PromptTokens-cached)
+		w.tokens = max(1, int(float64(c.MaxTokens)*ratio))
+		full := min(1, float64(load)/float64(s.slots()))
+		w.run = s.prefill*float64(w.prefill) + s.token*(1+loadSlope*full)*float64(w.tokens)
+	} else {
+		w.run = s.run
+	}
+	if over := load + 1 - s.slots(); over > 0 {
+		w.wait = w.run * float64(over) / float64(s.slots())
+	}
+	if s.report.Loading > 0 {
+		w.wait += max(0, (s.report.Loading - now.Sub(s.reportAt)).Seconds())
+	}
+	w.wait += s.overrun(now)
+	w.run *= 1 + 2*s.failShare
+	return w
+}
+
+// overrun is how far the oldest call here is past twice its expectation: a server that hangs
+// answers nothing, so silence itself has to count.
+func (s *server) overrun(now time.Time) float64 {
+	worst := 0.0
+	for _, r := range s.mine {
+		if late := (now.Sub(r.sent) - 2*r.expect).Seconds(); late > worst {
+			worst = late
+		}
+	}
+	return worst
+}
+
+// learn takes one answered call.
+func (s *server) learn(now time.Time, r running, u Use) {
+	took := now.Sub(r.sent).Seconds()
+	if r.tokens == 0 {
+		s.run = s.mixFirst(s.run, took)
+		return
+	}
+	s.cache.learn(r.guessed*BlockBytes/bytesPerToken, u.CachedTokens)
+	if u.GeneratedTokens == 0 {
+		return
+	}
+	full := min(1, float64(len(s.mine)+s.others(now))/float64(s.slots()))
+	gen := took - s.prefill*float64(u.ComputedTokens)
+	if gen > 0 {
+		s.token = s.mixFirst(s.token, gen/float64(u.GeneratedTokens)/(1+loadSlope*full))
+	}
+}
+
+// mixFirst takes the first measurement whole and later ones by learnRate.
+func (s *server) mixFirst(old, v float64) float64 {
+	if !s.measured {
+		s.measured = true
+		return v
+	}
+	return mix(old, v, learnRate)
+}
+
+// jitter is a box's own small, fixed leaning for a call and a server, in [0, 1).
+func (s *server) jitter(seed uint64) float64 {
+	x := (s.hash ^ seed) * 0x9e3779b97f4a7c15
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	x ^= x >> 32
+	return float64(x>>11) / math.Pow(2, 53)
+}
--- /dev/null
+++ b/src/load/report.go
@@ -0,0 +1,217 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/standin"
+)
+
+// Report sums a run.
+type Report struct {
+	Requests  int            `json:"requests"`
+	Whole     int            `json:"whole"`
+	InTime    int            `json:"in_time"`
+	Weighted  float64        `json:"attainment_weighted"`
+	Lost      int            `json:"lost"`
+	Doubled   int            `json:"doubled"`
+	Misplaced int            `json:"misplaced"`
+	FalseNo   int            `json:"ran_after_not_run"`
+	ByKind    []KindReport   `json:"by_pipeline"`
+	ByStage   []StageReport  `json:"by_stage"`
+	Refusals  map[string]int `json:"refusals"`
+}
+
+// KindReport sums one pipeline.
+type KindReport struct {
+	Pipeline string  `json:"pipeline"`
+	Requests int     `json:"requests"`
+	InTime   int     `json:"in_time"`
+	Late     int     `json:"late"`
+	P50      float64 `json:"p50_ms"`
+	P95      float64 `json:"p95_ms"`
+	First95  float64 `json:"first_token_p95_ms"`
+}
+
+// StageReport sums one stage over all pipelines: what it consumed and how long calls waited.
+type StageReport struct {
+	Stage     string  `json:"stage"`
+	Calls     int     `json:"calls"`
+	Seconds   float64 `json:"seconds"`
+	Computed  uint64  `json:"computed_tokens"`
+	Cached    uint64  `json:"cached_tokens"`
+	Generated uint64  `json:"generated_tokens"`
+	WaitP95   float64 `json:"wait_p95_ms"`
+}
+
+func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 3_600_000_000, 3) }
+
+func milliseconds(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) { _ = h.RecordValue(max(1, d.Microseconds())) }
+
+// Judge sums results and holds them against what the stand-ins ran: an answer that is not the
+// request's own is misplaced, a call that may not be repeated and ran twice is doubled, an accepted
+// request without a final answer is lost, and a "not run" of something that ran is false.
+func Judge(results []Result, ran []standin.Ran) Report {
+	r := Report{Refusals: map[string]int{}}
+	onceRuns, anyRuns := countRuns(ran)
+	kinds := map[string]*kindSums{}
+	stages := map[string]*stageSums{}
+	var weight, got float64
+	seen := map[string]bool{}
+	for _, x := range results {
+		r.Requests++
+		k := kindOf(kinds, x.Arrival.Pipeline.Name())
+		k.requests++
+		w := x.Arrival.Pipeline.Weight()
+		weight += w
+		switch {
+		case x.Code == code.OK && x.Wrong:
+			r.Misplaced++
+		case x.Code == code.OK:
+			r.Whole++
+			k.add(x)
+			if !x.Late {
+				r.InTime++
+				got += w
+			}
+			addStages(stages, x)
+		default:
+			r.Refusals[x.Code.String()]++
+			if x.Code == code.AnswerInterrupted {
+				r.Lost++
+			}
+		}
+		if x.Ran == code.RanNo && !x.Twin && anyRuns[x.Key] > 0 && x.Arrival.Pipeline.Once() {
+			r.FalseNo++
+		}
+		if onceRuns[x.Key] > 1 && !seen[x.Key] {
+			r.Doubled++
+			seen[x.Key] = true
+		}
+		if x.Code == code.OK && x.Arrival.Pipeline.Once() && onceRuns[x.Key] == 0 {
+			r.Lost++
+		}
+	}
+	if weight > 0 {
+		r.Weighted = got / weight
+	}
+	r.ByKind, r.ByStage = kindReports(kinds), stageReports(stages)
+	return r
+}
+
+// countRuns counts, for each key, the calls that may not be repeated and all calls.
+func countRuns(ran []standin.Ran) (once, all map[string]int) {
+	once, all = map[string]int{}, map[string]int{}
+	for _, x := range ran {
+		key, _, _ := strings.Cut(x.Attempt, "/")
+		all[key]++
+		if x.Once {
+			once[key]++
+		}
+	}
+	return once, all
+}
+
+type kindSums struct {
+	requests, inTime, late int
+	took, first            *hdrhistogram.Histogram
+}
+
+func kindOf(m map[string]*kindSums, name string) *kindSums {
+	if m[name] == nil {
+		m[name] = &kindSums{took: histogram(), first: histogram()}
+	}
+	return m[name]
+}
+
+func (k *kindSums) add(x Result) {
+	record(k.took, x.Took)
+	record(k.first, x.FirstToken)
+	if x.Late {
+		k.late++
+		return
+	}
+	k.inTime++
+}
+
+type stageSums struct {
+	calls                       int
+	seconds                     float64
+	computed, cached, generated uint64
+	waits                       *hdrhistogram.Histogram
+}
+
+func addStages(m map[string]*stageSums, x Result) {
+	for _, u := range x.Stages {
+		s := m[u.GetStage()]
+		if s == nil {
+			s = &stageSums{waits: histogram()}
+			m[u.GetStage()] = s
+		}
+		s.calls += int(u.GetAttempts())
+		s.seconds += u.GetServed().AsDuration().Seconds()
+		s.computed += u.GetComputedTokens()
+		s.cached += u.GetCachedTokens()
+		s.generated += u.GetGeneratedTokens()
+		record(s.waits, u.GetWaited().AsDuration())
+	}
+}
+
+func kindReports(m map[string]*kindSums) []KindReport {
+	out := make([]KindReport, 0, len(m))
+	for n, k := range m {
+		out = append(out, KindReport{
+			Pipeline: n, Requests: k.requests, InTime: k.inTime, Late: k.late,
+			P50: milliseconds(k.took, 50), P95: milliseconds(k.took, 95), First95: milliseconds(k.first, 95),
+		})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Pipeline < out[j].Pipeline })
+	return out
+}
+
+func stageReports(m map[string]*stageSums) []StageReport {
+	out := make([]StageReport, 0, len(m))
+	for n, s := range m {
+		out = append(out, StageReport{
+			Stage: n, Calls: s.calls, Seconds: s.seconds, Computed: s.computed, Cached: s.cached,
+			Generated: s.generated, WaitP95: milliseconds(s.waits, 95),
+		})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Stage < out[j].Stage })
+	return out
+}
+
+// Clean says whether nothing was lost, doubled, misplaced or falsely refused.
+func (r Report) Clean() bool { return r.Lost+r.Doubled+r.Misplaced+r.FalseNo == 0 }
+
+// Write prints the report as text.
+func (r Report) Write(w io.Writer) {
+	fmt.Fprintf(w, "%d requests: %d whole, %d in time, weighted attainment %.1f%%\n", r.Requests, r.Whole, r.InTime, 100*r.Weighted)
+	fmt.Fprintf(w, "lost %d, doubled %d, misplaced %d, ran after \"not run\" %d\n\n", r.Lost, r.Doubled, r.Misplaced, r.FalseNo)
+	fmt.Fprintf(w, "%-18s %8s %8s %6s %9s %9s %12s\n", "pipeline", "requests", "in time", "late", "p50 ms", "p95 ms", "first p95 ms")
+	for _, k := range r.ByKind {
+		fmt.Fprintf(w, "%-18s %8d %8d %6d %9.1f %9.1f %12.1f\n", k.Pipeline, k.Requests, k.InTime, k.Late, k.P50, k.P95, k.First95)
+	}
+	fmt.Fprintf(w, "\n%-18s %8s %9s %10s %10s %10s %12s\n", "stage", "calls", "seconds", "computed", "cached", "generated", "wait p95 ms")
+	for _, s := range r.ByStage {
+		fmt.Fprintf(w, "%-18s %8d %9.1f %10d %10d %10d %12.1f\n", s.Stage, s.Calls, s.Seconds, s.Computed, s.Cached, s.Generated, s.WaitP95)
+	}
+	names := make([]string, 0, len(r.Refusals))
+	for n := range r.Refusals {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		fmt.Fprintf(w, "refused %-20s %d\n", n, r.Refusals[n])
+	}
+}
--- /dev/null
+++ b/src/load/run.go
@@ -0,0 +1,223 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	pb "github.com/stilemast/stilemast/src/api/stilemast/v1"
+	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/config"
+	"github.com/stilemast/stilemast/src/rpc"
+	"github.com/stilemast/stilemast/src/standin"
+)
+
+// Dial connects to a box; cfg nil means plain TCP, token may be "".
+func Dial(address string, cfg *tls.Config, token string) (*grpc.ClientConn, error) {
+	creds := insecure.NewCredentials()
+	if cfg != nil {
+		creds = credentials.NewTLS(cfg)
+	}
+	opts := []grpc.DialOption{grpc.WithTransportCredentials(creds)}
+	if token != "" {
+		opts = append(opts, grpc.WithStreamInterceptor(func(ctx context.Context, d *grpc.StreamDesc, cc *grpc.ClientConn, m string, s grpc.Streamer, o ...grpc.CallOption) (grpc.ClientStream, error) {
+			return s(withToken(ctx, token), d, cc, m, o...)
+		}), grpc.WithUnaryInterceptor(func(ctx context.Context, m string, req, reply any, cc *grpc.ClientConn, inv grpc.UnaryInvoker, o ...grpc.CallOption) error {
+			return inv(withToken(ctx, token), m, req, reply, cc, o...)
+		}))
+	}
+	conn, err := grpc.NewClient(address, opts...)
+	return conn, eris.Wrap(err, "box can't be dialled")
+}
+
+func withToken(ctx context.Context, token string) context.Context {
+	return metadata.AppendToOutgoingContext(ctx, "authorization", "Bearer "+token)
+}
+
+// Run drives boxes with a plan. Set its fields, then call Do.
+type Run struct {
+	Boxes      []string // callers' addresses
+	TLS        *tls.Config
+	Token      string
+	Plan       []Arrival
+	Duplicates float64 // share of requests that the balancer brings to a second box too
+	Progress   func(done, total int)
+
+	mu      sync.Mutex
+	results []Result
+}
+
+// Result is what became of one request.
+type Result struct {
+	Arrival    Arrival
+	Key        string
+	Code       code.Code
+	Ran        code.Ran
+	Wrong      bool // a whole answer that is not this request's answer
+	Late       bool
+	Took       time.Duration
+	FirstToken time.Duration
+	Stages     []*pb.StageUse
+	Twin       bool // the second copy of a duplicated request
+}
+
+// patience is how long after its deadline a request may still be answered.
+const patience = 30 * time.Second
+
+// Do sends every arrival at its time and waits for all answers.
+func (r *Run) Do(ctx context.Context) ([]Result, error) {
+	clients := make([]pb.PipelinesClient, len(r.Boxes))
+	for i, a := range r.Boxes {
+		conn, err := Dial(a, r.TLS, r.Token)
+		if err != nil {
+			return nil, err
+		}
+		defer conn.Close()
+		clients[i] = pb.NewPipelinesClient(conn)
+	}
+	start := time.Now()
+	var wg sync.WaitGroup
+	for _, a := range r.Plan {
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Until(start.Add(a.At))):
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		key := newKey()
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r.keep(r.send(ctx, clients[a.Box%len(clients)], a, key))
+		}()
+		if float64(a.N%100) < 100*r.Duplicates && len(clients) > 1 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				res := r.send(ctx, clients[(a.Box+1)%len(clients)], a, key)
+				res.Twin = true
+				r.keep(res)
+			}()
+		}
+	}
+	wg.Wait()
+	return r.results, nil
+}
+
+func newKey() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		panic(err) // the system has no randomness left
+	}
+	return id.String()
+}
+
+func (r *Run) keep(res Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.results = append(r.results, res)
+	if r.Progress != nil {
+		r.Progress(len(r.results), len(r.Plan))
+	}
+}
+
+// send makes one request and judges its answer.
+func (r *Run) send(ctx context.Context, c pb.PipelinesClient, a Arrival, key string) Result {
+	res := Result{Arrival: a, Key: key}
+	deadline := a.Pipeline.Deadline()
+	ctx, cancel := context.WithTimeout(ctx, a.Pipeline.MaxDeadline()+patience)
+	defer cancel()
+	begun := time.Now()
+	answer, err := Collect(func() (grpc.ServerStreamingClient[pb.RunEvent], error) {
+		return c.Run(ctx, &pb.RunRequest{
+			Workspace: a.Workspace, Pipeline: a.Pipeline.Name(), Key: key, Input: a.Input, Deadline: durationpb.New(deadline),
+		})
+	}, func() { res.FirstToken = time.Since(begun) })
+	res.Took = time.Since(begun)
+	res.Late = res.Took > deadline
+	if err != nil {
+		res.Code, res.Ran = outcomeOf(err)
+		return res
+	}
+	res.Stages = answer.Stages
+	res.Wrong = !bytes.Equal(answer.Data, standin.Whole(a.Pipeline, a.Input, 0))
+	return res
+}
+
+func outcomeOf(err error) (code.Code, code.Ran) {
+	if d := rpc.ResultOf(err); d != nil {
+		return code.Code(d.GetCode()), code.Ran(d.GetRan())
+	}
+	return code.AnswerInterrupted, code.RanUnknown
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Data   []byte
+	Stages []*pb.StageUse
+	Token  string
+}
+
+var errCut = errors.New("the stream ended before the answer was whole")
+
+// Collect reads a stream to its end; first is called when output begins.
+func Collect(open func() (grpc.ServerStreamingClient[pb.RunEvent], error), first func()) (Answer, error) {
+	var a Answer
+	s, err := open()
+	if err != nil {
+		return a, err
+	}
+	for {
+		ev, err := s.Recv()
+		if err == io.EOF {
+			return a, errCut
+		}
+		if err != nil {
+			return a, err
+		}
+		switch e := ev.GetEvent().(type) {
+		case *pb.RunEvent_Accepted:
+			a.Token = e.Accepted.GetAttachToken()
+		case *pb.RunEvent_Chunk:
+			if len(a.Data) == 0 && first != nil {
+				first()
+			}
+			if int(e.Chunk.GetOffset()) != len(a.Data) {
+				return a, errors.New("a piece of the answer is out of place")
+			}
+			a.Data = append(a.Data, e.Chunk.GetData()...)
+		case *pb.RunEvent_Finished:
+			a.Stages = e.Finished.GetStages()
+			if int(e.Finished.GetLength()) != len(a.Data) {
+				return a, errCut
+			}
+			return a, nil
+		}
+	}
+}
+
+// Config builds the checked form of an example document, for planning a load.
+func Config(d *config.Document) (*config.Config, error) {
+	raw, err := config.Marshal(d)
+	if err != nil {
+		return nil, eris.Wrap(err, "document can't be written")
+	}
+	c, faults := config.Parse(raw)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return c, nil
+}
--- /dev/null
+++ b/src/load/workload.go
@@ -0,0 +1,133 @@
+// Package load drives boxes with the users' workloads, open-loop and bounded, and judges every
+// answer against what it must be.
+package load
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/stilemast/stilemast/src/config"
+)
+
+// Kind is one sort of request in a workload.
+type Kind struct {
+	Pipeline string
+	Share    float64 // of all requests
+	Prefix   int     // bytes of the input that come from a shared template
+	Own      int     // bytes of its own
+	Shared   int     // how many templates there are
+}
+
+// Workload is a mix of requests and how they come.
+type Workload struct {
+	Name  string
+	Kinds []Kind
+	// Crowd is the share of requests that come from the first two workspaces.
+	Crowd float64
+	// Burst multiplies the rate during the first quarter of every BurstEvery; 0 for none.
+	Burst      float64
+	BurstEvery time.Duration
+}
+
+// Workloads are the mixes the users describe.
+var Workloads = map[string]Workload{
+	"pageworks": {
+		Name: "pageworks", Crowd: 0.7, Burst: 2, BurstEvery: 8 * time.Second,
+		Kinds: []Kind{
+			{Pipeline: "spread-draft", Share: 0.10, Prefix: 2048, Own: 1024, Shared: 12},
+			{Pipeline: "caption", Share: 0.40, Prefix: 1024, Own: 256, Shared: 30},
+			{Pipeline: "tag-suggestion", Share: 0.30, Prefix: 512, Own: 128, Shared: 30},
+			{Pipeline: "proof-approval", Share: 0.10, Prefix: 128, Own: 128, Shared: 10},
+			{Pipeline: "tag-stamp", Share: 0.10, Prefix: 0, Own: 128, Shared: 1},
+		},
+	},
+	"giftenregister": {
+		Name: "giftenregister", Crowd: 0.6,
+		Kinds: []Kind{
+			{Pipeline: "dossier-review", Share: 0.10, Prefix: 4096, Own: 2048, Shared: 20},
+			{Pipeline: "letter", Share: 0.15, Prefix: 1024, Own: 512, Shared: 8},
+			{Pipeline: "receipt", Share: 0.25, Prefix: 0, Own: 256, Shared: 1},
+			{Pipeline: "registration", Share: 0.15, Prefix: 0, Own: 256, Shared: 1},
+			{Pipeline: "status-check", Share: 0.35, Prefix: 256, Own: 128, Shared: 6},
+		},
+	},
+}
+
+// Arrival is one request of a plan.
+type Arrival struct {
+	N         int
+	At        time.Duration // since the start
+	Workspace string
+	Pipeline  *config.Pipeline
+	Input     []byte
+	Box       int // number of the box that the balancer picks
+}
+
+// Plan lays out the arrivals of a run: the same for the same seed, whatever serves them.
+func Plan(w Workload, c *config.Config, spaces []string, rate float64, length time.Duration, boxes int, seed uint64) []Arrival {
+	r := rand.New(rand.NewPCG(seed, 7))
+	var out []Arrival
+	at := time.Duration(0)
+	for {
+		at += time.Duration(r.ExpFloat64() / (rate * w.factor(at)) * float64(time.Second))
+		if at >= length {
+			return out
+		}
+		k := pick(w.Kinds, r.Float64())
+		space := spaces[workspace(r, len(spaces), w.Crowd)]
+		out = append(out, Arrival{
+			N: len(out), At: at, Workspace: space, Pipeline: c.Pipeline(k.Pipeline),
+			Input: input(k, space, r), Box: r.IntN(boxes),
+		})
+	}
+}
+
+// factor is the rate at a moment over the mean rate.
+func (w Workload) factor(at time.Duration) float64 {
+	if w.Burst == 0 {
+		return 1
+	}
+	calm := (1 - 0.25*w.Burst) / 0.75
+	if math.Mod(at.Seconds(), w.BurstEvery.Seconds()) < w.BurstEvery.Seconds()/4 {
+		return w.Burst
+	}
+	return calm
+}
+
+func pick(kinds []Kind, x float64) Kind {
+	for _, k := range kinds {
+		if x < k.Share {
+			return k
+		}
+		x -= k.Share
+	}
+	return kinds[len(kinds)-1]
+}
+
+func workspace(r *rand.Rand, n int, crowd float64) int {
+	if n <= 2 || r.Float64() < crowd {
+		return r.IntN(min(n, 2))
+	}
+	return 2 + r.IntN(n-2)
+}
+
+// input makes a request's text: a shared template first, which caches can hold, then its own part.
+func input(k Kind, space string, r *rand.Rand) []byte {
+	var b strings.Builder
+	if k.Prefix > 0 {
+		fill(&b, fmt.Sprintf("%s %s template %d. ", space, k.Pipeline, r.IntN(k.Shared)), k.Prefix)
+	}
+	fill(&b, fmt.Sprintf("request %016x%016x. ", r.Uint64(), r.Uint64()), k.Own)
+	return []byte(b.String())
+}
+
+func fill(b *strings.Builder, text string, n int) {
+	for n > 0 {
+		part := text[:min(n, len(text))]
+		b.WriteString(part)
+		n -= len(part)
+	}
+}
--- /dev/null
+++ b/src/metrics/metrics.go
@@ -0,0 +1,119 @@
+// Package metrics keeps the box's Prometheus metrics. Labels are pipelines, classes, pools, codes
+// and failures: their number is the configuration's and never grows with requests or workspaces.
+package metrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/stilemast/stilemast/src/box"
+	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/config"
+	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/web"
+)
+
+// Set is one box's metrics.
+type Set struct {
+	registry *prometheus.Registry
+	ended    *prometheus.CounterVec
+	took     *prometheus.HistogramVec
+	first    *prometheus.HistogramVec
+	calls    *prometheus.CounterVec
+	served   *prometheus.HistogramVec
+	waited   *prometheus.HistogramVec
+	stale    prometheus.Counter
+	reads    *prometheus.CounterVec
+}
+
+var buckets = prometheus.ExponentialBuckets(0.001, 2, 16)
+
+// New makes an empty set.
+func New() *Set {
+	s := &Set{
+		registry: prometheus.NewRegistry(),
+		ended:    counters("requests_ended_total", "Requests that ended, by result code.", "pipeline", "class", "code"),
+		took:     histograms("request_seconds", "Time from acceptance to the final answer.", "pipeline"),
+		first:    histograms("first_output_seconds", "Time from acceptance to the first output.", "pipeline"),
+		calls:    counters("calls_total", "Calls to backend servers, by how they ended.", "pool", "failure"),
+		served:   histograms("call_seconds", "Time of one call to a backend server.", "pool"),
+		waited:   histograms("wait_seconds", "Time a call waited in its pool.", "pool"),
+		stale:    prometheus.NewCounter(prometheus.CounterOpts{Name: "stilemast_stale_replies_total", Help: "Replies discarded as late, repeated or foreign."}),
+		reads:    counters("platform_reads_total", "Reads of the platform's service.", "document", "ok"),
+	}
+	s.registry.MustRegister(s.ended, s.took, s.first, s.calls, s.served, s.waited, s.stale, s.reads,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return s
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "stilemast_" + name, Help: help}, labels)
+}
+
+func histograms(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "stilemast_" + name, Help: help, Buckets: buckets}, labels)
+}
+
+// Watcher gives the hooks through which a box fills the set.
+func (s *Set) Watcher() box.Watcher {
+	return box.Watcher{
+		Ended: func(p *config.Pipeline, err *code.Error, took, firstOut time.Duration) {
+			name := code.OK.String()
+			if err != nil {
+				name = err.Code.String()
+			}
+			s.ended.WithLabelValues(p.Name(), p.Class().String(), name).Inc()
+			s.took.WithLabelValues(p.Name()).Observe(took.Seconds())
+			if firstOut > 0 {
+				s.first.WithLabelValues(p.Name()).Observe(firstOut.Seconds())
+			}
+		},
+		Settled: func(pool string, f core.Failure, took time.Duration) {
+			s.calls.WithLabelValues(pool, f.String()).Inc()
+			s.served.WithLabelValues(pool).Observe(took.Seconds())
+		},
+		Waited: func(pool string, d time.Duration) { s.waited.WithLabelValues(pool).Observe(d.Seconds()) },
+		Stale:  func(n int) { s.stale.Add(float64(n)) },
+		Platform: func(document string, ok bool) {
+			word := "false"
+			if ok {
+				word = "true"
+			}
+			s.reads.WithLabelValues(document, word).Inc()
+		},
+	}
+}
+
+// WatchBox adds gauges of what a box holds, read when scraped.
+func (s *Set) WatchBox(b *box.Box) {
+	gauge := func(name, help string, read func(box.Status) float64) {
+		s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "stilemast_" + name, Help: help},
+			func() float64 { return read(b.Status()) }))
+	}
+	gauge("running", "Requests that run.", func(st box.Status) float64 { return float64(st.Running) })
+	gauge("waiting", "Calls that wait in pools.", func(st box.Status) float64 { return float64(st.Waiting) })
+	gauge("ledger_entries", "Keys remembered.", func(st box.Status) float64 { return float64(st.LedgerEntries) })
+	gauge("config_version", "Version in force.", func(st box.Status) float64 { return float64(st.Config.Version) })
+	gauge("config_conflict", "A version published twice with other content, or 0.", func(st box.Status) float64 { return float64(st.Conflict) })
+	gauge("config_confirmed_age_seconds", "Age of the last confirmation.", func(st box.Status) float64 { return st.Config.Age.Seconds() })
+}
+
+// Handler serves the metrics and the box's health.
+func (s *Set) Handler(b *box.Box) (http.Handler, error) {
+	return web.Handler([]rest.Route{
+		{Method: http.MethodGet, Path: "/metrics", Handler: promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}).ServeHTTP},
+		{Method: http.MethodGet, Path: "/livez", Handler: func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) }},
+		{Method: http.MethodGet, Path: "/readyz", Handler: func(w http.ResponseWriter, _ *http.Request) {
+			if !b.Ready() {
+				http.Error(w, "not ready", http.StatusServiceUnavailable)
+				return
+			}
+			_, _ = w.Write([]byte("ready\n"))
+		}},
+	})
+}
--- /dev/null
+++ b/src/node/node.go
@@ -0,0 +1,273 @@
+// Package node assembles one process: a box, its listeners and its adapters.
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/health"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/keepalive"
+
+	pb "github.com/stilemast/stilemast/src/api/stilemast/v1"
+	"github.com/stilemast/stilemast/src/backend"
+	"github.com/stilemast/stilemast/src/box"
+	"github.com/stilemast/stilemast/src/config"
+	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/metrics"
+	"github.com/stilemast/stilemast/src/peer"
+	"github.com/stilemast/stilemast/src/platform"
+	"github.com/stilemast/stilemast/src/rpc"
+	"github.com/stilemast/stilemast/src/web"
+)
+
+// Limits of the callers' listener.
+const (
+	maxMessage   = 2 << 20
+	maxStreams   = 4096
+	healthEvery  = 200 * time.Millisecond
+	callersGrace = 2 * time.Second // for open answers to reach callers at the end of a planned stop
+)
+
+// Node is one process of stilemast. Set the exported fields before Start.
+type Node struct {
+	Settings *config.Settings
+	Log      *slog.Logger
+	Release  string
+	Adjust   func(*box.Box) // changes the box before it starts; may be nil
+
+	box     *box.Box
+	peers   *peer.Client
+	callers net.Listener
+	beats   net.Listener
+	web     net.Listener
+	grpc    *grpc.Server
+	health  *health.Server
+	http    *http.Server
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+	stopped chan struct{}
+	once    sync.Once
+}
+
+// Box is the box inside, after Start.
+func (n *Node) Box() *box.Box { return n.box }
+
+// CallersAddress is where callers and operators reach the node, after Start.
+func (n *Node) CallersAddress() string { return n.callers.Addr().String() }
+
+// PeersAddress is where other boxes reach the node, after Start.
+func (n *Node) PeersAddress() string { return n.beats.Addr().String() }
+
+// Stopped closes when a planned stop has ended.
+func (n *Node) Stopped() <-chan struct{} { return n.stopped }
+
+// PeerBytes counts the bytes sent to other boxes.
+func (n *Node) PeerBytes() int64 { return n.peers.Sent.Load() }
+
+// Start opens the listeners and begins to serve.
+func (n *Node) Start() error {
+	n.stopped = make(chan struct{})
+	serverTLS, clientTLS, err := loadTLS(n.Settings.TLS)
+	if err != nil {
+		return err
+	}
+	if err := n.listen(); err != nil {
+		return err
+	}
+	n.Settings.Listen.Peers = n.beats.Addr().String()
+	n.peers = peer.NewClient(clientTLS)
+	n.box = &box.Box{
+		Settings: n.Settings,
+		ID:       core.BoxID{Name: n.Settings.Box, Incarnation: uint64(time.Now().UnixNano())},
+		Release:  n.Release,
+		Backends: backend.NewClient(nil).Ports(),
+		Platform: platform.NewClient(n.Settings.Platform.Addresses, time.Duration(n.Settings.Platform.CallTimeout)).Ports(),
+		Peers:    n.peers.Ports(),
+		Log:      n.Log,
+	}
+	set := metrics.New()
+	n.box.Watch = set.Watcher()
+	if n.Adjust != nil {
+		n.Adjust(n.box)
+	}
+	n.box.Init()
+	set.WatchBox(n.box)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	if err := n.serveWeb(set); err != nil {
+		return err
+	}
+	n.servePeers(ctx, serverTLS)
+	n.serveCallers(serverTLS)
+	n.box.Start(ctx)
+	n.done.Add(1)
+	go n.watchHealth(ctx)
+	return nil
+}
+
+func (n *Node) listen() error {
+	var err error
+	if n.callers, err = net.Listen("tcp", n.Settings.Listen.Callers); err != nil {
+		return eris.Wrap(err, "listen.callers")
+	}
+	if n.beats, err = net.Listen("tcp", n.Settings.Listen.Peers); err != nil {
+		return eris.Wrap(err, "listen.peers")
+	}
+	if n.Settings.Listen.Metrics == "" {
+		return nil
+	}
+	if n.web, err = net.Listen("tcp", n.Settings.Listen.Metrics); err != nil {
+		return eris.Wrap(err, "listen.metrics")
+	}
+	return nil
+}
+
+func (n *Node) serveWeb(set *metrics.Set) error {
+	if n.web == nil {
+		return nil
+	}
+	h, err := set.Handler(n.box)
+	if err != nil {
+		return err
+	}
+	n.http = web.Start(n.web, h, nil)
+	return nil
+}
+
+func (n *Node) servePeers(ctx context.Context, cfg *tls.Config) {
+	s := &peer.Server{TLS: cfg, Handlers: peer.Handlers{Beat: n.box.TakeBeat, Ask: n.box.TakeQuestion, Forward: n.box.TakeForward}}
+	n.done.Add(1)
+	go func() {
+		defer n.done.Done()
+		s.Serve(ctx, n.beats)
+	}()
+}
+
+func (n *Node) serveCallers(cfg *tls.Config) {
+	opts := []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
+	}
+	if cfg != nil {
+		opts = append(opts, grpc.Creds(credentials.NewTLS(cfg)))
+	}
+	n.grpc = grpc.NewServer(opts...)
+	n.health = health.NewServer()
+	healthpb.RegisterHealthServer(n.grpc, n.health)
+	pb.RegisterPipelinesServer(n.grpc, &rpc.Pipelines{Box: n.box})
+	pb.RegisterOperationsServer(n.grpc, &rpc.Operations{Box: n.box, BeginStop: n.beginStop})
+	n.done.Add(1)
+	go func() {
+		defer n.done.Done()
+		_ = n.grpc.Serve(n.callers)
+	}()
+}
+
+// watchHealth keeps the standard health service in step with the box.
+func (n *Node) watchHealth(ctx context.Context) {
+	defer n.done.Done()
+	t := time.NewTicker(healthEvery)
+	defer t.Stop()
+	for {
+		state := healthpb.HealthCheckResponse_NOT_SERVING
+		if n.box.Ready() {
+			state = healthpb.HealthCheckResponse_SERVING
+		}
+		n.health.SetServingStatus("", state)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// beginStop starts the planned stop and gives the requests that run.
+func (n *Node) beginStop() int {
+	running := n.box.Status().Running
+	go n.Stop()
+	return running
+}
+
+// Stop is the planned stop; it gives the requests that were cut, 0 after a clean one. A second call
+// waits for the first.
+func (n *Node) Stop() int {
+	cut := 0
+	n.once.Do(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.Settings.StopWithin))
+		defer cancel()
+		cut = n.box.Drain(ctx)
+		n.endCallers()
+		n.Kill()
+		close(n.stopped)
+	})
+	<-n.stopped
+	return cut
+}
+
+// endCallers lets open answers reach their callers, for a bounded time.
+func (n *Node) endCallers() {
+	ended := make(chan struct{})
+	go func() {
+		n.grpc.GracefulStop()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(callersGrace):
+	}
+}
+
+// Kill ends the node at once, as a lost process would, but for the memory it leaves behind.
+func (n *Node) Kill() {
+	n.cancel()
+	n.grpc.Stop()
+	_ = n.beats.Close()
+	n.peers.Close()
+	if n.http != nil {
+		_ = n.http.Close()
+	}
+	n.done.Wait()
+}
+
+// loadTLS reads the PEM files that the settings name; nil configurations mean plain TCP.
+func loadTLS(s config.TLSSettings) (server, client *tls.Config, err error) {
+	if s.Certificate == "" {
+		return nil, nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(s.Certificate, s.Key)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "tls.certificate")
+	}
+	server = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13}
+	client = server.Clone()
+	if s.Authority == "" {
+		return server, client, nil
+	}
+	pem, err := os.ReadFile(s.Authority)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "tls.authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, nil, eris.New("tls.authority: holds no certificate")
+	}
+	server.ClientCAs, client.RootCAs = pool, pool
+	server.ClientAuth = tls.VerifyClientCertIfGiven
+	if s.RequireClient {
+		server.ClientAuth = tls.RequireAndVerifyClientCert
+	}
+	return server, client, nil
+}
--- /dev/null
+++ b/src/peer/client.go
@@ -0,0 +1,185 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/port"
+)
+
+// The client's limits.
+const (
+	dialWait     = time.Second      // for a connection to open
+	beatQueue    = 16               // heartbeats waiting for one box; more are dropped
+	beatIdle     = 30 * time.Second // a heartbeat connection unused this long closes
+	beatPatience = time.Second      // for one heartbeat to be written
+)
+
+// Client sends messages to other boxes. Set its fields before use; end it with Close.
+type Client struct {
+	TLS  *tls.Config // nil speaks plain TCP
+	Sent *atomic.Int64
+
+	mu     sync.Mutex
+	lines  map[string]chan core.Beat
+	closed chan struct{}
+}
+
+// NewClient makes a client.
+func NewClient(cfg *tls.Config) *Client {
+	return &Client{TLS: cfg, Sent: &atomic.Int64{}, lines: map[string]chan core.Beat{}, closed: make(chan struct{})}
+}
+
+// Ports gives the client's messages as the box wants them.
+func (c *Client) Ports() port.Peers {
+	return port.Peers{Beat: c.Beat, Ask: c.Ask, Forward: c.Forward}
+}
+
+// Close ends the heartbeat connections.
+func (c *Client) Close() { close(c.closed) }
+
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialWait)
+	defer cancel()
+	if c.TLS != nil {
+		return (&tls.Dialer{Config: c.TLS}).DialContext(ctx, "tcp", address)
+	}
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
+// Beat queues a heartbeat; it is dropped when the box does not take its earlier ones.
+func (c *Client) Beat(address string, b core.Beat) {
+	c.mu.Lock()
+	line := c.lines[address]
+	if line == nil {
+		line = make(chan core.Beat, beatQueue)
+		c.lines[address] = line
+		go c.runLine(address, line)
+	}
+	c.mu.Unlock()
+	select {
+	case line <- b:
+	default:
+	}
+}
+
+// runLine writes one box's heartbeats over one connection, opened again as needed.
+func (c *Client) runLine(address string, line chan core.Beat) {
+	var conn net.Conn
+	defer func() {
+		if conn != nil {
+			_ = conn.Close()
+		}
+	}()
+	for {
+		idle := time.NewTimer(beatIdle)
+		select {
+		case <-c.closed:
+			idle.Stop()
+			return
+		case <-idle.C:
+			c.mu.Lock()
+			if len(line) == 0 {
+				delete(c.lines, address)
+				c.mu.Unlock()
+				return
+			}
+			c.mu.Unlock()
+		case b := <-line:
+			idle.Stop()
+			conn = c.writeBeat(conn, address, b)
+		}
+	}
+}
+
+func (c *Client) writeBeat(conn net.Conn, address string, b core.Beat) net.Conn {
+	for range 2 {
+		if conn == nil {
+			fresh, err := c.dial(context.Background(), address)
+			if err != nil {
+				return nil
+			}
+			conn = fresh
+		}
+		_ = conn.SetWriteDeadline(time.Now().Add(beatPatience))
+		n, err := WriteFrame(conn, &Message{Beat: &b})
+		c.Sent.Add(int64(n))
+		if err == nil {
+			return conn
+		}
+		_ = conn.Close()
+		conn = nil
+	}
+	return nil
+}
+
+// open connects and sends one message; a failure before the first byte is a NotConnected.
+func (c *Client) open(ctx context.Context, address string, m *Message) (net.Conn, func() bool, error) {
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, nil, &port.NotConnected{Cause: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	n, err := WriteFrame(conn, m)
+	c.Sent.Add(int64(n))
+	if err != nil {
+		stop()
+		_ = conn.Close()
+		return nil, nil, eris.Wrap(err, "message broke off")
+	}
+	return conn, stop, nil
+}
+
+// Ask sends a question on a connection of its own and waits for the answer.
+func (c *Client) Ask(ctx context.Context, address string, q port.Question) (port.Answer, error) {
+	conn, stop, err := c.open(ctx, address, &Message{Question: &q})
+	if err != nil {
+		return port.Answer{}, err
+	}
+	defer conn.Close()
+	defer stop()
+	m, err := ReadFrame(conn)
+	if err != nil {
+		return port.Answer{}, eris.Wrap(err, "no answer")
+	}
+	if m.Answer == nil {
+		return port.Answer{}, code.New(code.FrameInvalid, "frame", "not an answer")
+	}
+	return *m.Answer, nil
+}
+
+// Forward sends a request on a connection of its own and gives each event until the end event. A
+// connection that breaks before the end event is an error: the request may be running.
+func (c *Client) Forward(ctx context.Context, address string, f port.Forward, emit func(port.ForwardEvent)) error {
+	conn, stop, err := c.open(ctx, address, &Message{Forward: &f})
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	defer stop()
+	for {
+		m, err := ReadFrame(conn)
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return eris.Wrap(err, "answer broke off")
+		}
+		if m.Event == nil {
+			return code.New(code.FrameInvalid, "frame", "not an event")
+		}
+		emit(*m.Event)
+		if m.Event.End != nil {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/src/peer/frame.go
@@ -0,0 +1,94 @@
+// Package peer carries messages between boxes: msgpack in length-prefixed frames over TCP.
+package peer
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/port"
+)
+
+// MaxFrame is the longest frame that is read or written: a configuration fits whole.
+const MaxFrame = 4 << 20
+
+// headerBytes is the size of a frame's length prefix.
+const headerBytes = 4
+
+// readPiece bounds how much is allocated before the bytes are there.
+const readPiece = 64 << 10
+
+// Message is one frame between boxes; exactly one field is set.
+type Message struct {
+	Beat     *core.Beat         `msgpack:"b,omitempty"`
+	Question *port.Question     `msgpack:"q,omitempty"`
+	Answer   *port.Answer       `msgpack:"a,omitempty"`
+	Forward  *port.Forward      `msgpack:"f,omitempty"`
+	Event    *port.ForwardEvent `msgpack:"e,omitempty"`
+}
+
+// WriteFrame encodes and writes one message and gives the bytes written.
+func WriteFrame(w io.Writer, m *Message) (int, error) {
+	var buf bytes.Buffer
+	buf.Write(make([]byte, headerBytes))
+	if err := msgpack.NewEncoder(&buf).Encode(m); err != nil {
+		return 0, code.New(code.FrameInvalid, "frame", "can't be encoded: %v", err)
+	}
+	b := buf.Bytes()
+	n := len(b) - headerBytes
+	if n > MaxFrame {
+		return 0, code.New(code.FrameInvalid, "frame", "%d bytes, at most %d", n, MaxFrame)
+	}
+	binary.BigEndian.PutUint32(b, uint32(n))
+	return w.Write(b)
+}
+
+// ReadFrame reads and decodes one message. A length over MaxFrame is refused before any memory is
+// taken for it. The error is io.EOF between frames.
+func ReadFrame(r io.Reader) (*Message, error) {
+	var head [headerBytes]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, err
+	}
+	n := int(binary.BigEndian.Uint32(head[:]))
+	if n > MaxFrame {
+		return nil, code.New(code.FrameInvalid, "frame.length", "%d bytes, at most %d", n, MaxFrame)
+	}
+	body, err := readBody(r, n)
+	if err != nil {
+		return nil, err
+	}
+	return DecodeMessage(body)
+}
+
+// readBody takes memory only as bytes arrive, so that a false length costs nothing.
+func readBody(r io.Reader, n int) ([]byte, error) {
+	var buf bytes.Buffer
+	buf.Grow(min(n, readPiece))
+	got, err := io.CopyN(&buf, r, int64(n))
+	if err == io.EOF && got < int64(n) {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return buf.Bytes(), err
+}
+
+// DecodeMessage decodes a frame's body.
+func DecodeMessage(body []byte) (m *Message, err error) {
+	defer func() {
+		if recover() != nil { // a library fault on hostile bytes must not end the box
+			m, err = nil, code.New(code.FrameInvalid, "frame", "can't be decoded")
+		}
+	}()
+	m = &Message{}
+	if err := msgpack.Unmarshal(body, m); err != nil {
+		return nil, code.New(code.FrameInvalid, "frame", "%v", err)
+	}
+	if m.Beat == nil && m.Question == nil && m.Answer == nil && m.Forward == nil && m.Event == nil {
+		return nil, code.New(code.FrameInvalid, "frame", "holds no message")
+	}
+	return m, nil
+}
--- /dev/null
+++ b/src/port/port.go
@@ -0,0 +1,203 @@
+// Package port holds the messages that cross the box's boundary: calls to backend servers, reads of
+// the platform, questions between boxes. Adapters and stand-ins share them; the box sees only them.
+package port
+
+import (
+	"context"
+	"time"
+
+	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/config"
+	"github.com/stilemast/stilemast/src/core"
+)
+
+// CallRequest is one attempt as a backend server sees it. It is the published form of the
+// engines' and services' HTTP interface.
+type CallRequest struct {
+	Attempt   string   `json:"attempt"`
+	Kind      string   `json:"kind"`
+	Input     []byte   `json:"input"`
+	Continue  []byte   `json:"continue,omitempty"` // output the caller already holds
+	Offset    int      `json:"offset,omitempty"`
+	MaxTokens int      `json:"max_tokens,omitempty"`
+	Priority  int      `json:"priority,omitempty"` // lower goes first
+	Salt      string   `json:"salt,omitempty"`     // separates caches between workspaces
+	Prefix    []uint64 `json:"prefix,omitempty"`
+	Model     string   `json:"model,omitempty"`
+	Adapter   string   `json:"adapter,omitempty"`
+	Once      bool     `json:"once,omitempty"`
+	Resume    bool     `json:"resume,omitempty"`
+}
+
+// CallResult is the end of a call that succeeded.
+type CallResult struct {
+	Output []byte   `json:"output,omitempty"`
+	Length int      `json:"length"`
+	Stream bool     `json:"stream"`
+	Use    core.Use `json:"use"`
+}
+
+// CallError is a call that went wrong.
+type CallError struct {
+	Failure core.Failure
+	Message string
+}
+
+// Error implements error.
+func (e *CallError) Error() string { return e.Failure.String() + ": " + e.Message }
+
+// BoxList is the platform's list of boxes. Revision rises with each change.
+type BoxList struct {
+	Revision uint64           `json:"revision" msgpack:"r"`
+	Boxes    []core.ListedBox `json:"boxes" msgpack:"b"`
+}
+
+// Backends are the calls to backend servers.
+type Backends struct {
+	// Call runs one attempt; emit gets each piece of a streamed output, in order.
+	Call func(ctx context.Context, b *config.BackendServer, r CallRequest, emit func(offset int, data []byte)) (CallResult, *CallError)
+	// Stop cancels an attempt; it may have ended already.
+	Stop func(ctx context.Context, b *config.BackendServer, attempt string)
+	// Load fetches a load report.
+	Load func(ctx context.Context, b *config.BackendServer) (core.Report, error)
+	// Events fetches cache events after a sequence number.
+	Events func(ctx context.Context, b *config.BackendServer, after uint64) ([]core.CacheEvent, error)
+	// Order sends a fenced order.
+	Order func(ctx context.Context, b *config.BackendServer, o core.Order) error
+}
+
+// Platform reads what the platform publishes.
+type Platform struct {
+	// Config reads the published configuration.
+	Config func(ctx context.Context) ([]byte, error)
+	// Boxes reads the box list.
+	Boxes func(ctx context.Context) (BoxList, error)
+}
+
+// Peers are the messages between boxes.
+type Peers struct {
+	// Beat sends a heartbeat and does not wait.
+	Beat func(address string, b core.Beat)
+	// Ask sends a question and waits for its answer. The error is ErrNotConnected when no byte left.
+	Ask func(ctx context.Context, address string, q Question) (Answer, error)
+	// Forward sends a request to the box that must run it and gives each event of its answer.
+	Forward func(ctx context.Context, address string, f Forward, emit func(ForwardEvent)) error
+}
+
+// NotConnected is the error of a message of which no byte left this box.
+type NotConnected struct{ Cause error }
+
+// Error implements error.
+func (e *NotConnected) Error() string { return "not connected: " + e.Cause.Error() }
+
+// Unwrap gives the cause.
+func (e *NotConnected) Unwrap() error { return e.Cause }
+
+// Forward is a request, or an attach when Attach is set, for the box that holds or must run it.
+type Forward struct {
+	From      core.BoxID    `msgpack:"f"`
+	Attach    bool          `msgpack:"t"`
+	Key       core.Key      `msgpack:"k"`
+	Holder    core.BoxID    `msgpack:"h"` // the incarnation meant; zero for a caller's own key
+	Workspace string        `msgpack:"w"`
+	Pipeline  string        `msgpack:"p"`
+	Input     []byte        `msgpack:"i"`
+	Offset    int           `msgpack:"o"`
+	TimeLeft  time.Duration `msgpack:"d"`
+	MaxTokens int           `msgpack:"m"`
+}
+
+// ForwardEvent is one message of a forwarded answer; exactly one field is set.
+type ForwardEvent struct {
+	Accepted *Accepted `msgpack:"a"`
+	Chunk    *Chunk    `msgpack:"c"`
+	End      *End      `msgpack:"e"`
+}
+
+// Accepted tells where a request runs.
+type Accepted struct {
+	Token         core.AttachToken `msgpack:"t"`
+	ConfigVersion uint64           `msgpack:"v"`
+}
+
+// Chunk is a piece of the answer.
+type Chunk struct {
+	Offset int    `msgpack:"o"`
+	Data   []byte `msgpack:"d"`
+}
+
+// End is the final answer: Err nil means that the answer is whole.
+type End struct {
+	Err       *code.Error     `msgpack:"e"`
+	MayRepeat bool            `msgpack:"m"`
+	Length    int             `msgpack:"l"`
+	Uses      []core.StageUse `msgpack:"u"`
+}
+
+// Question is what boxes ask one another; exactly one field is set.
+type Question struct {
+	Pull     *Pull     `msgpack:"p"`
+	Renounce *Renounce `msgpack:"r"`
+	Cancel   *Cancel   `msgpack:"c"`
+	Handover *Handover `msgpack:"h"`
+	Versions *Versions `msgpack:"v"`
+}
+
+// Answer answers a Question; the field of the same name is set, or Err.
+type Answer struct {
+	Pull      *Pulled     `msgpack:"p"`
+	Renounced bool        `msgpack:"r"`
+	Cancelled bool        `msgpack:"c"`
+	Taken     bool        `msgpack:"h"`
+	Versions  *Versions   `msgpack:"v"`
+	Err       *code.Error `msgpack:"e"`
+}
+
+// Documents that boxes pull from one another.
+const (
+	DocumentConfig = "config"
+	DocumentList   = "list"
+)
+
+// Pull asks for a document. Have names the version the asker holds, so that a difference may do.
+type Pull struct {
+	Document   string `msgpack:"o"`
+	Version    uint64 `msgpack:"v"`
+	Digest     string `msgpack:"d"`
+	HaveDigest string `msgpack:"h"`
+}
+
+// Pulled is a packed document; Base is the digest it is a difference to, or "".
+type Pulled struct {
+	Version uint64 `msgpack:"v"`
+	Digest  string `msgpack:"d"`
+	Base    string `msgpack:"b"`
+	Packed  []byte `msgpack:"p"`
+}
+
+// Renounce asks a box to promise that a key never ran and never will run there.
+type Renounce struct {
+	Key core.Key `msgpack:"k"`
+	// For names a closed incarnation whose successor is asked on its behalf.
+	For core.BoxID `msgpack:"f"`
+}
+
+// Cancel asks the holder to stop a request.
+type Cancel struct {
+	Key       core.Key   `msgpack:"k"`
+	Holder    core.BoxID `msgpack:"h"`
+	Workspace string     `msgpack:"w"`
+}
+
+// Handover gives ended entries of a stopping box to its successor; Last closes it.
+type Handover struct {
+	From    core.BoxID    `msgpack:"f"`
+	Records []core.Record `msgpack:"r"`
+	Last    bool          `msgpack:"l"`
+}
+
+// Versions asks what a box holds, or tells it.
+type Versions struct {
+	Config core.Statement `msgpack:"c"`
+	List   core.Statement `msgpack:"l"`
+}
--- /dev/null
+++ b/src/rpc/auth.go
@@ -0,0 +1,87 @@
+// Package rpc serves callers and operators over gRPC. zrpc, which wraps the same library, brings an
+// outside coordination client along and is therefore not used; see docs/DESIGN.md.
+package rpc
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/peer"
+
+	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/config"
+)
+
+// principal is who a call comes from, as far as its credentials show.
+type principal struct {
+	tokenHash   string
+	certificate string
+}
+
+const bearer = "Bearer "
+
+// principalOf reads the credentials of a call.
+func principalOf(ctx context.Context) principal {
+	var p principal
+	if md, ok := metadata.FromIncomingContext(ctx); ok {
+		for _, v := range md.Get("authorization") {
+			if strings.HasPrefix(v, bearer) {
+				sum := sha256.Sum256([]byte(strings.TrimPrefix(v, bearer)))
+				p.tokenHash = hex.EncodeToString(sum[:])
+			}
+		}
+	}
+	if from, ok := peer.FromContext(ctx); ok {
+		if info, ok := from.AuthInfo.(credentials.TLSInfo); ok && len(info.State.VerifiedChains) > 0 {
+			p.certificate = info.State.VerifiedChains[0][0].Subject.CommonName
+		}
+	}
+	return p
+}
+
+func (p principal) none() bool { return p.tokenHash == "" && p.certificate == "" }
+
+// listed says whether a token or certificate is among those given.
+func (p principal) listed(tokens, certificates []string) bool {
+	return p.tokenHash != "" && slices.Contains(tokens, p.tokenHash) ||
+		p.certificate != "" && slices.Contains(certificates, p.certificate)
+}
+
+// mayUse says why a principal may not use a workspace, or nil. An unknown workspace passes here and
+// is refused by the box, but only to those whose credentials are known.
+func (p principal) mayUse(c *config.Config, workspace string, anyone bool) *code.Error {
+	if c == nil {
+		return nil // the box refuses as not ready
+	}
+	w := c.Workspace(workspace)
+	if w != nil && p.listed(w.TokensSHA256(), w.CertificateNames()) {
+		return nil
+	}
+	open := w == nil || len(w.TokensSHA256()) == 0 && len(w.CertificateNames()) == 0
+	if anyone && open {
+		return nil
+	}
+	if !c.Known(p.tokenHash) && !c.Known(p.certificate) {
+		return code.New(code.Unauthenticated, "authorization", "no valid token or certificate")
+	}
+	if w == nil {
+		return nil
+	}
+	return code.New(code.NotYourWorkspace, "workspace", "the credentials are bound to another workspace")
+}
+
+// mayOperate says why a principal may not call Operations, or nil.
+func (p principal) mayOperate(s config.OperatorSettings) *code.Error {
+	switch {
+	case s.Anyone, p.listed(s.TokensSHA256, s.CertificateNames):
+		return nil
+	case p.none():
+		return code.New(code.Unauthenticated, "authorization", "no token or certificate")
+	}
+	return code.New(code.NotAnOperator, "authorization", "the credentials are not an operator's")
+}
--- /dev/null
+++ b/src/standin/fault.go
@@ -0,0 +1,119 @@
+package standin
+
+import (
+	"sync"
+	"time"
+)
+
+// Fault is something a stand-in can be told to do wrong.
+type Fault uint8
+
+// The faults of backend servers.
+const (
+	None       Fault = iota
+	Fail             // answer with an error before running anything
+	Busy             // answer that no work is taken now
+	Hang             // take the call, run nothing, answer nothing
+	DropReply        // run the call, then break the connection
+	LateReply        // run the call, answer after Delay
+	TwiceReply       // send every piece of a stream twice
+	BreakMid         // break a stream in its middle
+	Refuse           // take no connection
+	BadRequest       // answer that the call is wrong
+)
+
+// Switches hold what a stand-in does wrong. The zero value does nothing wrong.
+type Switches struct {
+	mu      sync.Mutex
+	fault   Fault
+	left    int // calls the fault still hits; negative for all
+	delay   time.Duration
+	slow    float64
+	paused  chan struct{}
+	leaving bool
+}
+
+// Arm makes the next n calls go wrong; a negative n means all until Arm(None, 0).
+func (s *Switches) Arm(f Fault, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault, s.left = f, n
+}
+
+// SetDelay says how late LateReply is.
+func (s *Switches) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+// SetSlow multiplies the time of all work.
+func (s *Switches) SetSlow(factor float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = factor
+}
+
+// SetLeaving makes the server say that it is leaving and take no new work.
+func (s *Switches) SetLeaving(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = on
+}
+
+// Pause stops all work until Resume, as a stopped process would.
+func (s *Switches) Pause() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.paused == nil {
+		s.paused = make(chan struct{})
+	}
+}
+
+// Resume ends a Pause.
+func (s *Switches) Resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.paused != nil {
+		close(s.paused)
+		s.paused = nil
+	}
+}
+
+// take gives the fault that the next call has.
+func (s *Switches) take() (Fault, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fault == None || s.left == 0 {
+		return None, 0
+	}
+	if s.left > 0 {
+		s.left--
+	}
+	return s.fault, s.delay
+}
+
+func (s *Switches) slowness() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.slow <= 0 {
+		return 1
+	}
+	return s.slow
+}
+
+func (s *Switches) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
+// wait blocks while paused.
+func (s *Switches) wait() {
+	s.mu.Lock()
+	p := s.paused
+	s.mu.Unlock()
+	if p != nil {
+		<-p
+	}
+}
