--- a/src/config/config_test.go
+++ b/src/config/config_test.go
@@ -44,7 +44,9 @@
 		{"once", func(d *Document) { d.Pipelines[0].Stages[3].Once = true }, "pipelines[0].stages[3].once", code.ConfigBadValue},
 		{"twice", func(d *Document) { d.Workspaces[1].Name = d.Workspaces[0].Name }, "workspaces[1].name", code.ConfigBadValue},
 		{"pipeline", func(d *Document) { d.Workspaces[0].Pipelines[0] = "x" }, "workspaces[0].pipelines[0]", code.ConfigDangling},
-		{"entry", func(d *Document) { d.Workspaces[0].EntryIn, d.Workspaces[0].RestIn = []string{"nw-1"}, []string{"nw-2"} }, "workspaces[0].entry_in", code.ConfigNowhere},
+		{"entry", func(d *Document) {
+			d.Workspaces[0].EntryIn, d.Workspaces[0].RestIn = []string{"nw-1"}, []string{"nw-2"}
+		}, "workspaces[0].entry_in", code.ConfigNowhere},
 		{"deadline", func(d *Document) { d.Pipelines[0].Deadline = 0 }, "pipelines[0].deadline", code.ConfigBadValue},
 		{"token", func(d *Document) { d.Workspaces[0].TokensSHA256 = []string{"ab"} }, "workspaces[0].tokens_sha256[0]", code.ConfigBadValue},
 	}
--- a/src/standin/model.go
+++ b/src/standin/model.go
@@ -47,12 +47,12 @@
 }
 
 type sequence struct {
-	job      Job
-	order    int
-	left     int // prompt tokens still to compute
-	cached   int
-	made     int
-	started  time.Time
+	job     Job
+	order   int
+	left    int // prompt tokens still to compute
+	cached  int
+	made    int
+	started time.Time
 }
 
 // Model is an engine's continuous batching with a prefix cache. Not safe for concurrent use.
