Play every fault at every step and mend what it showed

Causes found and mended, with the cells that failed before:

- a refusal said "ran" of calls that were sent to a stopped server and never ran; now "unknown"
- stage estimates included waiting and never faded, so that a burst locked a pipeline out for good (queue/burst: CANNOT_FINISH 15 s later); estimates now count running time only and fade
- a slow server was never measured again; its figures now fade to the pool's
- attempts on a whole pool that hung were used up in 1.7 s of 12; now spaced while time is left
- wall clock steps moved deadlines; only keys are now compared with the wall clock

--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,6 @@
 
 gen:
 	buf generate
+
+faults:
+	$(GO) test ./src/faults -run TestMatrix -update
--- a/src/box/box.go
+++ b/src/box/box.go
@@ -10,6 +10,8 @@
 
 import (
 	"context"
+	crand "crypto/rand"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -36,9 +38,12 @@
 	Platform port.Platform
 	Peers    port.Peers
 	Log      *slog.Logger
-	Clock    func() time.Time
+	Clock    func() time.Time // never steps; measures what goes by inside this process
+	Wall     func() time.Time // may be ahead or behind; compared with the times in keys
 	Rand     *rand.Rand
+	Entropy  io.Reader // of ids; crypto/rand's when nil
 	Watch    Watcher
+	Gate     func() // called before every piece of work; tests stop a box here as SIGSTOP would
 
 	est     *core.Estimates
 	cost    *core.Cost
@@ -90,9 +95,15 @@
 	if b.Clock == nil {
 		b.Clock = time.Now
 	}
+	if b.Wall == nil {
+		b.Wall = b.Clock
+	}
 	if b.Log == nil {
 		b.Log = slog.New(slog.DiscardHandler)
 	}
+	if b.Entropy == nil {
+		b.Entropy = crand.Reader
+	}
 	if b.Rand == nil {
 		b.Rand = rand.New(rand.NewPCG(b.ID.Incarnation, 1))
 	}
@@ -145,20 +156,30 @@
 		defer b.background.Done()
 		t := time.NewTicker(pace)
 		defer t.Stop()
-		fn(ctx)
 		for {
+			if b.gate(); ctx.Err() != nil {
+				return
+			}
+			fn(ctx)
 			select {
 			case <-ctx.Done():
 				return
 			case <-t.C:
-				fn(ctx)
 			}
 		}
 	}()
 }
 
+func (b *Box) gate() {
+	if b.Gate != nil {
+		b.Gate()
+	}
+}
+
 func (b *Box) now() time.Time { return b.Clock() }
 
+func (b *Box) wall() time.Time { return b.Wall() }
+
 // tick watches for pauses of this process and lets waiting calls be judged again.
 func (b *Box) tick(context.Context) {
 	now := b.now()
--- a/src/box/documents.go
+++ b/src/box/documents.go
@@ -49,11 +49,13 @@
 }
 
 // judge says which box is home to a key.
-func (d *documents) judge(now time.Time, k core.Key, workspace string) core.Homing {
+func (d *documents) judge(k core.Key, workspace string) core.Homing {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.views.Confirm(d.list.Confirmed(), d.config.Confirmed())
-	return d.views.Judge(now, k, workspace)
+	// Confirmations were timed by a clock that doesn't step; keys carry wall time.
+	step := d.box.wall().Sub(d.box.now())
+	d.views.Confirm(d.list.Confirmed().Add(step), d.config.Confirmed().Add(step))
+	return d.views.Judge(d.box.wall(), k, workspace)
 }
 
 func (d *documents) witnesses(k core.Key, workspace string) ([]string, bool) {
@@ -178,7 +180,6 @@
 // adopt puts a checked configuration in force everywhere in the box.
 func (d *documents) adopt(c *config.Config, readAt time.Time) {
 	b := d.box
-	now := b.now()
 	d.mu.Lock()
 	if !d.config.Offer(c.Version(), c.Digest()) {
 		conflict := d.config.Conflict()
@@ -196,7 +197,7 @@
 	d.refusal = ""
 	d.setRegion(c)
 	b.conf.Store(c)
-	d.views.Observe(now, d.boxes.Boxes, mayHold(c))
+	d.views.Observe(b.wall(), d.boxes.Boxes, mayHold(c))
 	d.mu.Unlock()
 	b.pools.setServers(c)
 	b.burn.SetLevels(c.ServiceLevels())
@@ -252,7 +253,7 @@
 		d.list.Adopt(l.Revision, digest, readAt)
 		d.boxes, d.rawList = l, raw
 		if c := d.box.Config(); c != nil {
-			d.views.Observe(now, l.Boxes, mayHold(c))
+			d.views.Observe(d.box.wall(), l.Boxes, mayHold(c))
 		}
 	}
 	d.mu.Unlock()
@@ -268,7 +269,7 @@
 	d.config.Hear(now, from, b.Config, askedAt)
 	d.list.Hear(now, from, b.List, askedAt)
 	if b.From.State == core.MemberAlive {
-		d.views.Heard(now, from, b.From.Domain)
+		d.views.Heard(d.box.wall(), from, b.From.Domain)
 	}
 }
 
--- a/src/box/flight.go
+++ b/src/box/flight.go
@@ -72,6 +72,7 @@
 }
 
 func (f *flight) step(ev core.Event) {
+	f.box.gate()
 	stale := f.req.Stale()
 	for _, a := range f.req.Step(f.box.now(), ev) {
 		f.do(a)
@@ -166,7 +167,7 @@
 		return
 	}
 	if res.Stream && stage.Kind() == config.Generate {
-		f.box.est.LearnTokens(f.req.Pipeline(), stage, res.Length/standardTokenBytes, stage.MaxTokens())
+		f.box.est.LearnTokens(f.box.now(), f.req.Pipeline(), stage, res.Length/standardTokenBytes, stage.MaxTokens())
 	}
 	f.post(core.Done{Attempt: a.Attempt, Output: res.Output, Length: res.Length, Stream: res.Stream, Use: res.Use})
 }
@@ -220,7 +221,7 @@
 	if s.Kind() == config.Generate {
 		return left
 	}
-	return min(left, max(core.AttemptFloor, core.AttemptFactor*f.box.est.Run(f.req.Pipeline(), s)))
+	return min(left, max(core.AttemptFloor, core.AttemptFactor*f.box.est.Run(f.box.now(), f.req.Pipeline(), s)))
 }
 
 func (f *flight) request(a core.Send, s *config.Stage) port.CallRequest {
--- a/src/box/once.go
+++ b/src/box/once.go
@@ -26,7 +26,7 @@
 	if q.key.Ticket() {
 		return b.runTicket(ctx, q, emit)
 	}
-	h := b.docs.judge(b.now(), q.key, q.workspace.Name())
+	h := b.docs.judge(q.key, q.workspace.Name())
 	switch {
 	case h.Me:
 		return b.runHere(ctx, q, emit)
@@ -47,7 +47,7 @@
 
 // runTicket runs a ticket if this incarnation issued it, and otherwise takes it there.
 func (b *Box) runTicket(ctx context.Context, q *asked, emit Emit) error {
-	if age := b.now().Sub(q.key.Minted()); age > time.Duration(b.Settings.AtMostOnce.LedgerKeep) {
+	if age := b.wall().Sub(q.key.Minted()); age > time.Duration(b.Settings.AtMostOnce.LedgerKeep) {
 		return emit(refusal(code.New(code.KeyExpired, "key", "issued %s ago, longer than outcomes are kept", age.Round(time.Second))))
 	}
 	if q.key.Issuer == b.ID {
@@ -234,7 +234,7 @@
 	if q.key.Ticket() {
 		return b.takeTicket(ctx, q, emit)
 	}
-	if h := b.docs.judge(b.now(), q.key, q.workspace.Name()); !h.Me {
+	if h := b.docs.judge(q.key, q.workspace.Name()); !h.Me {
 		if h.Err == nil {
 			h.Err = code.New(code.HomeUnsettled, "key", "box %s holds that box %s is the key's home", b.ID.Name, h.Box)
 		}
--- a/src/box/serve.go
+++ b/src/box/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"github.com/google/uuid"
@@ -133,11 +134,11 @@
 }
 
 func (b *Box) newID() uuid.UUID {
-	id, err := uuid.NewV7()
-	if err != nil {
+	var random [16]byte
+	if _, err := io.ReadFull(b.Entropy, random[:]); err != nil {
 		panic(err) // the system has no randomness left
 	}
-	return id
+	return core.MintID(b.wall(), random)
 }
 
 // runHere runs a request on this box, or joins the one that runs or ran under its key.
--- a/src/core/admission.go
+++ b/src/core/admission.go
@@ -36,7 +36,7 @@
 	if a.inFlight[w.Name()] >= limit {
 		return code.New(code.WorkspaceLimit, "workspace", "%d requests are running on this box", limit).After(time.Second)
 	}
-	need := a.need(p, est, waits)
+	need := a.need(now, p, est, waits)
 	have := deadline.Sub(now)
 	if p.MustFinish() {
 		have = time.Duration(mustFinishReserve * float64(have))
@@ -49,8 +49,8 @@
 }
 
 // need is the expected time of all stages with the waits of this moment.
-func (a *Admission) need(p *config.Pipeline, est *Estimates, waits Waits) time.Duration {
-	run := est.Tail(p, 0)
+func (a *Admission) need(now time.Time, p *config.Pipeline, est *Estimates, waits Waits) time.Duration {
+	run := est.Tail(now, p, 0)
 	var wait time.Duration
 	for _, s := range p.Stages() {
 		wait = max(wait, waits(s, p.Class()))
--- a/src/core/constants.go
+++ b/src/core/constants.go
@@ -4,9 +4,10 @@
 
 // Requests and attempts.
 const (
-	maxAttempts     = 4                     // dispatches of one stage, must-finish work excepted
+	quickAttempts   = 4                     // dispatches of one stage without a pause between them
+	maxAttempts     = 10                    // dispatches of one stage, must-finish work excepted
 	maxMustAttempts = 50                    // dispatches of one stage of must-finish work
-	retryPause      = 50 * time.Millisecond // first pause of must-finish work without a retry budget
+	retryPause      = 50 * time.Millisecond // first pause before a further attempt
 	maxRetryPause   = 2 * time.Second       // its longest pause
 	bytesPerToken   = 4                     // rough size of a token, to guess work before it is done
 	BlockBytes      = 64                    // bytes of input under one prefix hash
@@ -17,6 +18,8 @@
 // Pools: windows, health and learning.
 const (
 	learnRate         = 0.15                   // weight of a new measurement in a moving mean
+	fadeAfter         = time.Second            // a measurement this fresh counts in full
+	fadeHalf          = 2 * time.Second        // time in which an older one loses half its excess
 	failRate          = 0.2                    // weight of a new outcome in the share of failures
 	restFirst         = 250 * time.Millisecond // first rest of a failing server
 	restLongest       = 10 * time.Second       // longest rest of a failing server
--- a/src/core/estimate.go
+++ b/src/core/estimate.go
@@ -1,70 +1,92 @@
 package core
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"github.com/stilemast/stilemast/src/config"
 )
 
-// Estimates learns how long the stages of each pipeline take, waiting and retries included, and
-// how much of its token limit a generate stage uses. It is safe for concurrent use.
+// Estimates learns how long the stages of each pipeline run and how much of its token limit a
+// generate stage uses. It is safe for concurrent use.
+//
+// A measurement that nobody renews fades: admission refuses by these estimates, so one bad minute
+// would otherwise lock a pipeline out for good, with no request left to measure that it is over.
 type Estimates struct {
 	mu    sync.RWMutex
-	run   map[stageName]float64 // seconds from the stage's start to its end
-	ratio map[stageName]float64 // generated tokens over the limit
+	run   map[stageName]measured // seconds
+	ratio map[stageName]measured // generated tokens over the limit
+}
+
+type measured struct {
+	v  float64
+	at time.Time
 }
 
 type stageName struct{ pipeline, stage string }
 
 // NewEstimates knows nothing yet.
 func NewEstimates() *Estimates {
-	return &Estimates{run: map[stageName]float64{}, ratio: map[stageName]float64{}}
+	return &Estimates{run: map[stageName]measured{}, ratio: map[stageName]measured{}}
 }
 
 func nameOf(p *config.Pipeline, s *config.Stage) stageName { return stageName{p.Name(), s.Name()} }
 
-// Learn takes one finished stage.
-func (e *Estimates) Learn(p *config.Pipeline, s *config.Stage, took time.Duration) {
+// Learn takes how long one finished stage ran, its waiting not counted.
+func (e *Estimates) Learn(now time.Time, p *config.Pipeline, s *config.Stage, took time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	learn(e.run, nameOf(p, s), took.Seconds())
+	learn(e.run, nameOf(p, s), took.Seconds(), now)
 }
 
 // LearnTokens takes how much of its limit a generate stage used.
-func (e *Estimates) LearnTokens(p *config.Pipeline, s *config.Stage, generated, limit int) {
+func (e *Estimates) LearnTokens(now time.Time, p *config.Pipeline, s *config.Stage, generated, limit int) {
 	if limit <= 0 {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	learn(e.ratio, nameOf(p, s), float64(generated)/float64(limit))
+	learn(e.ratio, nameOf(p, s), float64(generated)/float64(limit), now)
 }
 
-func learn(m map[stageName]float64, n stageName, v float64) {
+func learn(m map[stageName]measured, n stageName, v float64, now time.Time) {
 	old, ok := m[n]
-	if !ok {
-		m[n] = v
-		return
+	if ok {
+		v = mix(old.v, v, learnRate)
 	}
-	m[n] = mix(old, v, learnRate)
+	m[n] = measured{v: v, at: now}
 }
 
 // mix moves a mean towards a new value.
 func mix(old, v, rate float64) float64 { return old + rate*(v-old) }
 
-// Run is how long a stage is expected to take.
-func (e *Estimates) Run(p *config.Pipeline, s *config.Stage) time.Duration {
+// fade is the part of a measurement that is left after some time without a newer one.
+func fade(age time.Duration) float64 {
+	if age <= fadeAfter {
+		return 1
+	}
+	return math.Exp2(-float64(age-fadeAfter) / float64(fadeHalf))
+}
+
+// Run is how long a stage is expected to run.
+func (e *Estimates) Run(now time.Time, p *config.Pipeline, s *config.Stage) time.Duration {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
-	return e.runLocked(p, s)
+	return e.runLocked(now, p, s)
 }
 
-func (e *Estimates) runLocked(p *config.Pipeline, s *config.Stage) time.Duration {
-	if v, ok := e.run[nameOf(p, s)]; ok {
-		return seconds(v)
+func (e *Estimates) runLocked(now time.Time, p *config.Pipeline, s *config.Stage) time.Duration {
+	guess := firstGuess(s)
+	m, ok := e.run[nameOf(p, s)]
+	if !ok {
+		return guess
 	}
-	return firstGuess(s)
+	v := seconds(m.v)
+	if v <= guess {
+		return v
+	}
+	return guess + time.Duration(float64(v-guess)*fade(now.Sub(m.at)))
 }
 
 // firstGuess is what the operator wrote, or a guess by kind.
@@ -82,19 +104,19 @@
 func (e *Estimates) TokenRatio(p *config.Pipeline, s *config.Stage) float64 {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
-	if v, ok := e.ratio[nameOf(p, s)]; ok {
-		return v
+	if m, ok := e.ratio[nameOf(p, s)]; ok {
+		return m.v
 	}
 	return 1
 }
 
-// Tail is how long the stages from index on are expected to take.
-func (e *Estimates) Tail(p *config.Pipeline, from int) time.Duration {
+// Tail is how long the stages from index on are expected to run.
+func (e *Estimates) Tail(now time.Time, p *config.Pipeline, from int) time.Duration {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
 	var sum time.Duration
 	for _, s := range p.Stages()[min(from, len(p.Stages())):] {
-		sum += e.runLocked(p, s)
+		sum += e.runLocked(now, p, s)
 	}
 	return sum
 }
--- a/src/core/key.go
+++ b/src/core/key.go
@@ -42,6 +42,18 @@
 	return time.UnixMilli(int64(binary.BigEndian.Uint64(b[:])))
 }
 
+// MintID makes a UUID version 7 whose label is the given time. The uuid library's own keeps one clock
+// for the whole process and never steps back, which a test with several virtual clocks can't use.
+func MintID(now time.Time, random [16]byte) uuid.UUID {
+	var ms [8]byte
+	binary.BigEndian.PutUint64(ms[:], uint64(now.UnixMilli()))
+	id := uuid.UUID(random)
+	copy(id[:6], ms[2:])
+	id[6] = id[6]&0x0f | 0x70
+	id[8] = id[8]&0x3f | 0x80
+	return id
+}
+
 // Hash spreads keys over shards and boxes.
 func (k Key) Hash() uint64 { return xxhash.Sum64(k.ID[:]) }
 
--- a/src/core/pool.go
+++ b/src/core/pool.go
@@ -48,6 +48,7 @@
 	fifo    float64
 	backlog [config.Classes]float64 // expected seconds of slots that wait
 	stats   PoolStats
+	typical typical
 }
 
 // PoolStats counts what a pool did.
@@ -89,7 +90,7 @@
 	for _, cfg := range list {
 		s := p.servers[cfg.Name()]
 		if s == nil {
-			s = newServer(cfg)
+			s = newServer(cfg, &p.typical)
 			s.window = s.share()
 		}
 		s.cfg = cfg
--- a/src/core/request.go
+++ b/src/core/request.go
@@ -42,9 +42,9 @@
 	next     int // number of the stage's next attempt
 	failed   []string
 	pause    time.Duration
-	first    time.Time // when the current stage began
 	emitted  int
-	ran      bool // a call was sent, so something may have run
+	maybe    int  // calls sent of which it is not known that they ran nothing
+	ran      bool // a call was answered, so something ran
 	onceSent bool // a call that may not be repeated was sent
 	onceDone bool // and answered
 	cancel   bool // stop once the call in flight is answered
@@ -147,7 +147,6 @@
 	r.failed = nil
 	r.pause = 0
 	r.next = 0
-	r.first = now
 	r.uses = append(r.uses, StageUse{Stage: r.current().Name()})
 	return []Action{r.enqueue(now, false)}
 }
@@ -165,13 +164,13 @@
 	return Enqueue{Call: &Call{
 		Attempt: id, Workspace: r.workspace, Pipeline: r.pipeline, Stage: s,
 		Deadline: r.deadline, Enqueued: now, Avoid: r.failed,
-		Tail:         r.estimates.Tail(r.pipeline, r.stage+1),
+		Tail:         r.estimates.Tail(now, r.pipeline, r.stage+1),
 		PromptTokens: (len(r.input) + len(r.output)) / bytesPerToken,
 		MaxTokens:    tokens,
 		Prefix:       PrefixBlocks(r.workspace.Name(), r.input),
 		Retry:        id.N > 0 && !hedge,
 		Hedge:        hedge,
-		Started:      r.ran,
+		Started:      r.ran || r.maybe > 0,
 	}}
 }
 
@@ -205,7 +204,7 @@
 	a.trace = len(r.trace)
 	s := r.current()
 	r.trace = append(r.trace, Placement{Stage: s.Name(), N: a.id.N, Server: e.Server, Waited: e.Waited, Outcome: "running", Candidates: e.Trace})
-	r.ran = true
+	r.maybe++
 	if s.Once() {
 		r.onceSent = true // marked as spent before the first byte goes out
 	}
@@ -217,7 +216,7 @@
 		Offset: len(r.output), Continue: r.output, Once: s.Once(),
 	}}
 	if !s.Once() && s.Kind() != config.Generate && !a.hedge && a.id.N == 0 {
-		after := max(hedgeFloor, time.Duration(hedgeFactor*float64(r.estimates.Run(r.pipeline, s))))
+		after := max(hedgeFloor, time.Duration(hedgeFactor*float64(r.estimates.Run(now, r.pipeline, s))))
 		out = append(out, ArmHedge{Attempt: a.id, After: after})
 	}
 	return out
@@ -229,10 +228,13 @@
 		return nil
 	}
 	delete(r.live, a.id.N)
-	if a.hedge || len(r.live) > 0 {
+	if len(r.live) > 0 {
 		return nil
 	}
-	if r.pipeline.MustFinish() && r.ran && e.Err.Code != code.NowhereToRun {
+	if a.hedge {
+		return r.again(now) // the attempt it was to help has failed meanwhile
+	}
+	if r.pipeline.MustFinish() && (r.ran || r.maybe > 0) && e.Err.Code != code.NowhereToRun {
 		return r.pauseThenRetry()
 	}
 	return r.finish(now, e.Err)
@@ -257,6 +259,7 @@
 		r.stale++
 		return nil
 	}
+	r.ran = true
 	r.output = append(r.output, e.Data[have:]...)
 	return r.emit()
 }
@@ -276,6 +279,7 @@
 	if a == nil {
 		return nil
 	}
+	r.ran = true
 	if r.finished {
 		return r.lateOnce(now, a, e)
 	}
@@ -295,7 +299,7 @@
 	u.Server = a.server
 	u.Served = now.Sub(a.sent)
 	u.Use = e.Use
-	r.estimates.Learn(r.pipeline, s, now.Sub(r.first))
+	r.estimates.Learn(now, r.pipeline, s, now.Sub(a.sent))
 	out = append(out, r.emit()...)
 	if r.cancel {
 		return append(out, r.finish(now, code.New(code.Cancelled, "", "stopped after a call that could not be undone"))...)
@@ -372,6 +376,9 @@
 		a.resumed = true
 		return []Action{Send{Attempt: a.id, Pool: s.Pool(), Server: a.server, Input: r.input, Offset: len(r.output), Continue: r.output, Resume: true}}
 	}
+	if f == NotSent || f == Busy || f == Leaving {
+		r.maybe--
+	}
 	out := []Action{r.settle(now, a, f, Use{}, true)}
 	if f == TimedOut && !s.Once() {
 		out = append([]Action{Stop{Attempt: a.id, Pool: s.Pool(), Server: a.server}}, out...)
@@ -383,7 +390,7 @@
 		return append(out, r.finish(now, code.New(code.BackendRefused, "", "stage %s was refused as wrong", s.Name()))...)
 	}
 	r.failed = append(r.failed, a.server)
-	if len(r.live) > 0 || a.hedge {
+	if len(r.live) > 0 {
 		return out
 	}
 	return append(out, r.again(now)...)
@@ -407,22 +414,23 @@
 	return r.finish(now, code.New(code.OutcomeUnknown, "", "stage %s: the call was sent and its outcome is not known (%s)", s.Name(), f))
 }
 
-// again asks for another attempt while attempts and time are left.
+// again asks for another attempt while attempts and time are left: a few at once, then with pauses.
 func (r *Request) again(now time.Time) []Action {
 	must := r.pipeline.MustFinish()
 	if !must && !now.Before(r.deadline) {
 		return r.finish(now, code.New(code.DeadlinePassed, "", "no time is left for another attempt"))
 	}
-	if must && r.next < maxMustAttempts {
-		if r.next >= maxAttempts {
-			return r.pauseThenRetry()
-		}
-		return []Action{r.enqueue(now, false)}
+	most := maxAttempts
+	if must {
+		most = maxMustAttempts
 	}
-	if r.next >= maxAttempts {
-		return r.finish(now, code.New(code.BackendFailed, "", "stage %s failed %d times", r.current().Name(), r.next))
+	switch {
+	case r.next < quickAttempts:
+		return []Action{r.enqueue(now, false)}
+	case r.next < most:
+		return r.pauseThenRetry()
 	}
-	return []Action{r.enqueue(now, false)}
+	return r.finish(now, code.New(code.BackendFailed, "", "stage %s failed %d times", r.current().Name(), r.next))
 }
 
 func (r *Request) hedge(now time.Time, e HedgeDue) []Action {
@@ -472,7 +480,7 @@
 	if err == nil {
 		return append(out, Finish{})
 	}
-	if err.Code == code.CannotFinish && r.ran {
+	if err.Code == code.CannotFinish && (r.ran || r.maybe > 0) {
 		err = code.New(code.DeadlinePassed, err.Field, "%s", err.Message).After(err.RetryAfter)
 	}
 	return append(out, Finish{Err: err.WithRan(r.didRun(err))})
@@ -485,6 +493,8 @@
 		return code.RanUnknown
 	case r.ran:
 		return code.RanYes
+	case r.maybe > 0:
+		return code.RanUnknown
 	}
 	return code.RanNo
 }
--- a/src/core/server.go
+++ b/src/core/server.go
@@ -80,18 +80,29 @@
 	saysLeaving  bool
 	leavingUntil time.Time // an answer said so; reports of the same life don't undo it before
 
-	run      float64 // seconds of one call of a plain service or an encoder
-	token    float64 // seconds of one token on an empty engine
-	prefill  float64 // seconds of one computed prompt token
-	measured bool
-	cache    *prefixIndex
+	run       float64 // seconds of one call of a plain service or an encoder
+	token     float64 // seconds of one token on an empty engine
+	prefill   float64 // seconds of one computed prompt token
+	learnedAt time.Time
+	typical   *typical
+	cache     *prefixIndex
 }
 
-func newServer(cfg *config.BackendServer) *server {
+// typical is what the servers of a pool have in common.
+type typical struct{ run, token measured }
+
+func (m *measured) learn(v float64, now time.Time) {
+	if m.at.IsZero() {
+		m.v = v
+	}
+	m.v, m.at = mix(m.v, v, learnRate), now
+}
+
+func newServer(cfg *config.BackendServer, t *typical) *server {
 	return &server{
 		cfg: cfg, hash: xxhash.Sum64String(cfg.Name()), mine: map[Attempt]running{}, peers: map[string]peerLoad{}, users: 1,
 		run: defaultRun.Seconds(), token: defaultTokenTime.Seconds(), prefill: defaultPrefill.Seconds(),
-		cache: newPrefixIndex(),
+		cache: newPrefixIndex(), typical: t,
 	}
 }
 
@@ -260,9 +271,10 @@
 		w.prefill = max(0, c.PromptTokens-cached)
 		w.tokens = max(1, int(float64(c.MaxTokens)*ratio))
 		full := min(1, float64(load)/float64(s.slots()))
-		w.run = s.prefill*float64(w.prefill) + s.token*(1+loadSlope*full)*float64(w.tokens)
+		token := s.now(now, s.token, s.typical.token)
+		w.run = s.prefill*float64(w.prefill) + token*(1+loadSlope*full)*float64(w.tokens)
 	} else {
-		w.run = s.run
+		w.run = s.now(now, s.run, s.typical.run)
 	}
 	if over := load + 1 - s.slots(); over > 0 {
 		w.wait = w.run * float64(over) / float64(s.slots())
@@ -275,6 +287,18 @@
 	return w
 }
 
+// now is a server's own measurement, faded towards what is typical of its pool when it has not been
+// renewed: a server once found slow would otherwise never be tried again.
+func (s *server) now(now time.Time, own float64, typical measured) float64 {
+	if typical.at.IsZero() {
+		return own
+	}
+	if s.learnedAt.IsZero() {
+		return typical.v
+	}
+	return typical.v + (own-typical.v)*fade(now.Sub(s.learnedAt))
+}
+
 // overrun is how far the oldest call here is past twice its expectation: a server that hangs
 // answers nothing, so silence itself has to count.
 func (s *server) overrun(now time.Time) float64 {
@@ -292,6 +316,8 @@
 	took := now.Sub(r.sent).Seconds()
 	if r.tokens == 0 {
 		s.run = s.mixFirst(s.run, took)
+		s.typical.run.learn(took, now)
+		s.learnedAt = now
 		return
 	}
 	s.cache.learn(r.guessed*BlockBytes/bytesPerToken, u.CachedTokens)
@@ -301,14 +327,16 @@
 	full := min(1, float64(len(s.mine)+s.others(now))/float64(s.slots()))
 	gen := took - s.prefill*float64(u.ComputedTokens)
 	if gen > 0 {
-		s.token = s.mixFirst(s.token, gen/float64(u.GeneratedTokens)/(1+loadSlope*full))
+		token := gen / float64(u.GeneratedTokens) / (1 + loadSlope*full)
+		s.token = s.mixFirst(s.token, token)
+		s.typical.token.learn(token, now)
+		s.learnedAt = now
 	}
 }
 
 // mixFirst takes the first measurement whole and later ones by learnRate.
 func (s *server) mixFirst(old, v float64) float64 {
-	if !s.measured {
-		s.measured = true
+	if s.learnedAt.IsZero() {
 		return v
 	}
 	return mix(old, v, learnRate)
--- /dev/null
+++ b/src/faults/fleet_test.go
@@ -0,0 +1,602 @@
+package faults
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stilemast/stilemast/src/box"
+	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/config"
+	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/port"
+	"github.com/stilemast/stilemast/src/standin"
+)
+
+// fleet is a few boxes over fake ports in virtual time: function calls in place of sockets, with
+// links that can be cut in either direction and boxes that can be killed, paused and given wrong
+// clocks.
+type fleet struct {
+	t        testing.TB
+	doc      *config.Document
+	conf     *config.Config
+	platform *standin.Platform
+	engines  map[string]*standin.Engine
+	services map[string]*standin.Service
+	cancel   context.CancelFunc
+	ctx      context.Context
+
+	mu      sync.Mutex
+	boxes   map[string]*fakeBox
+	cut     map[[2]string]bool
+	tokens  map[string]string
+	entropy *rand.ChaCha8
+	hook    func(step string, who *fakeBox, server string, r port.CallRequest)
+}
+
+type fakeBox struct {
+	*box.Box
+	name   string
+	domain string
+	ctx    context.Context
+	kill   context.CancelFunc
+	skew   time.Duration
+
+	mu     sync.Mutex
+	paused chan struct{}
+}
+
+const (
+	linkDelay   = 500 * time.Microsecond
+	dialTimeout = time.Second
+)
+
+var errLost = errors.New("connection lost")
+
+// smallDocument is enough for every step: four pools, a record service, two engines.
+func smallDocument() *config.Document {
+	d := &config.Document{Version: 1, Models: []config.ModelDoc{{Name: "m", Version: "1"}}}
+	for _, n := range []string{"d1", "d2"} {
+		d.FailureDomains = append(d.FailureDomains, config.FailureDomainDoc{Name: n, Region: "r"})
+	}
+	for _, pool := range []string{"encoders", "retrievers", "rerankers", "records", "engines"} {
+		for i := range 2 {
+			s := config.BackendServerDoc{
+				Name: fmt.Sprintf("%s-%d", pool, i+1), Address: fmt.Sprintf("127.0.0.%d:1", i+1),
+				FailureDomain: d.FailureDomains[i].Name, Pool: pool, Slots: 4,
+			}
+			if pool == "engines" {
+				s.Model, s.ChecksOrders = "m", i == 0
+			}
+			d.BackendServers = append(d.BackendServers, s)
+		}
+	}
+	pre := []config.StageDoc{{Name: "encode", Kind: "encode", Pool: "encoders"}, {Name: "retrieve", Kind: "retrieve", Pool: "retrievers"}}
+	gen := append(append([]config.StageDoc{}, pre...), config.StageDoc{Name: "rerank", Kind: "rerank", Pool: "rerankers"},
+		config.StageDoc{Name: "generate", Kind: "generate", Pool: "engines", Model: "m", MaxTokens: 60})
+	once := append(append([]config.StageDoc{}, pre...), config.StageDoc{Name: "record", Kind: "service", Pool: "records", Once: true})
+	ten := config.Duration(12 * time.Second)
+	d.Pipelines = []config.PipelineDoc{
+		{Name: "draft", Class: "prompt", Deadline: ten, Stages: gen},
+		{Name: "review", Class: "may_wait", MustFinish: true, Deadline: ten, Stages: gen},
+		{Name: "receipt", Class: "prompt", Deadline: ten, Stages: once},
+	}
+	all := []string{"d1", "d2"}
+	d.Workspaces = []config.WorkspaceDoc{
+		{Name: "ws", Pipelines: []string{"draft", "review", "receipt"}, EntryIn: all, RunIn: all, RestIn: all},
+		{Name: "fenced", Pipelines: []string{"draft", "receipt"}, EntryIn: all[:1], RunIn: all[:1], RestIn: all[:1]},
+	}
+	return d
+}
+
+// newFleet starts n boxes and waits until they are ready and settled as homes.
+func newFleet(t testing.TB, n int) *fleet {
+	var seed [32]byte
+	copy(seed[:], t.Name())
+	f := &fleet{
+		t: t, doc: smallDocument(), platform: &standin.Platform{ListLag: 500 * time.Millisecond},
+		engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{},
+		boxes: map[string]*fakeBox{}, cut: map[[2]string]bool{}, tokens: map[string]string{}, entropy: rand.NewChaCha8(seed),
+	}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	for _, s := range f.doc.BackendServers {
+		if s.Model == "" {
+			f.services[s.Name] = &standin.Service{Name: s.Name, Slots: s.Slots, Base: 10 * time.Millisecond}
+			continue
+		}
+		e := &standin.Engine{Name: s.Name, Cost: standin.DefaultEngineCost(s.Slots), ChecksOrders: s.ChecksOrders, EventLag: 200 * time.Millisecond, EventGap: 5}
+		e.Init()
+		f.engines[s.Name] = e
+		go e.Run(f.ctx)
+	}
+	f.publish()
+	for i := range n {
+		f.start(fmt.Sprintf("b%d", i+1), f.doc.FailureDomains[i%2].Name)
+	}
+	f.list()
+	time.Sleep(settings("", "").AtMostOnce.Window() + 3*time.Second)
+	return f
+}
+
+// settings are short windows, so that a cell takes little virtual time.
+func settings(name, domain string) *config.Settings {
+	s := config.DefaultSettings()
+	s.Box, s.FailureDomain = name, domain
+	s.Listen.Peers = name
+	s.Platform.PollEvery = config.Duration(500 * time.Millisecond)
+	s.AtMostOnce.ListLag = config.Duration(time.Second)
+	s.AtMostOnce.FreshWithin = config.Duration(3 * time.Second)
+	s.AtMostOnce.ClockSkew = config.Duration(500 * time.Millisecond)
+	return &s
+}
+
+func (f *fleet) publish() {
+	raw, err := config.Marshal(f.doc)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	conf, faults := config.Parse(raw)
+	if len(faults) > 0 {
+		f.t.Fatal(faults)
+	}
+	f.conf = conf
+	f.platform.Publish(raw)
+}
+
+// start begins a box; a name used before is a new incarnation.
+func (f *fleet) start(name, domain string) *fakeBox {
+	b := &fakeBox{name: name, domain: domain}
+	b.ctx, b.kill = context.WithCancel(f.ctx)
+	id := core.BoxID{Name: name, Incarnation: uint64(time.Now().UnixNano())}
+	b.Box = &box.Box{
+		Settings: settings(name, domain), ID: id, Entropy: rand.NewChaCha8([32]byte([]byte(fmt.Sprintf("%-32s", name)))), Rand: rand.New(rand.NewPCG(id.Incarnation, uint64(len(name)))),
+		Wall: func() time.Time { return time.Now().Add(b.skew) },
+		Gate: b.gate,
+		Backends: port.Backends{
+			Call: func(ctx context.Context, s *config.BackendServer, r port.CallRequest, emit func(int, []byte)) (port.CallResult, *port.CallError) {
+				return f.call(ctx, b, s, r, emit)
+			},
+			Stop: func(_ context.Context, s *config.BackendServer, attempt string) {
+				if e := f.engines[s.Name()]; e != nil && f.joined(b, s.Name()) {
+					e.Stop(attempt)
+				}
+			},
+			Load: func(_ context.Context, s *config.BackendServer) (core.Report, error) { return f.load(b, s) },
+			Events: func(_ context.Context, s *config.BackendServer, after uint64) ([]core.CacheEvent, error) {
+				return f.engines[s.Name()].Events(after), nil
+			},
+			Order: func(_ context.Context, s *config.BackendServer, o core.Order) error { return f.order(b, s, o) },
+		},
+		Platform: port.Platform{
+			Config: func(ctx context.Context) ([]byte, error) { b.gate(); return f.platform.Config(ctx) },
+			Boxes:  func(ctx context.Context) (port.BoxList, error) { b.gate(); return f.platform.Boxes(ctx) },
+		},
+		Peers: port.Peers{
+			Beat: func(to string, m core.Beat) { f.beat(b, to, m) },
+			Ask: func(ctx context.Context, to string, q port.Question) (port.Answer, error) {
+				return f.ask(ctx, b, to, q)
+			},
+			Forward: func(ctx context.Context, to string, q port.Forward, emit func(port.ForwardEvent)) error {
+				return f.forward(ctx, b, to, q, emit)
+			},
+		},
+	}
+	f.mu.Lock()
+	f.boxes[name] = b
+	f.mu.Unlock()
+	b.Init()
+	b.Start(b.ctx)
+	return b
+}
+
+// list shows the living boxes on the platform's list.
+func (f *fleet) list() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var l []core.ListedBox
+	for _, n := range []string{"b1", "b2", "b3", "b4"} {
+		if b := f.boxes[n]; b != nil && b.ctx.Err() == nil {
+			l = append(l, core.ListedBox{Name: n, Address: n, FailureDomain: b.domain})
+		}
+	}
+	f.platform.SetBoxes(l)
+}
+
+// end stops everything, so that the bubble can close.
+func (f *fleet) end() {
+	f.mu.Lock()
+	boxes := f.boxes
+	f.mu.Unlock()
+	for _, b := range boxes {
+		b.resume()
+	}
+	f.healAll()
+	f.cancel()
+	for _, s := range f.services {
+		s.Arm(standin.None, 0)
+		s.Resume()
+	}
+	for _, e := range f.engines {
+		e.Arm(standin.None, 0)
+		e.Resume()
+	}
+	time.Sleep(2 * time.Minute)
+}
+
+func (b *fakeBox) gate() {
+	b.mu.Lock()
+	p := b.paused
+	b.mu.Unlock()
+	if p != nil {
+		<-p
+	}
+}
+
+func (b *fakeBox) pause() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.paused == nil {
+		b.paused = make(chan struct{})
+	}
+}
+
+func (b *fakeBox) resume() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.paused != nil {
+		close(b.paused)
+		b.paused = nil
+	}
+}
+
+// cutLink stops what goes from one to the other.
+func (f *fleet) cutLink(from, to string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[[2]string{from, to}] = true
+}
+
+// isolate cuts a box from every other box, both ways or only what it sends.
+func (f *fleet) isolate(name string, both bool) {
+	for _, o := range []string{"b1", "b2", "b3", "b4"} {
+		if o != name {
+			f.cutLink(name, o)
+			if both {
+				f.cutLink(o, name)
+			}
+		}
+	}
+}
+
+func (f *fleet) healAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = map[[2]string]bool{}
+}
+
+func (f *fleet) isCut(from, to string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut[[2]string{from, to}]
+}
+
+func (f *fleet) joined(b *fakeBox, to string) bool {
+	return b.ctx.Err() == nil && !f.isCut(b.name, to) && !f.isCut(to, b.name)
+}
+
+// through waits while a link is cut, as TCP would, until the context ends.
+func (f *fleet) through(ctx context.Context, from, to string) error {
+	for f.isCut(from, to) {
+		select {
+		case <-ctx.Done():
+			return errLost
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	return ctx.Err()
+}
+
+func (f *fleet) target(name string) *fakeBox {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := f.boxes[name]
+	if b == nil || b.ctx.Err() != nil {
+		return nil
+	}
+	return b
+}
+
+func (f *fleet) step(step string, b *fakeBox, server string, r port.CallRequest) {
+	f.mu.Lock()
+	h := f.hook
+	f.mu.Unlock()
+	if h != nil {
+		h(step, b, server, r)
+	}
+}
+
+func (f *fleet) call(ctx context.Context, b *fakeBox, s *config.BackendServer, r port.CallRequest, emit func(int, []byte)) (port.CallResult, *port.CallError) {
+	f.step("dispatch "+r.Kind, b, s.Name(), r)
+	b.gate()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(b.ctx, cancel)()
+	if b.ctx.Err() != nil {
+		return port.CallResult{}, &port.CallError{Failure: core.NotSent, Message: "killed"}
+	}
+	if f.isCut(b.name, s.Name()) {
+		time.Sleep(dialTimeout)
+		return port.CallResult{}, &port.CallError{Failure: core.NotSent, Message: "no route"}
+	}
+	first := true
+	out := func(offset int, data []byte) {
+		b.gate()
+		if f.through(ctx, s.Name(), b.name) != nil {
+			return
+		}
+		emit(offset, data)
+		if first {
+			first = false
+			f.step("stream", b, s.Name(), r)
+		}
+	}
+	res, err := f.serve(ctx, s, r, out)
+	f.step("answered "+r.Kind, b, s.Name(), r)
+	b.gate()
+	if f.through(ctx, s.Name(), b.name) != nil && err == nil {
+		return port.CallResult{}, &port.CallError{Failure: core.Broken, Message: "answer lost"}
+	}
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) && err.Failure == core.Broken {
+		err = &port.CallError{Failure: core.TimedOut, Message: err.Message}
+	}
+	return res, err
+}
+
+// serve runs a call at its stand-in; like a real client it doesn't wait past the context.
+func (f *fleet) serve(ctx context.Context, s *config.BackendServer, r port.CallRequest, out func(int, []byte)) (port.CallResult, *port.CallError) {
+	type ended struct {
+		res port.CallResult
+		err *port.CallError
+	}
+	done := make(chan ended, 1)
+	go func() {
+		var e ended
+		if v := f.services[s.Name()]; v != nil {
+			e.res, e.err = v.Call(ctx, r, out)
+		} else {
+			e.res, e.err = f.engines[s.Name()].Call(ctx, r, out)
+		}
+		done <- e
+	}()
+	select {
+	case e := <-done:
+		return e.res, e.err
+	case <-ctx.Done():
+		return port.CallResult{}, &port.CallError{Failure: core.Broken, Message: "given up"}
+	}
+}
+
+func (f *fleet) load(b *fakeBox, s *config.BackendServer) (core.Report, error) {
+	b.gate()
+	if !f.joined(b, s.Name()) {
+		return core.Report{}, errLost
+	}
+	if v := f.services[s.Name()]; v != nil {
+		return v.Report(), nil
+	}
+	return f.engines[s.Name()].Report(), nil
+}
+
+func (f *fleet) order(b *fakeBox, s *config.BackendServer, o core.Order) error {
+	b.gate()
+	if o.Void(time.Now()) || !f.joined(b, s.Name()) || !f.engines[s.Name()].Take(o) {
+		return errLost
+	}
+	return nil
+}
+
+func (f *fleet) beat(b *fakeBox, to string, m core.Beat) {
+	go func() {
+		time.Sleep(linkDelay)
+		if t := f.target(to); t != nil && b.ctx.Err() == nil && !f.isCut(b.name, to) {
+			t.gate()
+			t.TakeBeat(m)
+		}
+	}()
+}
+
+// reach connects to a box; the error says that no byte left.
+func (f *fleet) reach(b *fakeBox, to string) (*fakeBox, error) {
+	time.Sleep(linkDelay)
+	t := f.target(to)
+	if t == nil || b.ctx.Err() != nil {
+		return nil, &port.NotConnected{Cause: errLost}
+	}
+	if f.isCut(b.name, to) || f.isCut(to, b.name) {
+		time.Sleep(dialTimeout)
+		return nil, &port.NotConnected{Cause: errLost}
+	}
+	return t, nil
+}
+
+func (f *fleet) ask(ctx context.Context, b *fakeBox, to string, q port.Question) (port.Answer, error) {
+	t, err := f.reach(b, to)
+	if err != nil {
+		return port.Answer{}, err
+	}
+	t.gate()
+	a := t.TakeQuestion(ctx, q)
+	if err := f.through(ctx, to, b.name); err != nil {
+		return port.Answer{}, err
+	}
+	b.gate()
+	return a, nil
+}
+
+func (f *fleet) forward(ctx context.Context, b *fakeBox, to string, q port.Forward, emit func(port.ForwardEvent)) error {
+	t, err := f.reach(b, to)
+	if err != nil {
+		return err
+	}
+	f.step("forward", t, to, port.CallRequest{Attempt: q.Key.ID.String()})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(t.ctx, cancel)()
+	defer context.AfterFunc(b.ctx, cancel)()
+	if f.through(ctx, b.name, to) != nil {
+		return errLost
+	}
+	t.gate()
+	ended := false
+	t.TakeForward(ctx, q, func(e port.ForwardEvent) error {
+		t.gate()
+		if f.through(ctx, to, b.name) != nil {
+			return errLost
+		}
+		b.gate()
+		emit(e)
+		ended = ended || e.End != nil
+		return nil
+	})
+	if !ended {
+		return errLost
+	}
+	return nil
+}
+
+// answer is what a caller got.
+type answer struct {
+	key   string
+	input []byte
+	pipe  string
+	code  code.Code
+	ran   code.Ran
+	data  []byte
+	token string
+	box   core.BoxID
+	cut   bool // the connection to the box broke before the end
+	out   bool // a piece was out of place
+}
+
+func (f *fleet) newKey() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var random [16]byte
+	_, _ = f.entropy.Read(random[:])
+	return core.MintID(time.Now(), random).String()
+}
+
+// send is a caller: it connects to a box and reads to the end, or until the box dies.
+func (f *fleet) send(name, pipeline, key string, input []byte) answer {
+	return f.read(name, answer{key: key, input: input, pipe: pipeline}, func(ctx context.Context, b *fakeBox, emit box.Emit) error {
+		return b.Serve(ctx, box.Request{Workspace: "ws", Pipeline: pipeline, Key: key, Input: input}, emit)
+	})
+}
+
+// attach is a caller that comes back with a token.
+func (f *fleet) attach(name string, a answer, from int) answer {
+	a.data = a.data[:from]
+	return f.read(name, a, func(ctx context.Context, b *fakeBox, emit box.Emit) error {
+		return b.Attach(ctx, "ws", a.token, from, emit)
+	})
+}
+
+func (f *fleet) read(name string, a answer, do func(context.Context, *fakeBox, box.Emit) error) answer {
+	a.code, a.ran, a.cut = code.OK, 0, false
+	t := f.target(name)
+	if t == nil {
+		a.cut = true
+		return a
+	}
+	a.box = t.ID
+	ctx, cancel := context.WithTimeout(t.ctx, 90*time.Second)
+	defer cancel()
+	t.gate()
+	ended := false
+	err := do(ctx, t, func(e port.ForwardEvent) error {
+		t.gate()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		switch {
+		case e.Accepted != nil:
+			a.token = e.Accepted.Token.String()
+			f.mu.Lock()
+			f.tokens[a.key] = a.token
+			f.mu.Unlock()
+			f.step("accepted", f.target(e.Accepted.Token.Holder.Name), "", port.CallRequest{Attempt: a.key})
+		case e.Chunk != nil:
+			a.out = a.out || e.Chunk.Offset != len(a.data)
+			a.data = append(a.data, e.Chunk.Data...)
+		case e.End != nil:
+			ended = true
+			f.step("delivered", t, "", port.CallRequest{Attempt: a.key})
+			if e.End.Err != nil {
+				a.code, a.ran = e.End.Err.Code, e.End.Err.DidRun()
+			}
+		}
+		return nil
+	})
+	a.cut = !ended || err != nil
+	return a
+}
+
+// runs counts what the stand-ins ran under a key: for one box if by is set, else for all.
+func (f *fleet) runs(key string, by core.BoxID) (all, once int) {
+	id := key
+	if k, err := core.ParseKey(key); err == nil {
+		id = k.ID.String()
+	}
+	count := func(l []standin.Ran) {
+		for _, r := range l {
+			if strings.HasPrefix(r.Attempt, id+"/") && (by.Name == "" || strings.HasSuffix(r.Attempt, by.String())) {
+				all++
+				if r.Once {
+					once++
+				}
+			}
+		}
+	}
+	for _, e := range f.engines {
+		count(e.Log.All())
+	}
+	for _, s := range f.services {
+		count(s.Log.All())
+	}
+	return all, once
+}
+
+// broken says which promise an answer broke, or "".
+func (f *fleet) broken(a answer) string {
+	by := core.BoxID{}
+	if a.pipe != "receipt" {
+		by = a.box // a repeatable request's answer speaks of its own copy
+	}
+	all, once := f.runs(a.key, by)
+	whole := standin.Whole(f.conf.Pipeline(a.pipe), a.input, 0)
+	switch {
+	case a.out:
+		return "a piece of the answer was out of place"
+	case once > 1:
+		return fmt.Sprintf("a call that may not be repeated ran %d times", once)
+	case a.cut:
+		return ""
+	case a.code == code.OK && !bytes.Equal(a.data, whole):
+		return fmt.Sprintf("the answer is not the request's own: %d bytes, want %d", len(a.data), len(whole))
+	case a.code == code.OK && a.pipe == "receipt" && once != 1:
+		return "answered whole, but the call did not run"
+	case a.code != code.OK && a.ran == code.RanNo && all > 0:
+		return fmt.Sprintf("%s said \"not run\" and %d calls ran", a.code, all)
+	case a.code != code.OK && a.ran == code.RanYes && all == 0:
+		return fmt.Sprintf("%s said \"ran\" and nothing ran", a.code)
+	case len(a.data) > 0 && !bytes.HasPrefix(whole, a.data):
+		return "pieces of another answer"
+	}
+	return ""
+}
