Play random histories and pairs of faults; keep the promises they broke

Random histories (kills, replacements, planned stops, pauses, cuts, service outages, server faults; copies of keys to up to three boxes) found:

- a fresh box without a configuration crashed on a handover and on an attach

--- a/src/box/once.go
+++ b/src/box/once.go
@@ -20,7 +20,10 @@
 
 // runOnce brings a request that may not be repeated to the one incarnation that may run it.
 func (b *Box) runOnce(ctx context.Context, q *asked, emit Emit) error {
-	if b.known(q.key) {
+	if e := b.entryOf(q.key); e != nil {
+		if e.Renounced() && !q.key.Ticket() {
+			return emit(b.unsettled(ctx, q, e.Err()))
+		}
 		return b.runHere(ctx, q, emit)
 	}
 	if q.key.Ticket() {
@@ -37,12 +40,17 @@
 }
 
 // known says whether the key is in this box's ledger, whoever ranks first now.
-func (b *Box) known(k core.Key) bool {
+func (b *Box) known(k core.Key) bool { return b.entryOf(k) != nil }
+
+func (b *Box) entryOf(k core.Key) *core.Entry {
 	s := b.shardOf(k)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := s.ledger.Find(k)
-	return e != nil && e.Key() == k
+	if e := s.ledger.Find(k); e != nil && e.Key() == k {
+		found := *e
+		return &found
+	}
+	return nil
 }
 
 // runTicket runs a ticket if this incarnation issued it, and otherwise takes it there.
--- a/src/box/serve.go
+++ b/src/box/serve.go
@@ -48,7 +48,7 @@
 	if q.pipeline.Once() {
 		return b.runOnce(ctx, q, emit)
 	}
-	if b.draining.Load() {
+	if b.draining.Load() && !b.known(q.key) {
 		return emit(refusal(code.New(code.Draining, "", "box %s is stopping", b.ID.Name)))
 	}
 	return b.runHere(ctx, q, emit)
@@ -158,18 +158,18 @@
 }
 
 // open enters the key and starts the request if it is the first copy.
-func (b *Box) open(q *asked) (*flight, *core.Entry, *code.Error) {
+func (b *Box) open(q *asked) (*flight, core.Entry, *code.Error) {
 	s := b.shardOf(q.key)
 	print := core.Fingerprint(q.workspace.Name(), q.pipeline.Name(), q.input)
 	s.mu.Lock()
 	entry, fresh, err := s.ledger.Open(q.key, q.pipeline.Once(), q.workspace.Name(), q.pipeline.Name(), print)
 	if err != nil {
 		s.mu.Unlock()
-		return nil, nil, err
+		return nil, core.Entry{}, err
 	}
 	if !fresh {
 		defer s.mu.Unlock()
-		return s.flights[q.key.ID], entry, nil
+		return s.flights[q.key.ID], *entry, nil // copied, since it may still be amended
 	}
 	req := core.NewRequest(q.key, q.workspace, q.pipeline, q.input, q.deadline, q.maxTokens, b.est)
 	f := newFlight(b, req, q.conf)
@@ -177,10 +177,10 @@
 	s.mu.Unlock()
 	if err := b.admit(q); err != nil {
 		f.finish(err)
-		return f, nil, nil
+		return f, core.Entry{}, nil
 	}
 	f.start()
-	return f, nil, nil
+	return f, core.Entry{}, nil
 }
 
 func (b *Box) admit(q *asked) *code.Error {
@@ -224,7 +224,7 @@
 }
 
 // replay gives an ended request's answer again.
-func replay(e *core.Entry, offset int, emit Emit) error {
+func replay(e core.Entry, offset int, emit Emit) error {
 	if e.State() == core.EntryRefused {
 		return emit(port.ForwardEvent{End: &port.End{Err: e.Err(), MayRepeat: e.MayRepeat(), Uses: e.Uses()}})
 	}
@@ -250,6 +250,9 @@
 	if err != nil {
 		return emit(refusal(err))
 	}
+	if b.Config() == nil {
+		return emit(refusal(code.New(code.NotReady, "", "box %s has no configuration in force yet", b.ID.Name).WithRan(code.RanUnknown).After(time.Second)))
+	}
 	if b.holds(t.Holder) {
 		return b.attachHere(ctx, workspace, t, offset, emit)
 	}
@@ -263,9 +266,13 @@
 func (b *Box) attachHere(ctx context.Context, workspace string, t core.AttachToken, offset int, emit Emit) error {
 	s := b.shardOf(t.Key)
 	s.mu.Lock()
-	f, entry := s.flights[t.Key.ID], s.ledger.Find(t.Key)
+	f, found := s.flights[t.Key.ID], s.ledger.Find(t.Key)
+	var entry core.Entry
+	if found != nil {
+		entry = *found
+	}
 	s.mu.Unlock()
-	if entry == nil || entry.Workspace() != workspace {
+	if found == nil || entry.Workspace() != workspace {
 		return emit(refusal(code.New(code.NotFound, "attach_token", "box %s knows no such request", b.ID.Name)))
 	}
 	if err := emit(port.ForwardEvent{Accepted: &port.Accepted{Token: t}}); err != nil {
--- a/src/box/stop.go
+++ b/src/box/stop.go
@@ -151,12 +151,13 @@
 	}
 }
 
-// takeHandover takes over entries of a box that stops; false when this box is stopping itself.
+// takeHandover takes over entries of a box that stops; false when this box is stopping itself or has
+// no configuration yet to hold the entries against.
 func (b *Box) takeHandover(h port.Handover) bool {
-	if b.draining.Load() {
+	c := b.Config()
+	if c == nil || b.draining.Load() {
 		return false
 	}
-	c := b.Config()
 	now := b.now()
 	for _, r := range h.Records {
 		if w := c.Workspace(r.Workspace); w != nil && !config.MayEnter(w, b.domainOf(c)) {
--- a/src/core/ledger.go
+++ b/src/core/ledger.go
@@ -46,31 +46,36 @@
 	mayRepeat   bool
 	answer      []byte
 	answerGone  bool
+	renounced   bool
 	uses        []StageUse
 	ended       time.Time
 	place       *list.Element
 }
 
 // Key is the entry's key.
-func (e *Entry) Key() Key { return e.key }
+func (e Entry) Key() Key { return e.key }
 
 // Workspace is whose key it is.
-func (e *Entry) Workspace() string { return e.workspace }
+func (e Entry) Workspace() string { return e.workspace }
 
 // State is how far it has come.
-func (e *Entry) State() EntryState { return e.state }
+func (e Entry) State() EntryState { return e.state }
 
 // Err is the final code of a refused or failed key.
-func (e *Entry) Err() *code.Error { return e.err }
+func (e Entry) Err() *code.Error { return e.err }
 
 // MayRepeat says whether the request may be made again under a new key.
-func (e *Entry) MayRepeat() bool { return e.mayRepeat }
+func (e Entry) MayRepeat() bool { return e.mayRepeat }
+
+// Renounced says whether this box only promised that the key never runs here. What it is told of the
+// other boxes is another matter, so such an entry is no answer for a caller.
+func (e Entry) Renounced() bool { return e.renounced }
 
 // Answer is the whole answer; ok is false when it was let go.
-func (e *Entry) Answer() (answer []byte, ok bool) { return e.answer, !e.answerGone }
+func (e Entry) Answer() (answer []byte, ok bool) { return e.answer, !e.answerGone }
 
 // Uses sums the stages.
-func (e *Entry) Uses() []StageUse { return e.uses }
+func (e Entry) Uses() []StageUse { return e.uses }
 
 // NewLedger makes an empty ledger; set its exported fields before use.
 func NewLedger() *Ledger {
@@ -107,11 +112,11 @@
 // holds: false when the key is running or ended otherwise.
 func (l *Ledger) Renounce(now time.Time, k Key) bool {
 	if e := l.entries[k.ID]; e != nil {
-		return e.state == EntryRefused && e.err != nil && e.err.DidRun() == code.RanNo
+		return e.renounced || e.state == EntryRefused && e.err.DidRun() == code.RanNo
 	}
-	e := &Entry{key: k, once: true, state: EntryRunning}
+	e := &Entry{key: k, once: true, state: EntryRunning, renounced: true}
 	l.entries[k.ID] = e
-	l.end(now, e, code.New(code.HomeUnsettled, "key", "no box is home to this key").WithRan(code.RanNo), nil, nil, true)
+	l.end(now, e, code.New(code.HomeUnsettled, "key", "this box promised not to run the key"), nil, nil, false)
 	return true
 }
 
@@ -194,6 +199,7 @@
 	Answer      []byte      `msgpack:"a"`
 	AnswerGone  bool        `msgpack:"g"`
 	Uses        []StageUse  `msgpack:"u"`
+	Renounced   bool        `msgpack:"r"`
 }
 
 // Export lists the ended entries for a handover, oldest first.
@@ -203,7 +209,7 @@
 		e := el.Value.(*Entry)
 		out = append(out, Record{
 			Key: e.key, Once: e.once, Workspace: e.workspace, Pipeline: e.pipeline, Fingerprint: e.fingerprint,
-			Err: e.err, MayRepeat: e.mayRepeat, Answer: e.answer, AnswerGone: e.answerGone, Uses: e.uses,
+			Err: e.err, MayRepeat: e.mayRepeat, Answer: e.answer, AnswerGone: e.answerGone, Uses: e.uses, Renounced: e.renounced,
 		})
 	}
 	return out
@@ -216,7 +222,7 @@
 	}
 	e := &Entry{
 		key: r.Key, once: r.Once, workspace: r.Workspace, pipeline: r.Pipeline, fingerprint: r.Fingerprint,
-		state: EntryRunning, answerGone: r.AnswerGone,
+		state: EntryRunning, answerGone: r.AnswerGone, renounced: r.Renounced,
 	}
 	l.entries[r.Key.ID] = e
 	l.end(now, e, r.Err, r.Answer, r.Uses, r.MayRepeat)
--- a/src/faults/fleet_test.go
+++ b/src/faults/fleet_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sort"
 	"strings"
 	"sync"
 	"testing"
@@ -200,14 +201,24 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var l []core.ListedBox
-	for _, n := range []string{"b1", "b2", "b3", "b4"} {
-		if b := f.boxes[n]; b != nil && b.ctx.Err() == nil {
+	for _, n := range f.names() {
+		if b := f.boxes[n]; b.ctx.Err() == nil {
 			l = append(l, core.ListedBox{Name: n, Address: n, FailureDomain: b.domain})
 		}
 	}
 	f.platform.SetBoxes(l)
 }
 
+// names lists every box that ever was; the lock is held.
+func (f *fleet) names() []string {
+	var out []string
+	for n := range f.boxes {
+		out = append(out, n)
+	}
+	sort.Strings(out)
+	return out
+}
+
 // end stops everything, so that the bubble can close.
 func (f *fleet) end() {
 	f.mu.Lock()
@@ -264,7 +275,10 @@
 
 // isolate cuts a box from every other box, both ways or only what it sends.
 func (f *fleet) isolate(name string, both bool) {
-	for _, o := range []string{"b1", "b2", "b3", "b4"} {
+	f.mu.Lock()
+	all := f.names()
+	f.mu.Unlock()
+	for _, o := range all {
 		if o != name {
 			f.cutLink(name, o)
 			if both {
@@ -302,6 +316,13 @@
 	return ctx.Err()
 }
 
+// any gives a box by name, dead or alive.
+func (f *fleet) any(name string) *fakeBox {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.boxes[name]
+}
+
 func (f *fleet) target(name string) *fakeBox {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/src/faults/pairs_test.go
@@ -0,0 +1,30 @@
+package faults
+
+import (
+	"testing"
+	"testing/synctest"
+)
+
+// TestPairs plays every pair of faults together, each at three steps in turn.
+func TestPairs(t *testing.T) {
+	n := 0
+	for i, x := range columns {
+		for _, y := range columns[i+1:] {
+			for range 3 {
+				st := steps[n%len(steps)]
+				n++
+				if x.skip != nil && x.skip(st) != "" || y.skip != nil && y.skip(st) != "" {
+					continue
+				}
+				t.Run(st.name+"/"+x.name+" and "+y.name, func(t *testing.T) {
+					t.Parallel()
+					synctest.Test(t, func(t *testing.T) {
+						if wrong, _ := play(t, st, x, y); wrong != "" {
+							t.Error(wrong)
+						}
+					})
+				})
+			}
+		}
+	}
+}
--- a/src/standin/engine.go
+++ b/src/standin/engine.go
@@ -66,6 +66,13 @@
 	e.reports.life = uint64(time.Now().UnixNano())
 }
 
+// SetSlots changes the size of the batch; call it while nothing runs.
+func (e *Engine) SetSlots(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Cost.Slots, e.model.Cost.Slots = n, n
+}
+
 // Run steps the engine until the context ends.
 func (e *Engine) Run(ctx context.Context) {
 	e.Init()
--- a/src/standin/fault.go
+++ b/src/standin/fault.go
@@ -31,6 +31,7 @@
 	slow    float64
 	paused  chan struct{}
 	leaving bool
+	refused int // calls turned away because it is leaving
 }
 
 // Arm makes the next n calls go wrong; a negative n means all until Arm(None, 0).
@@ -108,6 +109,23 @@
 	return s.leaving
 }
 
+// Refused counts the calls that came although the server is leaving.
+func (s *Switches) Refused() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused
+}
+
+// turnAway says whether the server is leaving, and counts the call if it is.
+func (s *Switches) turnAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		s.refused++
+	}
+	return s.leaving
+}
+
 // wait blocks while paused.
 func (s *Switches) wait() {
 	s.mu.Lock()
--- a/src/standin/service.go
+++ b/src/standin/service.go
@@ -58,6 +58,13 @@
 	waiting int
 }
 
+// SetSlots changes how many calls run at once; call it while none runs.
+func (s *Service) SetSlots(n int) {
+	s.init()
+	s.Slots = n
+	s.slots = make(chan struct{}, n)
+}
+
 func (s *Service) init() {
 	s.once.Do(func() {
 		s.slots = make(chan struct{}, s.Slots)
@@ -115,7 +122,7 @@
 		<-ctx.Done()
 		return &port.CallError{Failure: core.Broken, Message: "hung until given up"}
 	}
-	if s.isLeaving() {
+	if s.turnAway() {
 		return &port.CallError{Failure: core.Leaving, Message: "leaving"}
 	}
 	return nil
