--- a/src/box/flight.go
+++ b/src/box/flight.go
@@ -153,7 +153,7 @@
 		return
 	}
 	stage := f.req.Pipeline().Stages()[a.Attempt.Stage]
-	ctx, cancel := context.WithTimeout(ctx, f.limit(stage, a.Attempt.N))
+	ctx, cancel := context.WithTimeout(ctx, f.req.CallLimit(f.box.now(), f.begun, a.Attempt))
 	defer cancel()
 	stall := newStallWatch(stage, cancel)
 	defer stall.end()
@@ -172,9 +172,6 @@
 	f.post(core.Done{Attempt: a.Attempt, Output: res.Output, Length: res.Length, Stream: res.Stream, Use: res.Use})
 }
 
-// maxDoublings bounds how often an attempt's time is doubled.
-const maxDoublings = 6
-
 // standardTokenBytes is the rough size of a token in an output.
 const standardTokenBytes = 4
 
@@ -215,20 +212,6 @@
 	return nil
 }
 
-// limit is how long one call may take. Each attempt has twice the time of the one before: a stage that
-// became slow rather than dead must get through in the end.
-func (f *flight) limit(s *config.Stage, attempt int) time.Duration {
-	left := f.req.GiveUp(f.begun).Sub(f.box.now())
-	if s.Once() {
-		return left + core.OnceGrace
-	}
-	if s.Kind() == config.Generate {
-		return left
-	}
-	first := max(core.AttemptFloor, core.AttemptFactor*f.box.est.Run(f.box.now(), f.req.Pipeline(), s))
-	return min(left, first<<min(attempt, maxDoublings))
-}
-
 func (f *flight) request(a core.Send, s *config.Stage) port.CallRequest {
 	r := port.CallRequest{
 		Attempt: a.Attempt.Wire(f.box.ID), Kind: string(s.Kind()), Input: a.Input, Offset: a.Offset,
--- a/src/cli/cli.go
+++ b/src/cli/cli.go
@@ -38,7 +38,7 @@
 		Version:               Release,
 		EnableShellCompletion: true,
 		Commands: []*cli.Command{
-			serveCommand(), demoCommand(), runCommand(), loadCommand(),
+			serveCommand(), demoCommand(), runCommand(), loadCommand(), experimentCommand(),
 			validateCommand(), planCommand(), statusCommand(), drainCommand(), explainCommand(),
 			costCommand(), burnCommand(), exampleCommand(), standinCommand(),
 		},
--- a/src/core/constants.go
+++ b/src/core/constants.go
@@ -84,6 +84,7 @@
 const (
 	StallLimit       = 3 * time.Second        // silence of a stream before it counts as broken
 	AttemptFloor     = 500 * time.Millisecond // least time one repeatable call has
+	maxDoublings     = 6                      // times the time of an attempt is doubled at most
 	AttemptFactor    = 8                      // times its expected run that a repeatable call has
 	OnceGrace        = 10 * time.Second       // time after the deadline to learn a once-call's outcome
 	UnconfirmedAfter = 10 * time.Second       // a configuration unconfirmed this long may not be in force elsewhere
--- a/src/core/request.go
+++ b/src/core/request.go
@@ -96,6 +96,21 @@
 	return r.deadline
 }
 
+// CallLimit is how long one call may take. Each attempt has twice the time of the one before: a stage
+// that became slow rather than dead must get through in the end. It reads nothing that Step changes.
+func (r *Request) CallLimit(now, begun time.Time, id Attempt) time.Duration {
+	s := r.pipeline.Stages()[id.Stage]
+	left := r.GiveUp(begun).Sub(now)
+	switch {
+	case s.Once():
+		return left + OnceGrace
+	case s.Kind() == config.Generate:
+		return left
+	}
+	first := max(AttemptFloor, AttemptFactor*r.estimates.Run(now, r.pipeline, s))
+	return min(left, first<<min(id.N, maxDoublings))
+}
+
 // Finished says whether the final answer is out.
 func (r *Request) Finished() bool { return r.finished }
 
--- a/src/faults/history_test.go
+++ b/src/faults/history_test.go
@@ -21,12 +21,11 @@
 
 // history is a minute or so of random requests and faults.
 type history struct {
-	f    *fleet
-	r    *rand.Rand
-	wg   sync.WaitGroup
-	mu   sync.Mutex
-	got  []answer
-	live []string
+	f   *fleet
+	r   *rand.Rand
+	wg  sync.WaitGroup
+	mu  sync.Mutex
+	got []answer
 }
 
 var names = []string{"b1", "b2", "b3", "b4"}
