Let prompt work go first and admit may-wait work by what that leaves

Cause: the quarter of dispatches that was kept for may-wait work took slots from prompt work although the drafts had tens of seconds left; the oracle (one decider, nothing stale) did no better, so staleness was ruled out. Now may-wait work goes first only with a quarter of its time left, and is admitted by the backlog with earlier deadlines at the rate prompt work leaves. Prompt work may queue at a server up to half its slots, where priorities by deadline order the calls of all boxes.

--- a/src/box/flight.go
+++ b/src/box/flight.go
@@ -215,7 +215,7 @@
 func (f *flight) request(a core.Send, s *config.Stage) port.CallRequest {
 	r := port.CallRequest{
 		Attempt: a.Attempt.Wire(f.box.ID), Kind: string(s.Kind()), Input: a.Input, Offset: a.Offset,
-		Priority: int(f.req.Pipeline().Class()), Salt: f.req.Workspace().Name(), Model: s.Model(), Adapter: s.Adapter(),
+		Priority: core.ServerPriority(f.req.Pipeline().Class(), f.req.Deadline()), Salt: f.req.Workspace().Name(), Model: s.Model(), Adapter: s.Adapter(),
 		Once: a.Once, Resume: a.Resume,
 	}
 	if s.Kind() == config.Generate {
--- a/src/box/pools.go
+++ b/src/box/pools.go
@@ -187,14 +187,14 @@
 }
 
 // waitFor tells admission how long a stage's call would wait.
-func (s *poolSet) waitFor(st *config.Stage, class config.Class) time.Duration {
+func (s *poolSet) waitFor(st *config.Stage, class config.Class, deadline time.Time) time.Duration {
 	p := s.get(st.Pool())
 	if p == nil {
 		return 0
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.core.WaitFor(class)
+	return p.core.WaitFor(s.box.now(), class, deadline)
 }
 
 // waiting counts the calls that wait in any pool.
--- a/src/core/admission.go
+++ b/src/core/admission.go
@@ -9,7 +9,7 @@
 )
 
 // Waits tells how long a new call of a stage would wait in its pool.
-type Waits func(s *config.Stage, class config.Class) time.Duration
+type Waits func(s *config.Stage, class config.Class, deadline time.Time) time.Duration
 
 // Admission refuses what could not finish before it costs anything. Not safe for concurrent use.
 type Admission struct {
@@ -36,7 +36,7 @@
 	if a.inFlight[w.Name()] >= limit {
 		return code.New(code.WorkspaceLimit, "workspace", "%d requests are running on this box", limit).After(time.Second)
 	}
-	need := a.need(now, p, est, waits)
+	need := a.need(now, p, deadline, est, waits)
 	have := deadline.Sub(now)
 	if p.MustFinish() {
 		have = time.Duration(mustFinishReserve * float64(have))
@@ -49,11 +49,11 @@
 }
 
 // need is the expected time of all stages with the waits of this moment.
-func (a *Admission) need(now time.Time, p *config.Pipeline, est *Estimates, waits Waits) time.Duration {
+func (a *Admission) need(now time.Time, p *config.Pipeline, deadline time.Time, est *Estimates, waits Waits) time.Duration {
 	run := est.Tail(now, p, 0)
 	var wait time.Duration
 	for _, s := range p.Stages() {
-		wait = max(wait, waits(s, p.Class()))
+		wait = max(wait, waits(s, p.Class(), deadline))
 	}
 	return time.Duration(admissionMargin * float64(max(run, wait+run/2)))
 }
--- a/src/core/call.go
+++ b/src/core/call.go
@@ -90,3 +90,16 @@
 	}
 	return true
 }
+
+// mayWaitLater is how much later than its deadline says a may-wait call stands in a server's queue.
+const mayWaitLater = 10 * time.Minute
+
+// ServerPriority orders calls in a server's own queue, lower first: by deadline, with all prompt work
+// before may-wait work of the same time. The number is the same whichever box sends it, so servers
+// order the calls of all boxes together.
+func ServerPriority(class config.Class, deadline time.Time) int {
+	if class == config.MayWait {
+		deadline = deadline.Add(mayWaitLater)
+	}
+	return int(deadline.UnixMilli())
+}
--- a/src/core/place.go
+++ b/src/core/place.go
@@ -72,7 +72,7 @@
 	ratio := p.ratio(c)
 	for _, s := range p.order {
 		why := p.rejects(now, s, c)
-		if why == "" && !p.NoAdmission && !s.open(now) {
+		if why == "" && !p.NoAdmission && !s.open(now, c.Pipeline.Class()) {
 			why = "no room in its window"
 		}
 		cand := Candidate{Server: s.cfg.Name(), PassedOver: why}
--- a/src/core/pool.go
+++ b/src/core/pool.go
@@ -15,8 +15,8 @@
 // Idea. Calls wait here and not in the servers, so that the order can still change and a call
 // whose deadline is lost costs nothing. Order: a call's latest useful start, pushed back by how far
 // its workspace is ahead of its fair share (start-time fair queueing tags), so that deadlines
-// decide while there is enough and shares decide when there is not. May-wait work gets a floor of
-// the dispatches, and goes first once its own time runs short.
+// decide while there is enough and shares decide when there is not. May-wait work takes what prompt
+// work leaves, is admitted only as far as that will do, and goes first once its own time runs short.
 //
 // Cost. Push and withdraw O(log n); one dispatch O(lanes + servers). Lanes are distinct boundaries,
 // few; servers are bounded by the subset the box uses.
@@ -43,12 +43,28 @@
 	hedges  budget
 	tags    map[string]float64 // last fair-queueing tag of each workspace
 	virtual float64
-	credit  float64 // what waiting may-wait work is owed
 	seed    uint64
 	fifo    float64
-	backlog [config.Classes]float64 // expected seconds of slots that wait
+	backlog [config.Classes]backlog // expected seconds of slots that wait
 	stats   PoolStats
 	typical typical
+	demand  demand // of prompt work
+}
+
+// demand is a decaying mean of the slots that arriving work keeps busy.
+type demand struct {
+	slots float64
+	at    time.Time
+}
+
+// add counts work of some seconds.
+func (d *demand) add(now time.Time, cost float64) {
+	d.slots = d.read(now) + cost/promptWindow.Seconds()
+	d.at = now
+}
+
+func (d *demand) read(now time.Time) float64 {
+	return d.slots * math.Exp(-now.Sub(d.at).Seconds()/promptWindow.Seconds())
 }
 
 // PoolStats counts what a pool did.
@@ -137,7 +153,10 @@
 	c.lane = l
 	heap.Push(&l.classes[c.Pipeline.Class()], c)
 	p.waiting[c.Attempt] = c
-	p.backlog[c.Pipeline.Class()] += c.cost
+	if c.Pipeline.Class() == config.Prompt {
+		p.demand.add(now, c.cost)
+	}
+	p.backlog[c.Pipeline.Class()].add(c.Deadline, c.cost)
 	return nil
 }
 
@@ -232,7 +251,7 @@
 	delete(p.waiting, c.Attempt)
 	h := &c.lane.classes[c.Pipeline.Class()]
 	heap.Remove(h, c.index)
-	p.backlog[c.Pipeline.Class()] = max(0, p.backlog[c.Pipeline.Class()]-c.cost)
+	p.backlog[c.Pipeline.Class()].remove(c.Deadline, c.cost)
 	if c.lane.empty() {
 		delete(p.lanes, c.lane.key)
 		p.dropLane(c.lane)
@@ -293,7 +312,7 @@
 	return p.between(now, best[config.Prompt], best[config.MayWait])
 }
 
-// between chooses among the classes' heads: urgent may-wait work, then what the floor owes, then prompt.
+// between chooses among the classes' heads: urgent may-wait work, then prompt work, then the rest.
 func (p *Pool) between(now time.Time, prompt, may *Call) *Call {
 	switch {
 	case prompt == nil:
@@ -305,7 +324,7 @@
 			return may
 		}
 		return prompt
-	case p.urgent(now, may), p.credit > 0:
+	case p.urgent(now, may):
 		return may
 	}
 	return prompt
@@ -330,7 +349,7 @@
 
 // comeBack is when what waits now should have gone.
 func (p *Pool) comeBack() time.Duration {
-	wait := seconds((p.backlog[config.Prompt] + p.backlog[config.MayWait]) / max(1, p.capacity()))
+	wait := seconds((p.backlog[config.Prompt].sum + p.backlog[config.MayWait].sum) / max(1, p.capacity()))
 	return min(max(wait, 100*time.Millisecond), 30*time.Second)
 }
 
@@ -345,13 +364,15 @@
 	return sum
 }
 
-// WaitFor is how long a new call of a class would wait for its place.
-func (p *Pool) WaitFor(class config.Class) time.Duration {
-	ahead := p.backlog[config.Prompt]
-	if class == config.MayWait {
-		ahead += p.backlog[config.MayWait]
+// WaitFor is how long a new call of a class would wait for its place, behind what waits with earlier
+// deadlines. May-wait work gets what prompt work leaves: its own backlog is worked off at that rate.
+func (p *Pool) WaitFor(now time.Time, class config.Class, deadline time.Time) time.Duration {
+	slots := max(1, p.capacity())
+	if class == config.Prompt {
+		return seconds(p.backlog[config.Prompt].before(deadline) / slots)
 	}
-	return seconds(ahead / max(1, p.capacity()))
+	left := max(leastLeft, 1-p.demand.read(now)/slots)
+	return seconds(p.backlog[config.Prompt].sum/slots + p.backlog[config.MayWait].before(deadline)/slots/left)
 }
 
 // dispatch books a call at a server.
@@ -367,20 +388,6 @@
 		s.probing = true
 	}
 	p.virtual = max(p.virtual, p.tags[c.Workspace.Name()]-c.cost/c.Workspace.Weight()/max(1, float64(p.totalSlots())))
-	if c.Pipeline.Class() == config.MayWait {
-		p.credit = max(0, p.credit-(1-mayWaitFloor)*c.cost)
-	} else if p.mayWaits() {
-		p.credit += mayWaitFloor * c.cost
-	}
-}
-
-func (p *Pool) mayWaits() bool {
-	for _, l := range p.laneSeq {
-		if len(l.classes[config.MayWait]) > 0 {
-			return true
-		}
-	}
-	return false
 }
 
 // Done ends a booked call; failure 0 is success. It says whether the call was booked.
--- a/src/core/server.go
+++ b/src/core/server.go
@@ -144,12 +144,18 @@
 
 // open says whether this box may send one more call: within its share always, beyond it only
 // while the server has room that others leave idle and the window has grown that far.
-func (s *server) open(now time.Time) bool {
-	mine := float64(len(s.mine))
-	if mine+1 <= s.share() {
+//
+// Prompt work may also queue at the server, a little: there it competes by deadline with the calls of
+// all boxes, which no box knows as freshly, and it keeps the server busy between reports.
+func (s *server) open(now time.Time, class config.Class) bool {
+	mine, over := float64(len(s.mine)), 1.0
+	if class == config.Prompt {
+		over += promptOver
+	}
+	if mine+1 <= s.share()*over {
 		return true
 	}
-	return mine+1 <= s.window && len(s.mine)+s.others(now)+1 <= s.slots()
+	return mine+1 <= s.window*over && mine+float64(s.others(now))+1 <= float64(s.slots())*over
 }
 
 // adapt moves the borrowed window: up by one a report while there is room, down at once when the
--- a/src/experiment/experiment.go
+++ b/src/experiment/experiment.go
@@ -78,7 +78,7 @@
 		}},
 		{Name: "killed box", hurt: func(s *sim, a, _ time.Duration) {
 			if len(s.boxes) > 1 {
-				s.at(a, func() { s.boxes[0].dead = true })
+				s.at(a, s.boxes[0].die)
 			}
 		}},
 		{Name: "burst", hurt: func(*sim, time.Duration, time.Duration) {}},
@@ -190,7 +190,7 @@
 	s.out = make([]outcome, len(plan))
 	for i, a := range plan {
 		s.out[i].arrival = a
-		s.at(a.At, func() { s.balance(a).arrive(a, &s.out[i]) })
+		s.at(a.At, func() { s.balance(a).arrive(a, &s.out[i], s.now.Add(a.Pipeline.Deadline())) })
 	}
 	s.run()
 	return s.figures(x.Length), nil
--- a/src/experiment/server.go
+++ b/src/experiment/server.go
@@ -18,7 +18,7 @@
 	held      int // bytes of output the box has already
 	stage     *config.Stage
 	limit     int
-	class     config.Class
+	priority  int
 	workspace string
 	reply     func(core.Event)
 }
@@ -99,7 +99,7 @@
 	v.model.Slow = v.slow
 	v.model.Submit(v.s.now, standin.Job{
 		ID: id, Prompt: (len(c.input)+c.held)/standin.TokenBytes + 1, Tokens: max(1, total-start),
-		Priority: int(c.class), Prefix: core.PrefixBlocks(c.workspace, c.input),
+		Priority: c.priority, Prefix: core.PrefixBlocks(c.workspace, c.input),
 	})
 	v.wake()
 }
--- a/src/experiment/sim.go
+++ b/src/experiment/sim.go
@@ -70,6 +70,7 @@
 // outcome is what became of one arrival.
 type outcome struct {
 	arrival load.Arrival
+	came    time.Time
 	err     *code.Error
 	took    time.Duration
 	first   time.Duration
@@ -104,6 +105,7 @@
 	entries *core.Admission
 	cost    *core.Cost
 	waiting map[core.Attempt]*simFlight
+	flights map[int]*simFlight // running, by arrival
 }
 
 // simFlight is one request on a box.
@@ -119,7 +121,7 @@
 	domains := s.conf.FailureDomains()
 	b := &simBox{
 		s: s, name: fmt.Sprintf("box-%d", i+1), domain: i % len(domains), pools: map[string]*core.Pool{},
-		est: core.NewEstimates(), entries: core.NewAdmission(), cost: core.NewCost(), waiting: map[core.Attempt]*simFlight{},
+		est: core.NewEstimates(), entries: core.NewAdmission(), cost: core.NewCost(), waiting: map[core.Attempt]*simFlight{}, flights: map[int]*simFlight{},
 	}
 	b.entries.Off = s.policy.NoAdmission
 	b.entries.Boxes = func() int { return boxes }
@@ -139,13 +141,38 @@
 	return b
 }
 
+// reconnect is how long callers take to notice that their box is gone and reach another.
+const reconnect = 200 * time.Millisecond
+
+// die loses the box. Its callers come back with the same key at another box, with the time they have
+// left; a request that may not be repeated has no other home.
+func (b *simBox) die() {
+	b.dead = true
+	s := b.s
+	for n := range s.out {
+		f := b.flights[n]
+		if f == nil {
+			continue
+		}
+		if f.req.Pipeline().Once() {
+			f.out.err, f.out.done = code.New(code.OutcomeUnknown, "", "the box is gone"), true
+			continue
+		}
+		s.after(reconnect, func() { s.balance(f.out.arrival).arrive(f.out.arrival, f.out, f.req.Deadline()) })
+	}
+}
+
 // arrive takes a request from the balancer.
-func (b *simBox) arrive(a load.Arrival, out *outcome) {
+func (b *simBox) arrive(a load.Arrival, out *outcome, deadline time.Time) {
 	s := b.s
 	key := core.Key{ID: core.MintID(s.now, s.random())}
 	w := s.conf.Workspace(a.Workspace)
-	deadline := s.now.Add(a.Pipeline.Deadline())
-	waits := func(st *config.Stage, c config.Class) time.Duration { return b.pools[st.Pool()].WaitFor(c) }
+	if out.came.IsZero() {
+		out.came = s.now
+	}
+	waits := func(st *config.Stage, c config.Class, d time.Time) time.Duration {
+		return b.pools[st.Pool()].WaitFor(s.now, c, d)
+	}
 	if err := b.entries.Enter(s.now, w, a.Pipeline, deadline, b.est, waits); err != nil {
 		out.err, out.done = err, true
 		return
@@ -154,6 +181,7 @@
 		box: b, begun: s.now, out: out, sent: map[core.Attempt]time.Time{},
 		req: core.NewRequest(key, w, a.Pipeline, a.Input, deadline, 0, b.est),
 	}
+	b.flights[a.N] = f
 	s.after(f.req.GiveUp(s.now).Sub(s.now), func() { f.post(core.DeadlineOver{}) })
 	f.post(core.Begin{})
 }
@@ -197,7 +225,7 @@
 		s.after(a.After, func() { f.post(core.PauseOver{}) })
 	case core.Emit:
 		if f.out.first == 0 {
-			f.out.first = s.now.Sub(f.begun)
+			f.out.first = s.now.Sub(f.out.came)
 		}
 	case core.Settle:
 		b.pools[a.Pool].Done(s.now, a.Attempt, a.Server, a.Failure, a.Use, a.Wasted)
@@ -205,7 +233,8 @@
 		b.cost.Add(f.req.Pipeline(), stage, a.Attempt.N, a.Use, s.now.Sub(f.sent[a.Attempt]), a.Wasted)
 		b.pumpSoon(a.Pool)
 	case core.Finish:
-		f.out.err, f.out.done, f.out.took = a.Err, true, s.now.Sub(f.begun)
+		f.out.err, f.out.done, f.out.took = a.Err, true, s.now.Sub(f.out.came)
+		delete(b.flights, f.out.arrival.N)
 		b.entries.Leave(f.req.Workspace().Name())
 	}
 }
@@ -260,7 +289,7 @@
 	}
 	c := simCall{
 		id: a.Attempt, input: a.Input, held: len(a.Continue), stage: stage,
-		limit: f.req.TokenLimit(stage), class: f.req.Pipeline().Class(), workspace: f.req.Workspace().Name(),
+		limit: f.req.TokenLimit(stage), priority: core.ServerPriority(f.req.Pipeline().Class(), f.req.Deadline()), workspace: f.req.Workspace().Name(),
 		reply: func(ev core.Event) {
 			if d, ok := ev.(core.Done); ok && d.Stream {
 				b.est.LearnTokens(s.now, f.req.Pipeline(), stage, d.Length/4, stage.MaxTokens())
