--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets: build, test, lint, bench; gen needs buf and its two plugins.
 GO ?= go
 
-.PHONY: build test lint bench gen demo fuzz
+.PHONY: build test lint bench gen demo fuzz faults histories mutants
 
 build:
 	$(GO) build -o stilemast .
@@ -25,3 +25,17 @@
 
 faults:
 	$(GO) test ./src/faults -run TestMatrix -update
+
+# More random histories than CI plays.
+histories:
+	$(GO) test ./src/faults -run TestHistories -v -histories 2000 -timeout 30m | grep -v '^ *---\|^=== '
+
+# Each mechanism deleted in turn must make its test fail.
+mutants:
+	scripts/mutants
+
+fuzz:
+	$(GO) test ./src/peer -run '^$$' -fuzz FuzzDecodeMessage -fuzztime 20s
+	$(GO) test ./src/peer -run '^$$' -fuzz FuzzReadFrame -fuzztime 20s
+	$(GO) test ./src/backend -run '^$$' -fuzz FuzzEvents -fuzztime 20s
+	$(GO) test ./src/config -run '^$$' -fuzz FuzzParse -fuzztime 20s
--- /dev/null
+++ b/src/backend/backend_test.go
@@ -0,0 +1,143 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/config"
+	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/port"
+)
+
+func serverAt(t testing.TB, address string) *config.BackendServer {
+	t.Helper()
+	d := config.ExamplePageworks()
+	d.BackendServers[0].Address = address
+	raw, err := config.Marshal(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, faults := config.Parse(raw)
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	return c.BackendServers()[0]
+}
+
+func ignore(int, []byte) {}
+
+// A server that takes a call and closes without an answer: a call that may not be repeated must reach
+// it once, and the failure must not read as "not sent".
+func TestOnceCallIsSentOnceWhenTheAnswerIsLost(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var got atomic.Int32
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if got.Add(1) > 1 { // the first call warms a kept connection
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write([]byte(`{"length":0}`))
+	})}
+	go func() { _ = srv.Serve(l) }()
+	defer srv.Close()
+	c := NewClient(nil)
+	b := serverAt(t, l.Addr().String())
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if _, cerr := c.Call(ctx, b, port.CallRequest{Attempt: "warm"}, ignore); cerr != nil {
+		t.Fatal(cerr)
+	}
+	_, cerr := c.Call(ctx, b, port.CallRequest{Attempt: "a", Once: true}, ignore)
+	if cerr == nil || cerr.Failure != core.Broken {
+		t.Errorf("failure = %v", cerr)
+	}
+	if n := got.Load(); n != 2 {
+		t.Errorf("the call reached the server %d times", n-1)
+	}
+}
+
+func TestCallToNobodyIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	_, cerr := NewClient(nil).Call(context.Background(), serverAt(t, address), port.CallRequest{Once: true}, ignore)
+	if cerr == nil || cerr.Failure != core.NotSent {
+		t.Errorf("failure = %v", cerr)
+	}
+}
+
+func TestRefusalsOfServers(t *testing.T) {
+	cases := map[string]struct {
+		status int
+		header string
+		want   core.Failure
+	}{
+		"busy":    {http.StatusServiceUnavailable, "busy", core.Busy},
+		"leaving": {http.StatusServiceUnavailable, "leaving", core.Leaving},
+		"plain":   {http.StatusServiceUnavailable, "", core.Broken},
+		"wrong":   {http.StatusUnprocessableEntity, "", core.Wrong},
+		"failed":  {http.StatusInternalServerError, "", core.Broken},
+	}
+	for name, c := range cases {
+		resp := &http.Response{StatusCode: c.status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("x"))}
+		if c.header != "" {
+			resp.Header.Set(NotRunHeader, c.header)
+		}
+		if got := statusFailure(resp).Failure; got != c.want {
+			t.Errorf("%s: %s, want %s", name, got, c.want)
+		}
+	}
+}
+
+func TestEventReader(t *testing.T) {
+	r := NewEventReader(strings.NewReader(":hello\n\nevent: text\ndata: a\ndata: b\n\nevent: done\ndata: c"))
+	if _, err := r.Next(); err != nil { // the comment is an event without content
+		t.Fatal(err)
+	}
+	ev, err := r.Next()
+	if err != nil || ev.Name != "text" || string(ev.Data) != "a\nb" {
+		t.Errorf("event = %+v, %v", ev, err)
+	}
+	if _, err := r.Next(); err != io.ErrUnexpectedEOF {
+		t.Errorf("a cut event: %v", err)
+	}
+	long := strings.NewReader("data: " + strings.Repeat("x", maxEvent+1) + "\n\n")
+	if _, err := NewEventReader(long).Next(); code.Of(err).Code != code.FrameInvalid {
+		t.Errorf("a long event: %v", err)
+	}
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("event: text\ndata: {}\n\n"))
+	f.Add([]byte("data\r\n\r\n: x\n\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r := NewEventReader(bytes.NewReader(b))
+		total := 0
+		for {
+			ev, err := r.Next()
+			if err != nil {
+				break
+			}
+			total += len(ev.Data)
+		}
+		if total > len(b) {
+			t.Fatalf("%d bytes of data from %d", total, len(b))
+		}
+		_, _ = readStream(context.Background(), bytes.NewReader(b), ignore)
+	})
+}
--- a/src/box/box.go
+++ b/src/box/box.go
@@ -111,7 +111,8 @@
 	b.est, b.cost, b.burn = core.NewEstimates(), core.NewCost(), core.NewBurn()
 	for i := range b.shards {
 		l := core.NewLedger()
-		l.Keep = time.Duration(s.AtMostOnce.LedgerKeep)
+		// A key made by a clock that is ahead must be expired before it is forgotten.
+		l.Keep = time.Duration(s.AtMostOnce.LedgerKeep) + 2*time.Duration(s.AtMostOnce.ClockSkew)
 		l.AnswerKeep = time.Duration(s.Answers.Keep)
 		l.MaxBytes = s.Answers.MaxBytes / shardCount
 		b.shards[i].ledger = l
--- a/src/cli/cli.go
+++ b/src/cli/cli.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/logging"
 	"github.com/stilemast/stilemast/src/rpc"
 )
 
@@ -30,6 +31,7 @@
 
 // Main runs the command line and gives the exit code.
 func Main(args []string) int {
+	logging.Adopt(logger("warn"))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	root := &cli.Command{
@@ -73,13 +75,7 @@
 }
 
 // logger writes JSON lines to standard error.
-func logger(level string) *slog.Logger {
-	var l slog.Level
-	if err := l.UnmarshalText([]byte(level)); err != nil {
-		l = slog.LevelInfo
-	}
-	return slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: l}))
-}
+func logger(level string) *slog.Logger { return logging.New(os.Stderr, level) }
 
 // stopSignals are what asks a process to stop.
 func stopSignals() chan os.Signal {
--- a/src/core/call.go
+++ b/src/core/call.go
@@ -26,12 +26,23 @@
 	order float64 // dispatch order within its class: lower first
 	cost  float64 // expected seconds of a slot
 	index int     // place in its heap
+	mark  uint64  // its number in the prefix index
 	lane  *lane
 }
 
 // once says whether the call may not be repeated.
 func (c *Call) once() bool { return c.Stage.Once() }
 
+// avoids says whether a server failed this stage before.
+func (c *Call) avoids(s *server) bool {
+	for _, a := range c.Avoid {
+		if a == s.cfg.Name() {
+			return true
+		}
+	}
+	return false
+}
+
 // slack is the time left after everything that is still expected to happen.
 func (c *Call) slack(now time.Time, run time.Duration) time.Duration {
 	return c.Deadline.Sub(now) - run - c.Tail
--- a/src/core/constants.go
+++ b/src/core/constants.go
@@ -38,7 +38,11 @@
 	hedgeBankMax      = 4.0                    // hedges that can be saved up
 	hedgeFactor       = 3.0                    // a hedge goes out after this many typical runs
 	hedgeFloor        = 20 * time.Millisecond  // and no earlier than this
-	prefixEntries     = 4096                   // blocks remembered of one server's cache
+	prefixEntries     = 32768                  // blocks remembered of all caches of a pool
+	prefixLeast       = 128                    // and of one cache at least
+	ratesFor          = 20 * time.Millisecond  // estimates of a server are used again this long
+	traceAlways       = 64                     // servers up to which every placement is explained
+	traceOneIn        = 16                     // with more servers, one placement in so many is
 	defaultRun        = 50 * time.Millisecond  // guess of a stage's run before any measurement
 	defaultTokenTime  = 10 * time.Millisecond  // guess of one generated token on an empty engine
 	defaultPrefill    = 50 * time.Microsecond  // guess of one computed prompt token
--- a/src/core/place.go
+++ b/src/core/place.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/stilemast/stilemast/src/config"
 )
 
 // Placer picks one of the servers that are ready for a call, or nil to let it wait. The baselines
@@ -34,58 +36,108 @@
 	if s.rest > 0 && c.once() {
 		return "not tried with a call that may not be repeated"
 	}
-	for _, a := range c.Avoid {
-		if a == s.cfg.Name() {
-			return "failed this stage before"
-		}
+	if c.avoids(s) {
+		return "failed this stage before"
 	}
 	return ""
 }
 
 // place picks a server for a call. A call that every ready server failed before may try them again.
 func (p *Pool) place(now time.Time, c *Call) (*server, []Candidate) {
-	ready, trace := p.candidates(now, c)
+	p.markPrefix(c)
+	ready := p.readyFor(now, c)
 	if len(ready) == 0 && len(c.Avoid) > 0 && !c.Hedge {
-		saved := c.Avoid
 		c.Avoid = nil
-		ready, trace = p.candidates(now, c)
-		c.Avoid = saved
+		ready = p.readyFor(now, c)
 	}
 	if len(ready) == 0 {
 		return nil, nil
 	}
 	s := p.Placement(p, now, c, ready)
-	if s == nil {
-		return nil, nil
+	if s == nil || !p.explains(c) {
+		return s, nil
+	}
+	return s, p.explain(now, c, s)
+}
+
+// markPrefix has the servers know how much of the call's prefix they probably hold.
+func (p *Pool) markPrefix(c *Call) {
+	p.marks++
+	c.mark = p.marks
+	if len(c.Prefix) > 0 {
+		p.prefix.mark(c.mark, c.Prefix)
+	}
+}
+
+// passedOver says why a call can't be sent to a server now, or "".
+func (p *Pool) passedOver(now time.Time, s *server, c *Call) string {
+	if why := p.rejects(now, s, c); why != "" {
+		return why
+	}
+	if !p.NoAdmission && !s.open(now, c.Pipeline.Class()) {
+		return "no room in its window"
+	}
+	return ""
+}
+
+// readyFor lists the servers a call can be sent to now, in memory that the next call reuses.
+func (p *Pool) readyFor(now time.Time, c *Call) []*server {
+	p.ready = p.ready[:0]
+	class := c.Pipeline.Class()
+	for _, s := range p.eligible(c) {
+		if s.leaving() || s.rest > 0 && (s.resting(now) || c.once()) || !p.NoAdmission && !s.open(now, class) || c.avoids(s) {
+			continue
+		}
+		p.ready = append(p.ready, s)
 	}
-	for i := range trace {
-		if trace[i].Server == s.cfg.Name() {
-			trace[i].PassedOver = ""
+	return p.ready
+}
+
+// eligible lists the servers inside the call's boundary that hold its model and adapter. This rests on
+// the configuration alone, so it is worked out once for each lane and configuration.
+func (p *Pool) eligible(c *Call) []*server {
+	k := laneOf(c)
+	list, ok := p.inside[k]
+	if ok {
+		return list
+	}
+	for _, s := range p.order {
+		if config.MayRun(c.Workspace, c.Stage, s.cfg.Domain()) && fits(s, c) {
+			list = append(list, s)
 		}
 	}
-	return s, trace
+	p.inside[k] = list
+	return list
+}
+
+// explains says whether the placement of a call is written down: always in small pools and for calls
+// that failed before, otherwise for a sample.
+func (p *Pool) explains(c *Call) bool {
+	return len(p.order) <= traceAlways || c.Attempt.N > 0 || c.Attempt.Key.ID[15]%traceOneIn == 0
 }
 
-func (p *Pool) candidates(now time.Time, c *Call) ([]*server, []Candidate) {
-	ready := make([]*server, 0, len(p.order))
-	trace := make([]Candidate, 0, min(len(p.order), traceCandidates))
+// explain writes down the candidates of a placement.
+func (p *Pool) explain(now time.Time, c *Call, chosen *server) []Candidate {
+	out := make([]Candidate, 0, min(len(p.order), traceCandidates))
 	ratio := p.ratio(c)
 	for _, s := range p.order {
-		why := p.rejects(now, s, c)
-		if why == "" && !p.NoAdmission && !s.open(now, c.Pipeline.Class()) {
-			why = "no room in its window"
+		if len(out) == traceCandidates-1 && s != chosen {
+			continue // the last line is the chosen one's
 		}
-		cand := Candidate{Server: s.cfg.Name(), PassedOver: why}
-		if why == "" {
-			ready = append(ready, s)
-			cand.PassedOver = "slower"
+		if len(out) == traceCandidates {
+			break
+		}
+		cand := Candidate{Server: s.cfg.Name(), PassedOver: p.passedOver(now, s, c)}
+		if cand.PassedOver == "" {
 			cand.Expected = s.expect(now, c, ratio).total()
+			cand.PassedOver = "slower"
 		}
-		if len(trace) < traceCandidates {
-			trace = append(trace, cand)
+		if s == chosen {
+			cand.PassedOver = ""
 		}
+		out = append(out, cand)
 	}
-	return ready, trace
+	return out
 }
 
 // ExpectedFinish picks the server where the call is expected to end first. Nearness counts in time,
@@ -93,7 +145,7 @@
 // same stale report don't all choose alike.
 func ExpectedFinish(p *Pool, now time.Time, c *Call, ready []*server) *server {
 	ratio := p.ratio(c)
-	seed := xxhash.Sum64String(p.Self) ^ c.Attempt.Key.Hash() + uint64(c.Attempt.N)
+	seed := p.selfHash() ^ c.Attempt.Key.Hash() + uint64(c.Attempt.N)
 	var best *server
 	least := math.Inf(1)
 	for _, s := range ready {
@@ -107,6 +159,14 @@
 	return best
 }
 
+// selfHash is the hash of the box's name, worked out once.
+func (p *Pool) selfHash() uint64 {
+	if p.hashed == 0 {
+		p.hashed = xxhash.Sum64String(p.Self) | 1
+	}
+	return p.hashed
+}
+
 // distance is what it costs to leave the box's own failure domain or region, in seconds.
 func (p *Pool) distance(s *server) float64 {
 	switch {
@@ -142,7 +202,7 @@
 	a := ready[(p.seed>>33)%uint64(len(ready))]
 	p.seed = p.seed*6364136223846793005 + 1442695040888963407
 	b := ready[(p.seed>>33)%uint64(len(ready))]
-	load := func(s *server) float64 { return float64(len(s.mine)+s.others(now)) / float64(s.slots()) }
+	load := func(s *server) float64 { return float64(len(s.mine)+s.countOthers(now)) / float64(s.slots()) }
 	if load(b) < load(a) {
 		return b
 	}
--- a/src/core/pool.go
+++ b/src/core/pool.go
@@ -48,7 +48,16 @@
 	backlog [config.Classes]backlog // expected seconds of slots that wait
 	stats   PoolStats
 	typical typical
-	demand  demand // of prompt work
+	prefix  *prefixIndex
+	marks   uint64
+	hashed  uint64
+	ready   []*server // reused by place
+	inside  map[laneKey][]*server
+	slots   int       // configured, over all servers
+	room    float64   // capacity as last worked out
+	roomAt  time.Time // and when
+	busy    int       // calls this box has at the pool's servers
+	demand  demand    // of prompt work
 }
 
 // demand is a decaying mean of the slots that arriving work keeps busy.
@@ -94,7 +103,7 @@
 		Name: name, Domain: -1, Room: 2000, Placement: ExpectedFinish,
 		servers: map[string]*server{}, lanes: map[laneKey]*lane{}, waiting: map[Attempt]*Call{},
 		retries: newBudget(retryEarned, retryBankMax), hedges: newBudget(hedgeEarned, hedgeBankMax),
-		tags: map[string]float64{},
+		tags: map[string]float64{}, prefix: newPrefixIndex(), inside: map[laneKey][]*server{},
 	}
 }
 
@@ -103,6 +112,7 @@
 func (p *Pool) SetServers(list []*config.BackendServer) {
 	next := make(map[string]*server, len(list))
 	p.order = p.order[:0]
+	p.slots = 0
 	for _, cfg := range list {
 		s := p.servers[cfg.Name()]
 		if s == nil {
@@ -110,16 +120,27 @@
 			s.window = s.share()
 		}
 		s.cfg = cfg
+		p.slots += cfg.Slots()
 		next[cfg.Name()] = s
 		p.order = append(p.order, s)
 	}
+	for name, s := range p.servers {
+		if next[name] == nil {
+			p.prefix.forget(s)
+			p.busy -= len(s.mine)
+		}
+	}
 	p.servers = next
+	p.inside = map[laneKey][]*server{}
+	p.roomAt = time.Time{}
+	p.prefix.share(len(next))
 }
 
 // SetUsers says how many boxes use a server.
 func (p *Pool) SetUsers(name string, n int) {
 	if s := p.servers[name]; s != nil {
 		s.users = max(1, n)
+		s.stale()
 	}
 }
 
@@ -136,9 +157,9 @@
 	}
 	if len(p.waiting) >= p.Room && !c.Started {
 		p.stats.Dropped++
-		return code.New(code.QueueFull, "", "pool %s has %d calls waiting", p.Name, len(p.waiting)).After(p.comeBack())
+		return code.New(code.QueueFull, "", "pool %s has %d calls waiting", p.Name, len(p.waiting)).After(p.comeBack(now))
 	}
-	if !p.anyServer(c) {
+	if len(p.eligible(c)) == 0 {
 		return code.New(code.NowhereToRun, "", "pool %s has no backend server inside the boundary", p.Name)
 	}
 	c.cost = p.costOf(now, c)
@@ -180,29 +201,21 @@
 	return nil
 }
 
-func (p *Pool) anyServer(c *Call) bool {
-	for _, s := range p.order {
-		if config.MayRun(c.Workspace, c.Stage, s.cfg.Domain()) && fits(s, c) {
-			return true
-		}
-	}
-	return false
-}
-
-// costOf is the slot time a call is expected to take on a typical server.
+// costOf is the slot time a call is expected to take on a typical server as full as this box's own.
 func (p *Pool) costOf(now time.Time, c *Call) float64 {
-	ratio := p.ratio(c)
-	best := math.Inf(1)
-	for _, s := range p.order {
-		if p.rejects(now, s, c) != "" {
-			continue
+	if c.MaxTokens == 0 {
+		if p.typical.run.at.IsZero() {
+			return firstGuess(c.Stage).Seconds()
 		}
-		best = min(best, s.expect(now, c, ratio).run)
+		return p.typical.run.v
 	}
-	if math.IsInf(best, 1) {
-		return firstGuess(c.Stage).Seconds()
+	token := p.typical.token.v
+	if p.typical.token.at.IsZero() {
+		token = defaultTokenTime.Seconds()
 	}
-	return best
+	full := min(1, float64(p.busy)/max(1, p.capacity(now)))
+	tokens := max(1, float64(c.MaxTokens)*p.ratio(c))
+	return defaultPrefill.Seconds()*float64(c.PromptTokens) + token*(1+loadSlope*full)*tokens
 }
 
 func (p *Pool) ratio(c *Call) float64 {
@@ -220,7 +233,7 @@
 	}
 	w := c.Workspace.Name()
 	tag := max(p.virtual, p.tags[w])
-	p.tags[w] = tag + c.cost/c.Workspace.Weight()/max(1, float64(p.totalSlots()))
+	p.tags[w] = tag + c.cost/c.Workspace.Weight()/max(1, float64(p.slots))
 	ahead := tag - p.virtual
 	start := float64(c.Deadline.Add(-c.Tail).UnixNano())/float64(time.Second) - c.cost
 	if len(p.waiting) == 0 && len(p.tags) > 4096 {
@@ -229,14 +242,6 @@
 	return start + ahead*float64(max(1, len(p.tags)))
 }
 
-func (p *Pool) totalSlots() int {
-	n := 0
-	for _, s := range p.order {
-		n += s.slots()
-	}
-	return n
-}
-
 // Withdraw takes a waiting call out again; it says whether it was waiting.
 func (p *Pool) Withdraw(id Attempt) bool {
 	c := p.waiting[id]
@@ -344,30 +349,33 @@
 	if c.slack(now, seconds(c.cost)) >= 0 {
 		return nil
 	}
-	return code.New(code.CannotFinish, "", "stage %s could no longer finish by the deadline", c.Stage.Name()).After(p.comeBack())
+	return code.New(code.CannotFinish, "", "stage %s could no longer finish by the deadline", c.Stage.Name()).After(p.comeBack(now))
 }
 
 // comeBack is when what waits now should have gone.
-func (p *Pool) comeBack() time.Duration {
-	wait := seconds((p.backlog[config.Prompt].sum + p.backlog[config.MayWait].sum) / max(1, p.capacity()))
+func (p *Pool) comeBack(now time.Time) time.Duration {
+	wait := seconds((p.backlog[config.Prompt].sum + p.backlog[config.MayWait].sum) / max(1, p.capacity(now)))
 	return min(max(wait, 100*time.Millisecond), 30*time.Second)
 }
 
-// capacity is how many slots this box can count on over all servers.
-func (p *Pool) capacity() float64 {
-	sum := 0.0
+// capacity is how many slots this box can count on over all servers, worked out now and then.
+func (p *Pool) capacity(now time.Time) float64 {
+	if !p.roomAt.IsZero() && now.Sub(p.roomAt) < ratesFor {
+		return p.room
+	}
+	p.room, p.roomAt = 0, now
 	for _, s := range p.order {
 		if !s.leaving() && s.rest == 0 {
-			sum += max(s.share(), s.window)
+			p.room += max(s.share(), s.window)
 		}
 	}
-	return sum
+	return p.room
 }
 
 // WaitFor is how long a new call of a class would wait for its place, behind what waits with earlier
 // deadlines. May-wait work gets what prompt work leaves: its own backlog is worked off at that rate.
 func (p *Pool) WaitFor(now time.Time, class config.Class, deadline time.Time) time.Duration {
-	slots := max(1, p.capacity())
+	slots := max(1, p.capacity(now))
 	if class == config.Prompt {
 		return seconds(p.backlog[config.Prompt].before(deadline) / slots)
 	}
@@ -382,12 +390,14 @@
 		sent: now, expect: w.total(), tokens: w.tokens, prefill: w.prefill, guessed: w.guessed, prefix: c.Prefix,
 	}
 	for _, h := range c.Prefix {
-		s.cache.add(h)
+		p.prefix.add(s, h)
 	}
+	p.busy++
+	s.stale()
 	if s.rest > 0 {
 		s.probing = true
 	}
-	p.virtual = max(p.virtual, p.tags[c.Workspace.Name()]-c.cost/c.Workspace.Weight()/max(1, float64(p.totalSlots())))
+	p.virtual = max(p.virtual, p.tags[c.Workspace.Name()]-c.cost/c.Workspace.Weight()/max(1, float64(p.slots)))
 }
 
 // Done ends a booked call; failure 0 is success. It says whether the call was booked.
@@ -401,6 +411,8 @@
 		return false
 	}
 	delete(s.mine, id)
+	p.busy--
+	s.stale()
 	switch f {
 	case 0:
 		if wasted && u == (Use{}) {
@@ -424,8 +436,14 @@
 
 // Release gives back a place that was never used.
 func (p *Pool) Release(id Attempt, name string) {
-	if s := p.servers[name]; s != nil {
+	s := p.servers[name]
+	if s == nil {
+		return
+	}
+	if _, ok := s.mine[id]; ok {
 		delete(s.mine, id)
+		p.busy--
+		s.stale()
 		s.probing = false
 	}
 }
@@ -440,6 +458,7 @@
 func (p *Pool) ReportFailed(now time.Time, name string) {
 	if s := p.servers[name]; s != nil {
 		s.failed(now)
+		s.stale()
 	}
 }
 
@@ -450,7 +469,7 @@
 		return
 	}
 	for _, e := range events {
-		s.cache.event(e)
+		p.prefix.event(s, e)
 	}
 }
 
@@ -458,6 +477,7 @@
 func (p *Pool) PeerLoad(now time.Time, box, name string, n int) {
 	if s := p.servers[name]; s != nil {
 		s.peers[box] = peerLoad{n: n, at: now}
+		s.stale()
 	}
 }
 
@@ -465,6 +485,7 @@
 func (p *Pool) ForgetPeer(box string) {
 	for _, s := range p.order {
 		delete(s.peers, box)
+		s.stale()
 	}
 }
 
@@ -495,7 +516,7 @@
 // LastEvent is the number of the last cache event taken of a server.
 func (p *Pool) LastEvent(name string) uint64 {
 	if s := p.servers[name]; s != nil {
-		return s.cache.seq
+		return s.lastEvent
 	}
 	return 0
 }
@@ -520,7 +541,7 @@
 	for _, s := range p.order {
 		out = append(out, ServerView{
 			Name: s.cfg.Name(), Config: s.cfg, Report: s.report, ReportAt: s.reportAt,
-			InFlight: len(s.mine), Others: s.others(now), Window: int(max(s.window, s.share())),
+			InFlight: len(s.mine), Others: s.countOthers(now), Window: int(max(s.window, s.share())),
 			FailShare: s.failShare, Leaving: s.leaving(), Resting: s.resting(now),
 		})
 	}
--- a/src/core/server.go
+++ b/src/core/server.go
@@ -1,7 +1,7 @@
 package core
 
 import (
-	"math"
+	"container/list"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -85,7 +85,14 @@
 	prefill   float64 // seconds of one computed prompt token
 	learnedAt time.Time
 	typical   *typical
-	cache     *prefixIndex
+
+	blocks    *list.List // prefix blocks its cache probably holds, newest first
+	lastEvent uint64     // number of the last cache event taken
+	trust     float64    // how often guesses about its cache came true
+	markedFor uint64     // call for which marked was set
+	marked    int        // leading blocks of that call it probably holds
+
+	rates rates
 }
 
 // typical is what the servers of a pool have in common.
@@ -102,7 +109,7 @@
 	return &server{
 		cfg: cfg, hash: xxhash.Sum64String(cfg.Name()), mine: map[Attempt]running{}, peers: map[string]peerLoad{}, users: 1,
 		run: defaultRun.Seconds(), token: defaultTokenTime.Seconds(), prefill: defaultPrefill.Seconds(),
-		cache: newPrefixIndex(), typical: t,
+		blocks: list.New(), trust: 1, typical: t,
 	}
 }
 
@@ -123,9 +130,9 @@
 	return max(1, float64(s.slots())/float64(max(1, s.users)))
 }
 
-// others estimates what the other boxes have here: their own notes where all of them are fresh,
+// countOthers estimates what the other boxes have here: their own notes where all of them are fresh,
 // otherwise the larger of the notes and the server's lagging report.
-func (s *server) others(now time.Time) int {
+func (s *server) countOthers(now time.Time) int {
 	heard, fresh := 0, 0
 	for _, p := range s.peers {
 		if now.Sub(p.at) <= peerLoadStale {
@@ -148,6 +155,7 @@
 // Prompt work may also queue at the server, a little: there it competes by deadline with the calls of
 // all boxes, which no box knows as freshly, and it keeps the server busy between reports.
 func (s *server) open(now time.Time, class config.Class) bool {
+	s.refresh(now)
 	mine, over := float64(len(s.mine)), 1.0
 	if class == config.Prompt {
 		over += promptOver
@@ -155,7 +163,7 @@
 	if mine+1 <= s.share()*over {
 		return true
 	}
-	return mine+1 <= s.window*over && mine+float64(s.others(now))+1 <= float64(s.slots())*over
+	return mine+1 <= s.window*over && s.rates.free+(over-1)*float64(s.slots()) >= 1
 }
 
 // adapt moves the borrowed window: up by one a report while there is room, down at once when the
@@ -166,7 +174,7 @@
 		s.window = max(floor, windowCut*s.window)
 		return
 	}
-	if len(s.mine)+s.others(now) < s.slots() {
+	if len(s.mine)+s.countOthers(now) < s.slots() {
 		s.window = min(float64(s.slots()), max(floor, s.window)+max(1, floor/2))
 	}
 }
@@ -180,6 +188,7 @@
 	s.report = r
 	s.reportAt = now
 	s.mineAtReport = len(s.mine)
+	s.stale()
 	s.hearLeaving(now, r.Leaving, reborn)
 	s.adapt(now)
 	return true
@@ -266,33 +275,67 @@
 
 func (w work) total() time.Duration { return seconds(w.wait + w.run) }
 
+// rates is what a server's estimates come to at a moment. It is worked out again when something
+// changed there, and otherwise now and then, so that a placement over many servers stays cheap.
+type rates struct {
+	at      time.Time // zero when something changed since
+	token   float64   // seconds of one token at the present load
+	run     float64   // seconds of one call that does not generate
+	queue   float64   // running times that a new call waits
+	delay   float64   // seconds a new call waits besides
+	penalty float64   // factor for failures
+	free    float64   // slots beyond those known to be taken; negative when some calls queue
+}
+
+// stale has the rates worked out again before they are next used.
+func (s *server) stale() { s.rates.at = time.Time{} }
+
+func (s *server) refresh(now time.Time) {
+	if !s.rates.at.IsZero() && now.Sub(s.rates.at) <= ratesFor {
+		return
+	}
+	slots := float64(s.slots())
+	load := float64(len(s.mine) + s.countOthers(now))
+	r := rates{at: now, free: slots - load, penalty: 1 + 2*s.failShare}
+	r.token = s.now(now, s.token, s.typical.token) * (1 + loadSlope*min(1, load/slots))
+	r.run = s.now(now, s.run, s.typical.run)
+	r.queue = max(0, load+1-slots) / slots
+	if s.report.Loading > 0 {
+		r.delay = max(0, (s.report.Loading - now.Sub(s.reportAt)).Seconds())
+	}
+	r.delay += s.overrun(now)
+	s.rates = r
+}
+
 // expect estimates a call at this server from the lagging report, what was sent since, what it
 // learned from answers, and how long its oldest call here has overrun.
 func (s *server) expect(now time.Time, c *Call, ratio float64) work {
-	var w work
-	load := len(s.mine) + s.others(now)
+	s.refresh(now)
+	w := work{run: s.rates.run}
 	if c.MaxTokens > 0 {
-		w.guessed = s.cache.held(c.Prefix)
-		cached := int(float64(w.guessed*BlockBytes/bytesPerToken) * s.cache.trust)
+		if s.markedFor == c.mark {
+			w.guessed = s.marked
+		}
+		cached := int(float64(w.guessed*BlockBytes/bytesPerToken) * s.trust)
 		w.prefill = max(0, c.PromptTokens-cached)
 		w.tokens = max(1, int(float64(c.MaxTokens)*ratio))
-		full := min(1, float64(load)/float64(s.slots()))
-		token := s.now(now, s.token, s.typical.token)
-		w.run = s.prefill*float64(w.prefill) + token*(1+loadSlope*full)*float64(w.tokens)
-	} else {
-		w.run = s.now(now, s.run, s.typical.run)
+		w.run = s.prefill*float64(w.prefill) + s.rates.token*float64(w.tokens)
 	}
-	if over := load + 1 - s.slots(); over > 0 {
-		w.wait = w.run * float64(over) / float64(s.slots())
-	}
-	if s.report.Loading > 0 {
-		w.wait += max(0, (s.report.Loading - now.Sub(s.reportAt)).Seconds())
-	}
-	w.wait += s.overrun(now)
-	w.run *= 1 + 2*s.failShare
+	w.wait = w.run*s.rates.queue + s.rates.delay
+	w.run *= s.rates.penalty
 	return w
 }
 
+// overrun is how far the oldest call here is past twice its expectation: a server that hangs
+// answers nothing, so silence itself has to count.
+func (s *server) overrun(now time.Time) float64 {
+	worst := 0.0
+	for _, r := range s.mine {
+		worst = max(worst, (now.Sub(r.sent) - 2*r.expect).Seconds())
+	}
+	return worst
+}
+
 // now is a server's own measurement, faded towards what is typical of its pool when it has not been
 // renewed: a server once found slow would otherwise never be tried again.
 func (s *server) now(now time.Time, own float64, typical measured) float64 {
@@ -305,18 +348,6 @@
 	return typical.v + (own-typical.v)*fade(now.Sub(s.learnedAt))
 }
 
-// overrun is how far the oldest call here is past twice its expectation: a server that hangs
-// answers nothing, so silence itself has to count.
-func (s *server) overrun(now time.Time) float64 {
-	worst := 0.0
-	for _, r := range s.mine {
-		if late := (now.Sub(r.sent) - 2*r.expect).Seconds(); late > worst {
-			worst = late
-		}
-	}
-	return worst
-}
-
 // learn takes one answered call.
 func (s *server) learn(now time.Time, r running, u Use) {
 	took := now.Sub(r.sent).Seconds()
@@ -326,11 +357,13 @@
 		s.learnedAt = now
 		return
 	}
-	s.cache.learn(r.guessed*BlockBytes/bytesPerToken, u.CachedTokens)
+	if guessed := r.guessed * BlockBytes / bytesPerToken; guessed > 0 {
+		s.trust = mix(s.trust, min(1, float64(u.CachedTokens)/float64(guessed)), learnRate)
+	}
 	if u.GeneratedTokens == 0 {
 		return
 	}
-	full := min(1, float64(len(s.mine)+s.others(now))/float64(s.slots()))
+	full := min(1, float64(len(s.mine)+s.countOthers(now))/float64(s.slots()))
 	gen := took - s.prefill*float64(u.ComputedTokens)
 	if gen > 0 {
 		token := gen / float64(u.GeneratedTokens) / (1 + loadSlope*full)
@@ -354,5 +387,5 @@
 	x ^= x >> 32
 	x *= 0xd6e8feb86659fd93
 	x ^= x >> 32
-	return float64(x>>11) / math.Pow(2, 53)
+	return float64(x>>11) / (1 << 53)
 }
--- a/src/faults/promises_test.go
+++ b/src/faults/promises_test.go
@@ -12,6 +12,7 @@
 	"github.com/stilemast/stilemast/src/box"
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/config"
+	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/port"
 	"github.com/stilemast/stilemast/src/standin"
 )
@@ -381,3 +382,31 @@
 		}
 	})
 }
+
+// A box that only promised never to run a key is no witness for the others: the key's home ran it.
+func TestRenouncedEntryIsNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		defer f.end()
+		key := f.newKey()
+		if a := f.send("b1", "receipt", key, inputOf(key)); a.code != code.OK {
+			t.Fatal(a.code)
+		}
+		parsed, _ := core.ParseKey(key)
+		promised := 0
+		for _, n := range names {
+			if f.boxes[n].TakeQuestion(context.Background(), port.Question{Renounce: &port.Renounce{Key: parsed}}).Renounced {
+				promised++
+			}
+		}
+		if promised != 3 {
+			t.Errorf("%d boxes promised never to run a key that one of them ran", promised)
+		}
+		for _, n := range names {
+			a := f.send(n, "receipt", key, inputOf(key))
+			if why := f.broken(a); why != "" {
+				t.Errorf("%s: %s", n, why)
+			}
+		}
+	})
+}
--- a/src/web/web.go
+++ b/src/web/web.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/rest"
 )
 
@@ -19,7 +18,6 @@
 
 // Handler makes one handler of routes.
 func Handler(routes []rest.Route) (http.Handler, error) {
-	logx.Disable()
 	s, err := rest.NewServer(rest.RestConf{Host: "127.0.0.1"})
 	if err != nil {
 		return nil, eris.Wrap(err, "router can't be made")
