--- a/src/core/bench_test.go
+++ b/src/core/bench_test.go
@@ -93,6 +93,25 @@
 	}
 }
 
+// BenchmarkPlace is the choice of a server alone.
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{18, 120, 600} {
+		b.Run(fmt.Sprintf("engines=%d", n), func(b *testing.B) {
+			c := benchConfig(b, n, 100)
+			p := benchPool(c)
+			now := time.Unix(1_000_000, 0)
+			call := benchCall(c, 2, now)
+			b.ReportAllocs()
+			for b.Loop() {
+				p.markPrefix(call)
+				if ExpectedFinish(p, now, call, p.readyFor(now, call)) == nil {
+					b.Fatal("not placed")
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkAdmission is one request's admission while many workspaces have requests.
 func BenchmarkAdmission(b *testing.B) {
 	for _, n := range []int{5, 1300} {
--- a/src/core/call.go
+++ b/src/core/call.go
@@ -87,6 +87,7 @@
 type lane struct {
 	key     laneKey
 	classes [config.Classes]callHeap
+	blocked uint64 // the round in which nothing more of it could be placed
 }
 
 func laneOf(c *Call) laneKey {
--- a/src/core/place.go
+++ b/src/core/place.go
@@ -74,7 +74,7 @@
 	if why := p.rejects(now, s, c); why != "" {
 		return why
 	}
-	if !p.NoAdmission && !s.open(now, c.Pipeline.Class()) {
+	if s.refresh(now, tickOf(now)); !p.NoAdmission && !s.rates.open[c.Pipeline.Class()] {
 		return "no room in its window"
 	}
 	return ""
@@ -83,9 +83,10 @@
 // readyFor lists the servers a call can be sent to now, in memory that the next call reuses.
 func (p *Pool) readyFor(now time.Time, c *Call) []*server {
 	p.ready = p.ready[:0]
-	class := c.Pipeline.Class()
+	class, tick := c.Pipeline.Class(), tickOf(now)
 	for _, s := range p.eligible(c) {
-		if s.leaving() || s.rest > 0 && (s.resting(now) || c.once()) || !p.NoAdmission && !s.open(now, class) || c.avoids(s) {
+		s.refresh(now, tick)
+		if !s.rates.open[class] && !p.NoAdmission || !s.rates.usable && p.rejects(now, s, c) != "" || len(c.Avoid) > 0 && c.avoids(s) {
 			continue
 		}
 		p.ready = append(p.ready, s)
@@ -142,16 +143,24 @@
 
 // ExpectedFinish picks the server where the call is expected to end first. Nearness counts in time,
 // and each box leans a little towards servers of its own for each call, so that boxes that see the
-// same stale report don't all choose alike.
+// same stale report don't all choose alike. It is expect, written out for many servers: the figures
+// of the call are worked out once.
 func ExpectedFinish(p *Pool, now time.Time, c *Call, ready []*server) *server {
-	ratio := p.ratio(c)
 	seed := p.selfHash() ^ c.Attempt.Key.Hash() + uint64(c.Attempt.N)
+	prompt, tokens := float64(c.PromptTokens), max(1, float64(int(float64(c.MaxTokens)*p.ratio(c))))
 	var best *server
 	least := math.Inf(1)
 	for _, s := range ready {
-		w := s.expect(now, c, ratio)
-		score := (w.wait + w.run) * (1 + spreadShare*s.jitter(seed))
-		score += p.distance(s)
+		r := &s.rates
+		run := r.run
+		if c.MaxTokens > 0 {
+			left := prompt
+			if s.markedFor == c.mark {
+				left = max(0, prompt-float64(s.marked*BlockBytes/bytesPerToken)*s.trust)
+			}
+			run = s.prefill*left + r.token*tokens
+		}
+		score := (run*(r.queue+r.penalty)+r.delay)*(1+spreadShare*s.jitter(seed)) + p.distance(s)
 		if score < least {
 			best, least = s, score
 		}
@@ -159,25 +168,25 @@
 	return best
 }
 
-// selfHash is the hash of the box's name, worked out once.
-func (p *Pool) selfHash() uint64 {
-	if p.hashed == 0 {
-		p.hashed = xxhash.Sum64String(p.Self) | 1
-	}
-	return p.hashed
-}
-
 // distance is what it costs to leave the box's own failure domain or region, in seconds.
 func (p *Pool) distance(s *server) float64 {
 	switch {
 	case s.cfg.Domain() == p.Domain:
 		return 0
-	case s.cfg.Region() == p.Region:
+	case s.sameRegion:
 		return otherDomainCost.Seconds()
 	}
 	return otherRegionCost.Seconds()
 }
 
+// selfHash is the hash of the box's name, worked out once.
+func (p *Pool) selfHash() uint64 {
+	if p.hashed == 0 {
+		p.hashed = xxhash.Sum64String(p.Self) | 1
+	}
+	return p.hashed
+}
+
 // RoundRobin is a baseline: each server in turn.
 func RoundRobin(p *Pool, _ time.Time, _ *Call, ready []*server) *server {
 	p.seed++
--- a/src/core/pool.go
+++ b/src/core/pool.go
@@ -50,6 +50,7 @@
 	typical typical
 	prefix  *prefixIndex
 	marks   uint64
+	round   uint64 // number of the Next under way
 	hashed  uint64
 	ready   []*server // reused by place
 	inside  map[laneKey][]*server
@@ -120,6 +121,8 @@
 			s.window = s.share()
 		}
 		s.cfg = cfg
+		s.sameRegion = cfg.Region() == p.Region
+		s.stale()
 		p.slots += cfg.Slots()
 		next[cfg.Name()] = s
 		p.order = append(p.order, s)
@@ -277,9 +280,9 @@
 func (p *Pool) Next(now time.Time) ([]Grant, []Drop) {
 	var grants []Grant
 	var drops []Drop
-	blocked := map[*lane]bool{}
+	p.round++
 	for len(p.waiting) > 0 {
-		c := p.head(now, blocked)
+		c := p.head(now)
 		if c == nil {
 			break
 		}
@@ -291,7 +294,7 @@
 		}
 		s, trace := p.place(now, c)
 		if s == nil {
-			blocked[c.lane] = true
+			c.lane.blocked = p.round
 			continue
 		}
 		p.remove(c)
@@ -302,10 +305,10 @@
 }
 
 // head picks the call that is next in order over the lanes that are not blocked.
-func (p *Pool) head(now time.Time, blocked map[*lane]bool) *Call {
+func (p *Pool) head(now time.Time) *Call {
 	var best [config.Classes]*Call
 	for _, l := range p.laneSeq {
-		if blocked[l] {
+		if l.blocked == p.round {
 			continue
 		}
 		for class, h := range l.classes {
@@ -501,6 +504,7 @@
 		s.report.Incarnation, s.report.Seq, s.report.Leaving = incarnation, seq, true
 		s.saysLeaving = true
 		s.leavingUntil = now.Add(leavingSticks)
+		s.stale()
 	}
 }
 
--- a/src/core/server.go
+++ b/src/core/server.go
@@ -65,6 +65,8 @@
 	peers map[string]peerLoad
 	users int // boxes that use this server
 
+	sameRegion bool // as the box
+
 	report       Report
 	reportAt     time.Time
 	mineAtReport int
@@ -149,21 +151,20 @@
 	return max(heard, s.report.Running+s.report.Waiting-s.mineAtReport)
 }
 
-// open says whether this box may send one more call: within its share always, beyond it only
+// opens says whether this box may send one more call: within its share always, beyond it only
 // while the server has room that others leave idle and the window has grown that far.
 //
 // Prompt work may also queue at the server, a little: there it competes by deadline with the calls of
 // all boxes, which no box knows as freshly, and it keeps the server busy between reports.
-func (s *server) open(now time.Time, class config.Class) bool {
-	s.refresh(now)
-	mine, over := float64(len(s.mine)), 1.0
+func (s *server) opens(class config.Class) bool {
+	next, over := float64(len(s.mine)+1), 1.0
 	if class == config.Prompt {
 		over += promptOver
 	}
-	if mine+1 <= s.share()*over {
+	if next <= s.share()*over {
 		return true
 	}
-	return mine+1 <= s.window*over && s.rates.free+(over-1)*float64(s.slots()) >= 1
+	return next <= s.window*over && s.rates.free+(over-1)*float64(s.slots()) >= 1
 }
 
 // adapt moves the borrowed window: up by one a report while there is room, down at once when the
@@ -278,25 +279,31 @@
 // rates is what a server's estimates come to at a moment. It is worked out again when something
 // changed there, and otherwise now and then, so that a placement over many servers stays cheap.
 type rates struct {
-	at      time.Time // zero when something changed since
-	token   float64   // seconds of one token at the present load
-	run     float64   // seconds of one call that does not generate
-	queue   float64   // running times that a new call waits
-	delay   float64   // seconds a new call waits besides
-	penalty float64   // factor for failures
-	free    float64   // slots beyond those known to be taken; negative when some calls queue
+	tick    int64 // the ratesFor they were worked out in; 0 when something changed since
+	open    [config.Classes]bool
+	usable  bool    // neither leaving nor resting
+	token   float64 // seconds of one token at the present load
+	run     float64 // seconds of one call that does not generate
+	queue   float64 // running times that a new call waits
+	delay   float64 // seconds a new call waits besides
+	penalty float64 // factor for failures
+	free    float64 // slots beyond those known to be taken; negative when some calls queue
 }
 
 // stale has the rates worked out again before they are next used.
-func (s *server) stale() { s.rates.at = time.Time{} }
+func (s *server) stale() { s.rates.tick = 0 }
+
+// tickOf numbers the span of ratesFor that a moment lies in.
+func tickOf(now time.Time) int64 { return now.UnixNano() / int64(ratesFor) }
 
-func (s *server) refresh(now time.Time) {
-	if !s.rates.at.IsZero() && now.Sub(s.rates.at) <= ratesFor {
+// refresh works the rates out if they are not those of this tick.
+func (s *server) refresh(now time.Time, tick int64) {
+	if s.rates.tick == tick {
 		return
 	}
 	slots := float64(s.slots())
 	load := float64(len(s.mine) + s.countOthers(now))
-	r := rates{at: now, free: slots - load, penalty: 1 + 2*s.failShare}
+	r := rates{tick: tick, free: slots - load, penalty: 1 + 2*s.failShare, usable: !s.leaving() && s.rest == 0}
 	r.token = s.now(now, s.token, s.typical.token) * (1 + loadSlope*min(1, load/slots))
 	r.run = s.now(now, s.run, s.typical.run)
 	r.queue = max(0, load+1-slots) / slots
@@ -305,12 +312,15 @@
 	}
 	r.delay += s.overrun(now)
 	s.rates = r
+	for class := range s.rates.open {
+		s.rates.open[class] = s.opens(config.Class(class))
+	}
 }
 
 // expect estimates a call at this server from the lagging report, what was sent since, what it
 // learned from answers, and how long its oldest call here has overrun.
 func (s *server) expect(now time.Time, c *Call, ratio float64) work {
-	s.refresh(now)
+	s.refresh(now, tickOf(now))
 	w := work{run: s.rates.run}
 	if c.MaxTokens > 0 {
 		if s.markedFor == c.mark {
