Leave may-wait work a quarter less room and call it urgent later

Cause: seven boxes that see the same late report fill an engine's last slots with calls of seconds, and prompt work then waits for them; and may-wait work admitted near its limit always became urgent and went before prompt work.

--- a/src/core/constants.go
+++ b/src/core/constants.go
@@ -46,11 +46,12 @@
 	defaultRun        = 50 * time.Millisecond  // guess of a stage's run before any measurement
 	defaultTokenTime  = 10 * time.Millisecond  // guess of one generated token on an empty engine
 	defaultPrefill    = 50 * time.Microsecond  // guess of one computed prompt token
+	mayWaitRoom       = 0.25                   // part of a server's slots that may-wait work leaves free beyond its share
 	promptOver        = 0.5                    // part of a server's slots that prompt work may queue there
 	promptWindow      = 10 * time.Second       // over which the demand of prompt work is measured
 	leastLeft         = 0.02                   // part of a pool that may-wait work can always count on
-	urgentSlack       = 0.25                   // may-wait work with less than this part of its time left is urgent
-	mustFinishReserve = 0.85                   // must-finish work is accepted up to this part of what fits its deadline
+	urgentSlack       = 0.05                   // may-wait work with less than this part of its time left is urgent
+	mustFinishReserve = 0.8                    // must-finish work is accepted up to this part of what fits its deadline
 	admissionMargin   = 1.1                    // safety on estimates before refusing
 )
 
--- a/src/core/pool.go
+++ b/src/core/pool.go
@@ -382,7 +382,7 @@
 	if class == config.Prompt {
 		return seconds(p.backlog[config.Prompt].before(deadline) / slots)
 	}
-	left := max(leastLeft, 1-p.demand.read(now)/slots)
+	left := max(leastLeft, 1-max(mayWaitRoom, p.demand.read(now)/slots))
 	return seconds(p.backlog[config.Prompt].sum/slots + p.backlog[config.MayWait].before(deadline)/slots/left)
 }
 
--- a/src/core/server.go
+++ b/src/core/server.go
@@ -154,17 +154,16 @@
 // opens says whether this box may send one more call: within its share always, beyond it only
 // while the server has room that others leave idle and the window has grown that far.
 //
-// Prompt work may also queue at the server, a little: there it competes by deadline with the calls of
-// all boxes, which no box knows as freshly, and it keeps the server busy between reports.
+// May-wait work leaves some room beyond its share: what a box knows of the others is late, and a slot
+// taken by a long call is gone for seconds. Prompt work may also queue at the server, a little: there
+// it competes by deadline with the calls of all boxes, which no box knows as freshly, and it keeps
+// the server busy between reports.
 func (s *server) opens(class config.Class) bool {
-	next, over := float64(len(s.mine)+1), 1.0
-	if class == config.Prompt {
-		over += promptOver
+	next, slots := float64(len(s.mine)+1), float64(s.slots())
+	if class == config.MayWait {
+		return next <= s.share() || next <= s.window && s.rates.free >= 1+mayWaitRoom*slots
 	}
-	if next <= s.share()*over {
-		return true
-	}
-	return next <= s.window*over && s.rates.free+(over-1)*float64(s.slots()) >= 1
+	return next <= s.share()*(1+promptOver) || next <= s.window*(1+promptOver) && s.rates.free >= 1-promptOver*slots
 }
 
 // adapt moves the borrowed window: up by one a report while there is room, down at once when the
--- a/src/experiment/experiment.go
+++ b/src/experiment/experiment.go
@@ -131,7 +131,8 @@
 	Cached       float64 // share of prompt tokens that came from caches
 	First95      time.Duration
 	Refused      map[string]int
-	SecondsEach  float64 // engine and service seconds for each request in time
+	ByPipeline   map[string]float64 // attainment
+	SecondsEach  float64            // engine and service seconds for each request in time
 }
 
 // Capacity is the rate of a workload at which its engines are just busy, no cache helping.
@@ -208,7 +209,8 @@
 
 // figures sums a run. A request that never got its final answer counts as not attained.
 func (s *sim) figures(length time.Duration) Figures {
-	f := Figures{Requests: len(s.out), Refused: map[string]int{}}
+	f := Figures{Requests: len(s.out), Refused: map[string]int{}, ByPipeline: map[string]float64{}}
+	count := map[string]float64{}
 	var weight, got, prompts, promptsIn, may, mayIn, must, mustOK, mustDone, mustIn, inTime float64
 	var firsts []time.Duration
 	for i := range s.out {
@@ -231,8 +233,10 @@
 			may++
 			mayIn += one(in)
 		}
+		count[p.Name()]++
+		f.ByPipeline[p.Name()] += one(in)
 		if o.err != nil {
-			f.Refused[o.err.Code.String()]++
+			f.Refused[p.Name()+" "+o.err.Code.String()]++
 		}
 		if p.MustFinish() {
 			must++
@@ -242,6 +246,9 @@
 			mustIn += one(in)
 		}
 	}
+	for name, n := range count {
+		f.ByPipeline[name] /= n
+	}
 	f.Attainment, f.Weighted = ratio(inTime, float64(len(s.out))), ratio(got, weight)
 	f.Prompt, f.MayWait = ratio(promptsIn, prompts), ratio(mayIn, may)
 	f.Goodput = inTime / length.Seconds()
