Read the platform conditionally and keep callers off the peers' listener

It now sends the entity tag and an unchanged document does not travel. With mutual TLS any signed certificate could speak as a box; tls.peer_names names the boxes' certificates (the test that a caller's is turned away fails without it). The metrics listener and calls to servers can use TLS.

--- a/src/config/boundary.go
+++ b/src/config/boundary.go
@@ -14,11 +14,6 @@
 	return (w.entryIn & w.restIn).Has(domain)
 }
 
-// MayMoveCache says whether KV cache may be copied from one server to another.
-func MayMoveCache(w *Workspace, s *Stage, from, to *BackendServer) bool {
-	return w.restIn.Has(from.domain) && w.restIn.Has(to.domain) && MayRun(w, s, to.domain)
-}
-
 // Eligible lists the servers a stage of a workspace may use, wherever they stand in health.
 func (c *Config) Eligible(w *Workspace, s *Stage) []*BackendServer {
 	var out []*BackendServer
--- a/src/config/settings.go
+++ b/src/config/settings.go
@@ -70,6 +70,11 @@
 	Key           string `toml:"key"`
 	Authority     string `toml:"authority"`
 	RequireClient bool   `toml:"require_client"`
+	// PeerNames are the certificate names of boxes: others, callers' among them, are turned away
+	// from the peers' listener.
+	PeerNames []string `toml:"peer_names"`
+	// Backends has backend servers called over TLS, with the same authority.
+	Backends bool `toml:"backends"`
 }
 
 // CallerSettings say who may call without credentials.
@@ -208,6 +213,12 @@
 	if (t.Certificate == "") != (t.Key == "") {
 		k.fault(code.ConfigBadValue, "tls.key", "certificate and key come together")
 	}
+	if len(t.PeerNames) > 0 && !t.RequireClient {
+		k.bad("tls.peer_names", "needs require_client")
+	}
+	if t.Backends && t.Authority == "" {
+		k.bad("tls.backends", "needs an authority")
+	}
 	if t.RequireClient && (t.Authority == "" || t.Certificate == "") {
 		k.fault(code.ConfigBadValue, "tls.require_client", "needs certificate, key and authority")
 	}
--- a/src/local/local_test.go
+++ b/src/local/local_test.go
@@ -28,6 +28,8 @@
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/config"
 	"github.com/stilemast/stilemast/src/load"
+	"github.com/stilemast/stilemast/src/peer"
+	"github.com/stilemast/stilemast/src/port"
 	"github.com/stilemast/stilemast/src/rpc"
 )
 
@@ -237,7 +239,7 @@
 	s := startSet(t, func(b *config.Settings) {
 		b.TLS = config.TLSSettings{
 			Certificate: filepath.Join(dir, "box.pem"), Key: filepath.Join(dir, "box.key"),
-			Authority: filepath.Join(dir, "ca.pem"), RequireClient: true,
+			Authority: filepath.Join(dir, "ca.pem"), RequireClient: true, PeerNames: []string{"box"},
 		}
 	})
 	for until := time.Now().Add(10 * time.Second); !heardAll(s); time.Sleep(50 * time.Millisecond) {
@@ -267,6 +269,11 @@
 	if _, err := runOnce(ctx, pb.NewPipelinesClient(dial(t, s.Addresses()[0], cfg, goodToken)), r); err != nil {
 		t.Errorf("mutual TLS: %v", err)
 	}
+	client := peer.NewClient(cfg)
+	defer client.Close()
+	if _, err := client.Ask(ctx, s.Nodes[0].PeersAddress(), port.Question{Renounce: &port.Renounce{}}); err == nil {
+		t.Error("a caller's certificate was taken on the peers' listener")
+	}
 	if _, err := runOnce(ctx, pb.NewPipelinesClient(dial(t, s.Addresses()[0], cfg, "")), r); rpc.ResultOf(err) == nil {
 		t.Errorf("a certificate that no workspace lists: %v", err)
 	}
--- a/src/node/node.go
+++ b/src/node/node.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -91,7 +92,7 @@
 		Settings: n.Settings,
 		ID:       core.BoxID{Name: n.Settings.Box, Incarnation: uint64(time.Now().UnixNano())},
 		Release:  n.Release,
-		Backends: backend.NewClient(nil).Ports(),
+		Backends: backend.NewClient(backendTLS(n.Settings.TLS, clientTLS)).Ports(),
 		Platform: platform.NewClient(n.Settings.Platform.Addresses, time.Duration(n.Settings.Platform.CallTimeout)).Ports(),
 		Peers:    n.peers.Ports(),
 		Log:      n.Log,
@@ -105,10 +106,10 @@
 	set.WatchBox(n.box)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	if err := n.serveWeb(set); err != nil {
+	if err := n.serveWeb(set, serverTLS); err != nil {
 		return err
 	}
-	n.servePeers(ctx, serverTLS)
+	n.servePeers(ctx, peersTLS(n.Settings.TLS, serverTLS))
 	n.serveCallers(serverTLS)
 	n.box.Start(ctx)
 	n.done.Add(1)
@@ -133,7 +134,7 @@
 	return nil
 }
 
-func (n *Node) serveWeb(set *metrics.Set) error {
+func (n *Node) serveWeb(set *metrics.Set, cfg *tls.Config) error {
 	if n.web == nil {
 		return nil
 	}
@@ -141,7 +142,7 @@
 	if err != nil {
 		return err
 	}
-	n.http = web.Start(n.web, h, nil)
+	n.http = web.Start(n.web, h, cfg)
 	return nil
 }
 
@@ -271,3 +272,26 @@
 	}
 	return server, client, nil
 }
+
+// peersTLS narrows a server's configuration to certificates of boxes.
+func peersTLS(s config.TLSSettings, server *tls.Config) *tls.Config {
+	if server == nil || len(s.PeerNames) == 0 {
+		return server
+	}
+	cfg := server.Clone()
+	cfg.VerifyConnection = func(c tls.ConnectionState) error {
+		if len(c.VerifiedChains) > 0 && slices.Contains(s.PeerNames, c.VerifiedChains[0][0].Subject.CommonName) {
+			return nil
+		}
+		return eris.New("not a box's certificate")
+	}
+	return cfg
+}
+
+// backendTLS is how backend servers are called.
+func backendTLS(s config.TLSSettings, client *tls.Config) *tls.Config {
+	if !s.Backends {
+		return nil
+	}
+	return client
+}
--- a/src/platform/client.go
+++ b/src/platform/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +37,14 @@
 
 	http httpc.Service
 	turn atomic.Uint32
+	mu   sync.Mutex
+	seen map[string]seen // by path
+}
+
+// seen is the last answer of a path, so that an unchanged one need not travel again.
+type seen struct {
+	tag  string
+	body []byte
 }
 
 // NewClient makes a client.
@@ -43,7 +52,7 @@
 	breaker.NoBreakerFor(serviceName)
 	t := &http.Transport{DialContext: (&net.Dialer{Timeout: timeout}).DialContext, MaxIdleConnsPerHost: 2}
 	return &Client{
-		Addresses: addresses, Timeout: timeout,
+		Addresses: addresses, Timeout: timeout, seen: map[string]seen{},
 		http: httpc.NewServiceWithClient(serviceName, &http.Client{Transport: t}),
 	}
 }
@@ -71,7 +80,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	address := c.Addresses[int(c.turn.Load())%len(c.Addresses)]
-	b, err := c.get(ctx, "http://"+address+path)
+	b, err := c.get(ctx, address, path)
 	if err != nil {
 		c.turn.Add(1)
 		return nil, code.New(code.PlatformFailed, "platform", "%v", err)
@@ -79,19 +88,35 @@
 	return b, nil
 }
 
-func (c *Client) get(ctx context.Context, url string) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+// get reads one path; an entity tag lets the service answer that nothing changed.
+func (c *Client) get(ctx context.Context, address, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return nil, eris.Wrap(err, "request can't be made")
 	}
+	c.mu.Lock()
+	last := c.seen[path]
+	c.mu.Unlock()
+	if last.tag != "" {
+		req.Header.Set("If-None-Match", last.tag)
+	}
 	resp, err := c.http.DoRequest(req)
 	if err != nil {
 		return nil, eris.Wrap(err, "no answer")
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotModified && last.tag != "" {
+		return last.body, nil
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, eris.Errorf("status %d", resp.StatusCode)
 	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, config.MaxBytes+1))
-	return b, eris.Wrap(err, "answer broke off")
+	if err != nil {
+		return nil, eris.Wrap(err, "answer broke off")
+	}
+	c.mu.Lock()
+	c.seen[path] = seen{tag: resp.Header.Get("ETag"), body: b}
+	c.mu.Unlock()
+	return b, nil
 }
--- a/src/standin/http.go
+++ b/src/standin/http.go
@@ -11,6 +11,7 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/stilemast/stilemast/src/backend"
+	"github.com/stilemast/stilemast/src/config"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/platform"
 	"github.com/stilemast/stilemast/src/port"
@@ -97,7 +98,18 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	_, _ = w.Write(raw)
+	writeTagged(w, r, raw)
+}
+
+// writeTagged answers with an entity tag, or that nothing changed since the asker's.
+func writeTagged(w http.ResponseWriter, r *http.Request, b []byte) {
+	tag := `"` + config.Digest(b) + `"`
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	_, _ = w.Write(b)
 }
 
 func (p *Platform) serveBoxes(w http.ResponseWriter, r *http.Request) {
