--- a/src/cli/operate.go
+++ b/src/cli/operate.go
@@ -29,17 +29,20 @@
 	}
 }
 
-// operator connects to a box's operators' interface.
-func operator(c *cli.Command) (pb.OperationsClient, func(), error) {
-	cfg, err := clientTLS(c)
-	if err != nil {
-		return nil, nil, err
-	}
-	conn, err := load.Dial(c.String("box"), cfg, c.String("token"))
-	if err != nil {
-		return nil, nil, err
+// operate makes the action of a command that talks to a box's operators' interface.
+func operate(do func(context.Context, pb.OperationsClient, *cli.Command) error) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		cfg, err := clientTLS(c)
+		if err != nil {
+			return err
+		}
+		conn, err := load.Dial(c.String("box"), cfg, c.String("token"))
+		if err != nil {
+			return err
+		}
+		defer conn.Close()
+		return do(ctx, pb.NewOperationsClient(conn), c)
 	}
-	return pb.NewOperationsClient(conn), func() { _ = conn.Close() }, nil
 }
 
 func printJSON(m proto.Message) error {
@@ -84,16 +87,11 @@
 	return &cli.Command{
 		Name: "plan", Usage: "tell what a configuration would change against the one in force at a box", ArgsUsage: "FILE",
 		Flags: boxFlags(),
-		Action: func(ctx context.Context, c *cli.Command) error {
+		Action: operate(func(ctx context.Context, ops pb.OperationsClient, c *cli.Command) error {
 			raw, err := os.ReadFile(c.Args().First())
 			if err != nil {
 				return eris.Wrap(err, "configuration")
 			}
-			ops, done, err := operator(c)
-			if err != nil {
-				return err
-			}
-			defer done()
 			r, err := ops.Plan(ctx, &pb.PlanRequest{Configuration: raw})
 			if err != nil {
 				return err
@@ -102,7 +100,7 @@
 				return printJSON(r)
 			}
 			return printPlan(r)
-		},
+		}),
 	}
 }
 
@@ -123,12 +121,7 @@
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name: "status", Usage: "tell what a box knows, with the age of each fact", Flags: boxFlags(),
-		Action: func(ctx context.Context, c *cli.Command) error {
-			ops, done, err := operator(c)
-			if err != nil {
-				return err
-			}
-			defer done()
+		Action: operate(func(ctx context.Context, ops pb.OperationsClient, c *cli.Command) error {
 			r, err := ops.Status(ctx, &pb.StatusRequest{})
 			if err != nil {
 				return err
@@ -137,7 +130,7 @@
 				return printJSON(r)
 			}
 			return printStatus(r)
-		},
+		}),
 	}
 }
 
@@ -174,31 +167,21 @@
 func drainCommand() *cli.Command {
 	return &cli.Command{
 		Name: "drain", Usage: "begin the planned stop of a box", Flags: boxFlags(),
-		Action: func(ctx context.Context, c *cli.Command) error {
-			ops, done, err := operator(c)
-			if err != nil {
-				return err
-			}
-			defer done()
+		Action: operate(func(ctx context.Context, ops pb.OperationsClient, c *cli.Command) error {
 			r, err := ops.Drain(ctx, &pb.DrainRequest{})
 			if err != nil {
 				return err
 			}
 			fmt.Printf("stopping; %d requests run and will end first\n", r.GetRunning())
 			return nil
-		},
+		}),
 	}
 }
 
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name: "explain", Usage: "tell how each stage of a recent request was placed", ArgsUsage: "KEY", Flags: boxFlags(),
-		Action: func(ctx context.Context, c *cli.Command) error {
-			ops, done, err := operator(c)
-			if err != nil {
-				return err
-			}
-			defer done()
+		Action: operate(func(ctx context.Context, ops pb.OperationsClient, c *cli.Command) error {
 			r, err := ops.Explain(ctx, &pb.ExplainRequest{Key: c.Args().First()})
 			if err != nil {
 				return err
@@ -217,19 +200,14 @@
 				}
 			}
 			return nil
-		},
+		}),
 	}
 }
 
 func costCommand() *cli.Command {
 	return &cli.Command{
 		Name: "cost", Usage: "sum what each stage consumed at a box", Flags: boxFlags(),
-		Action: func(ctx context.Context, c *cli.Command) error {
-			ops, done, err := operator(c)
-			if err != nil {
-				return err
-			}
-			defer done()
+		Action: operate(func(ctx context.Context, ops pb.OperationsClient, c *cli.Command) error {
 			r, err := ops.CostByStage(ctx, &pb.CostByStageRequest{})
 			if err != nil {
 				return err
@@ -244,6 +222,6 @@
 					s.GetEngineSeconds(), s.GetComputedTokens(), s.GetCachedTokens(), s.GetGeneratedTokens(), s.GetWastedTokens())
 			}
 			return w.Flush()
-		},
+		}),
 	}
 }
--- a/src/cli/report.go
+++ b/src/cli/report.go
@@ -16,12 +16,7 @@
 	return &cli.Command{
 		Name: "burn", Usage: "report how fast the service levels' budgets are being spent at a box",
 		Flags: append(boxFlags(), &cli.StringFlag{Name: "plot", Usage: "write a PNG `FILE` too"}),
-		Action: func(ctx context.Context, c *cli.Command) error {
-			ops, done, err := operator(c)
-			if err != nil {
-				return err
-			}
-			defer done()
+		Action: operate(func(ctx context.Context, ops pb.OperationsClient, c *cli.Command) error {
 			r, err := ops.Burn(ctx, &pb.BurnRequest{})
 			if err != nil {
 				return err
@@ -40,7 +35,7 @@
 				fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%.2f%%\t%.2f\n", b.GetLevel(), b.GetClass(), b.GetWindow().AsDuration(), b.GetGood(), b.GetTotal(), 100*b.GetObjective(), b.GetBurn())
 			}
 			return w.Flush()
-		},
+		}),
 	}
 }
 
--- a/src/core/members.go
+++ b/src/core/members.go
@@ -71,48 +71,6 @@
 // Usable says whether new work may be forwarded to it.
 func (m *Member) Usable() bool { return m.state == MemberAlive || m.state == MemberSuspect }
 
-// Rumour is news of a member that boxes pass on.
-type Rumour struct {
-	ID        BoxID       `msgpack:"i"`
-	Address   string      `msgpack:"a"`
-	Domain    string      `msgpack:"d"`
-	State     MemberState `msgpack:"s"`
-	Round     uint64      `msgpack:"r"`
-	Successor string      `msgpack:"x,omitempty"` // who took over its ledger
-}
-
-// LoadNote says how many calls a box has at a server, named by its hash.
-type LoadNote struct {
-	Server uint32 `msgpack:"s"`
-	N      uint16 `msgpack:"n"`
-}
-
-// LeavingNote passes on that a server is leaving, in its own numbering.
-type LeavingNote struct {
-	Server      string `msgpack:"s"`
-	Incarnation uint64 `msgpack:"i"`
-	Seq         uint64 `msgpack:"q"`
-}
-
-// Beat is a heartbeat, its answer, or an indirect question. All three carry the same news.
-type Beat struct {
-	From     Rumour        `msgpack:"f"`
-	Seq      uint64        `msgpack:"q"`
-	Answer   bool          `msgpack:"a,omitempty"`
-	AskFor   string        `msgpack:"k,omitempty"` // box to be asked on the sender's behalf
-	Rumours  []Rumour      `msgpack:"r,omitempty"`
-	Config   Statement     `msgpack:"c"`
-	List     Statement     `msgpack:"l"`
-	Loads    []LoadNote    `msgpack:"o,omitempty"`
-	Leavings []LeavingNote `msgpack:"v,omitempty"`
-}
-
-// BeatTo is a heartbeat to be sent.
-type BeatTo struct {
-	Address string
-	Beat    Beat
-}
-
 // Members is the failure detector among boxes.
 //
 // Idea. Every HeartbeatEvery a box asks a few others, in a shuffled round so that each is asked
@@ -337,33 +295,6 @@
 	return b
 }
 
-// take picks the rumours of one message, those with most repeats left first.
-func (m *Members) take() []Rumour {
-	if len(m.fresh) == 0 {
-		return nil
-	}
-	names := make([]string, 0, len(m.fresh))
-	for n := range m.fresh {
-		names = append(names, n)
-	}
-	sort.Slice(names, func(i, j int) bool {
-		a, b := m.fresh[names[i]], m.fresh[names[j]]
-		if a.left != b.left {
-			return a.left > b.left
-		}
-		return names[i] < names[j]
-	})
-	var out []Rumour
-	for _, n := range names[:min(len(names), rumoursPerBeat)] {
-		h := m.fresh[n]
-		out = append(out, h.rumour)
-		if h.left--; h.left <= 0 {
-			delete(m.fresh, n)
-		}
-	}
-	return out
-}
-
 // Heard is what a received beat meant to the rest of the box.
 type Heard struct {
 	Reply   []BeatTo
@@ -414,60 +345,6 @@
 	}
 }
 
-// hear takes one rumour: a later incarnation wins, then a later round, then the worse state.
-func (m *Members) hear(now time.Time, r Rumour) {
-	if r.ID.Incarnation == 0 {
-		return
-	}
-	if r.ID.Name == m.Self.ID.Name {
-		m.refute(r)
-		return
-	}
-	if r.Successor != "" {
-		m.closed[r.ID] = closedLife{successor: r.Successor, at: now}
-	}
-	e := m.all[r.ID.Name]
-	if e == nil {
-		e = &Member{id: r.ID, address: r.Address, domain: r.Domain, state: r.State, round: r.Round, since: now}
-		m.all[r.ID.Name] = e
-		m.changed = true
-		m.spread(r)
-		return
-	}
-	if !m.supersedes(r, e) {
-		return
-	}
-	newLife := r.ID.Incarnation > e.id.Incarnation
-	e.id, e.address, e.domain, e.round = r.ID, r.Address, r.Domain, r.Round
-	if newLife || r.State != MemberSuspect && r.State != MemberDead {
-		e.asked = time.Time{}
-	}
-	if e.state != r.State {
-		e.state, e.since = r.State, now
-		m.changed = true
-	}
-	m.spread(r)
-}
-
-func (m *Members) supersedes(r Rumour, e *Member) bool {
-	switch {
-	case r.ID.Incarnation != e.id.Incarnation:
-		return r.ID.Incarnation > e.id.Incarnation
-	case r.Round != e.round:
-		return r.Round > e.round
-	}
-	return r.State > e.state
-}
-
-// refute answers a rumour that this very life is suspected or dead.
-func (m *Members) refute(r Rumour) {
-	if r.ID.Incarnation != m.Self.ID.Incarnation || r.State < MemberSuspect || r.Round < m.Self.Round {
-		return
-	}
-	m.Self.Round = r.Round + 1
-	m.spread(m.Self)
-}
-
 // Indirect lists questions to others about members that became suspects lately.
 func (m *Members) Indirect(now time.Time) []BeatTo {
 	var out []BeatTo
--- /dev/null
+++ b/src/core/poolnews.go
@@ -0,0 +1,112 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"github.com/stilemast/stilemast/src/config"
+)
+
+// What a pool hears of its servers, from themselves and from other boxes, and what it tells of them.
+
+// Report takes a server's load report; it says whether it was news.
+func (p *Pool) Report(now time.Time, name string, r Report) bool {
+	s := p.servers[name]
+	return s != nil && s.take(now, r)
+}
+
+// ReportFailed notes that a server did not answer for its report.
+func (p *Pool) ReportFailed(now time.Time, name string) {
+	if s := p.servers[name]; s != nil {
+		s.failed(now)
+		s.stale()
+	}
+}
+
+// Events takes cache events of a server.
+func (p *Pool) Events(name string, events []CacheEvent) {
+	s := p.servers[name]
+	if s == nil {
+		return
+	}
+	for _, e := range events {
+		p.prefix.event(s, e)
+	}
+}
+
+// PeerLoad takes another box's note of what it has at a server.
+func (p *Pool) PeerLoad(now time.Time, box, name string, n int) {
+	if s := p.servers[name]; s != nil {
+		s.peers[box] = peerLoad{n: n, at: now}
+		s.stale()
+	}
+}
+
+// ForgetPeer drops the notes of a box that is gone.
+func (p *Pool) ForgetPeer(box string) {
+	for _, s := range p.order {
+		delete(s.peers, box)
+		s.stale()
+	}
+}
+
+// HearLeaving takes another box's word that a server is leaving, in the report's own numbering.
+func (p *Pool) HearLeaving(now time.Time, name string, incarnation, seq uint64) {
+	s := p.servers[name]
+	if s == nil {
+		return
+	}
+	r := s.report
+	r.Incarnation, r.Seq, r.Leaving = incarnation, seq, true
+	if s.reportAt.IsZero() || r.newer(s.report) {
+		s.report.Incarnation, s.report.Seq, s.report.Leaving = incarnation, seq, true
+		s.saysLeaving = true
+		s.leavingUntil = now.Add(leavingSticks)
+		s.stale()
+	}
+}
+
+// Servers lists the names of the servers in use.
+func (p *Pool) Servers() []string {
+	out := make([]string, len(p.order))
+	for i, s := range p.order {
+		out[i] = s.cfg.Name()
+	}
+	return out
+}
+
+// LastEvent is the number of the last cache event taken of a server.
+func (p *Pool) LastEvent(name string) uint64 {
+	if s := p.servers[name]; s != nil {
+		return s.lastEvent
+	}
+	return 0
+}
+
+// ServerView is what the pool knows of one server, for status and for peers.
+type ServerView struct {
+	Name      string
+	Config    *config.BackendServer
+	Report    Report
+	ReportAt  time.Time
+	InFlight  int
+	Others    int
+	Window    int
+	FailShare float64
+	Leaving   bool
+	Resting   bool
+}
+
+// View lists the servers by name.
+func (p *Pool) View(now time.Time) []ServerView {
+	out := make([]ServerView, 0, len(p.order))
+	for _, s := range p.order {
+		out = append(out, ServerView{
+			Name: s.cfg.Name(), Config: s.cfg, Report: s.report, ReportAt: s.reportAt,
+			InFlight: len(s.mine), Others: s.countOthers(now), Window: int(max(s.window, s.share())),
+			FailShare: s.failShare, Leaving: s.leaving(), Resting: s.resting(now),
+		})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
--- /dev/null
+++ b/src/core/recovery.go
@@ -0,0 +1,136 @@
+package core
+
+import (
+	"time"
+
+	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/config"
+)
+
+// What a request does about attempts that fail, lose to another, or take long.
+
+// settle ends an attempt and tells the pool how it went.
+func (r *Request) settle(now time.Time, a *liveAttempt, f Failure, use Use, wasted bool) Action {
+	delete(r.live, a.id.N)
+	outcome := "done"
+	if f != 0 {
+		outcome = f.String()
+	}
+	if wasted && f == 0 {
+		outcome = "unused"
+	}
+	if a.trace >= 0 {
+		r.trace[a.trace].Served = now.Sub(a.sent)
+		r.trace[a.trace].Outcome = outcome
+	}
+	return Settle{Attempt: a.id, Pool: r.pipeline.Stages()[a.id.Stage].Pool(), Server: a.server, Failure: f, Use: use, Wasted: wasted}
+}
+
+// dropOthers ends the attempts that lost to another: waiting ones are withdrawn, running ones stopped.
+func (r *Request) dropOthers(now time.Time) []Action {
+	var out []Action
+	for n := 0; n < r.next; n++ {
+		a := r.live[n]
+		if a == nil {
+			continue
+		}
+		pool := r.pipeline.Stages()[a.id.Stage].Pool()
+		if a.server == "" {
+			delete(r.live, n)
+			out = append(out, Withdraw{Attempt: a.id, Pool: pool})
+			continue
+		}
+		out = append(out, Stop{Attempt: a.id, Pool: pool, Server: a.server}, r.settle(now, a, 0, Use{}, true))
+	}
+	return out
+}
+
+func (r *Request) failure(now time.Time, e Failed) []Action {
+	a := r.liveOf(e.Attempt)
+	if a == nil {
+		return nil
+	}
+	if r.finished {
+		return []Action{r.settle(now, a, e.Failure, Use{}, true)}
+	}
+	return r.lost(now, a, e.Failure)
+}
+
+// lost decides what follows a failed attempt: resume, another attempt, or the end.
+func (r *Request) lost(now time.Time, a *liveAttempt, f Failure) []Action {
+	s := r.current()
+	if f == Broken && s.Kind() == config.Generate && len(r.output) > 0 && !a.resumed {
+		a.resumed = true
+		return []Action{Send{Attempt: a.id, Pool: s.Pool(), Server: a.server, Input: r.input, Offset: len(r.output), Continue: r.output, Resume: true}}
+	}
+	if f == NotSent || f == Busy || f == Leaving {
+		r.maybe--
+	}
+	out := []Action{r.settle(now, a, f, Use{}, true)}
+	if f == TimedOut && !s.Once() {
+		out = append([]Action{Stop{Attempt: a.id, Pool: s.Pool(), Server: a.server}}, out...)
+	}
+	if s.Once() {
+		return append(out, r.onceLost(now, a, f)...)
+	}
+	if f == Wrong {
+		return append(out, r.finish(now, code.New(code.BackendRefused, "", "stage %s was refused as wrong", s.Name()))...)
+	}
+	r.failed = append(r.failed, a.server)
+	if len(r.live) > 0 {
+		return out
+	}
+	return append(out, r.again(now)...)
+}
+
+// onceLost decides after a failed call that may not be repeated: only one that never left may go again.
+func (r *Request) onceLost(now time.Time, a *liveAttempt, f Failure) []Action {
+	s := r.current()
+	switch f {
+	case NotSent:
+		r.onceSent = false
+		r.failed = append(r.failed, a.server)
+		return r.again(now)
+	case Wrong:
+		return r.finish(now, code.New(code.BackendRefused, "", "stage %s was refused as wrong", s.Name()))
+	case Busy, Leaving:
+		// The server's protocol says that nothing ran; a sent call is not moved all the same.
+		r.onceSent = false
+		return r.finish(now, code.New(code.BackendRefused, "", "stage %s: server %s answered that it takes no work (%s)", s.Name(), a.server, f))
+	}
+	return r.finish(now, code.New(code.OutcomeUnknown, "", "stage %s: the call was sent and its outcome is not known (%s)", s.Name(), f))
+}
+
+// again asks for another attempt while attempts and time are left: a few at once, then with pauses.
+func (r *Request) again(now time.Time) []Action {
+	must := r.pipeline.MustFinish()
+	if !must && !now.Before(r.deadline) {
+		return r.finish(now, code.New(code.DeadlinePassed, "", "no time is left for another attempt"))
+	}
+	most := maxAttempts
+	if must {
+		most = maxMustAttempts
+	}
+	switch {
+	case r.next < quickAttempts:
+		return []Action{r.enqueue(now, false)}
+	case r.next < most:
+		return r.pauseThenRetry()
+	}
+	return r.finish(now, code.New(code.BackendFailed, "", "stage %s failed %d times", r.current().Name(), r.next))
+}
+
+func (r *Request) hedge(now time.Time, e HedgeDue) []Action {
+	if r.finished || e.Attempt.Stage != r.stage || len(r.live) != 1 || r.current().Once() {
+		return nil
+	}
+	a := r.live[e.Attempt.N]
+	if a == nil || a.server == "" {
+		return nil
+	}
+	saved := r.failed
+	r.failed = append(append([]string{}, saved...), a.server)
+	act := r.enqueue(now, true)
+	r.failed = saved
+	return []Action{act}
+}
