Measure the pace of may-wait work and share servers fairly among many boxes

Cause of the gap to least-in-flight under bursts: may-wait work was admitted by expected costs at a fixed part of the slots, both too pessimistic; once some waits, the pace at which it is dispatched is now measured. Ruled out: report age (250 ms and 2 s give the same). The experiment no longer sends a dead box's callers all to one box, nor lets its calls run on.

--- a/src/core/place.go
+++ b/src/core/place.go
@@ -74,16 +74,25 @@
 	if why := p.rejects(now, s, c); why != "" {
 		return why
 	}
-	if s.refresh(now, tickOf(now)); !p.NoAdmission && !s.rates.open[c.Pipeline.Class()] {
+	if s.refresh(now, tickOf(now)); !p.NoAdmission && !s.rates.open[p.classFor(now, c)] {
 		return "no room in its window"
 	}
 	return ""
 }
 
+// classFor is the class by whose rules a call gets its place: urgent may-wait work goes like prompt
+// work, or it could wait for ever where more boxes use a server than it has slots.
+func (p *Pool) classFor(now time.Time, c *Call) config.Class {
+	if c.Pipeline.Class() == config.MayWait && p.urgent(now, c) {
+		return config.Prompt
+	}
+	return c.Pipeline.Class()
+}
+
 // readyFor lists the servers a call can be sent to now, in memory that the next call reuses.
 func (p *Pool) readyFor(now time.Time, c *Call) []*server {
 	p.ready = p.ready[:0]
-	class, tick := c.Pipeline.Class(), tickOf(now)
+	class, tick := p.classFor(now, c), tickOf(now)
 	for _, s := range p.eligible(c) {
 		s.refresh(now, tick)
 		if !s.rates.open[class] && !p.NoAdmission || !s.rates.usable && p.rejects(now, s, c) != "" || len(c.Avoid) > 0 && c.avoids(s) {
--- a/src/core/pool.go
+++ b/src/core/pool.go
@@ -56,23 +56,27 @@
 	room    float64   // capacity as last worked out
 	roomAt  time.Time // and when
 	busy    int       // calls this box has at the pool's servers
-	demand  demand    // of prompt work
+	demand  meter     // of prompt work that comes
+	pace    meter     // of may-wait work that is dispatched
+	// since when may-wait work has been waiting without a break; zero when none waits
+	waitsSince time.Time
 }
 
-// demand is a decaying mean of the slots that arriving work keeps busy.
-type demand struct {
-	slots float64
-	at    time.Time
+// meter is a decaying mean of the seconds of work that pass in a second.
+type meter struct {
+	rate   float64
+	at     time.Time
+	window time.Duration
 }
 
 // add counts work of some seconds.
-func (d *demand) add(now time.Time, cost float64) {
-	d.slots = d.read(now) + cost/promptWindow.Seconds()
-	d.at = now
+func (m *meter) add(now time.Time, cost float64) {
+	m.rate = m.read(now) + cost/m.window.Seconds()
+	m.at = now
 }
 
-func (d *demand) read(now time.Time) float64 {
-	return d.slots * math.Exp(-now.Sub(d.at).Seconds()/promptWindow.Seconds())
+func (m *meter) read(now time.Time) float64 {
+	return m.rate * math.Exp(-now.Sub(m.at).Seconds()/m.window.Seconds())
 }
 
 // PoolStats counts what a pool did.
@@ -102,6 +106,7 @@
 		Name: name, Domain: -1, Room: 2000, Placement: ExpectedFinish,
 		servers: map[string]*server{}, lanes: map[laneKey]*lane{}, waiting: map[Attempt]*Call{},
 		retries: newBudget(retryEarned, retryBankMax), hedges: newBudget(hedgeEarned, hedgeBankMax),
+		demand: meter{window: promptWindow}, pace: meter{window: paceWindow},
 		tags: map[string]float64{}, prefix: newPrefixIndex(), inside: map[laneKey][]*server{},
 	}
 }
@@ -177,6 +182,8 @@
 	p.waiting[c.Attempt] = c
 	if c.Pipeline.Class() == config.Prompt {
 		p.demand.add(now, c.cost)
+	} else if p.waitsSince.IsZero() {
+		p.waitsSince = now
 	}
 	p.backlog[c.Pipeline.Class()].add(c.Deadline, c.cost)
 	return nil
@@ -258,6 +265,9 @@
 	h := &c.lane.classes[c.Pipeline.Class()]
 	heap.Remove(h, c.index)
 	p.backlog[c.Pipeline.Class()].remove(c.Deadline, c.cost)
+	if p.backlog[config.MayWait].sum == 0 {
+		p.waitsSince = time.Time{}
+	}
 	if c.lane.empty() {
 		delete(p.lanes, c.lane.key)
 		p.dropLane(c.lane)
@@ -374,14 +384,23 @@
 }
 
 // WaitFor is how long a new call of a class would wait for its place, behind what waits with earlier
-// deadlines. May-wait work gets what prompt work leaves: its own backlog is worked off at that rate.
+// deadlines.
 func (p *Pool) WaitFor(now time.Time, class config.Class, deadline time.Time) time.Duration {
 	slots := max(1, p.capacity(now))
 	if class == config.Prompt {
 		return seconds(p.backlog[config.Prompt].before(deadline) / slots)
 	}
-	left := max(leastLeft, 1-max(mayWaitRoom, p.demand.read(now)/slots))
-	return seconds(p.backlog[config.Prompt].sum/slots + p.backlog[config.MayWait].before(deadline)/slots/left)
+	return seconds((p.backlog[config.Prompt].sum + p.backlog[config.MayWait].before(deadline)) / p.mayWaitPace(now, slots))
+}
+
+// mayWaitPace is how many seconds of may-wait work the pool gets done in a second. Once some has
+// waited for a while the pace is measured, which takes in whatever prompt work and other boxes leave
+// and however far the expected costs are off; until then it is what prompt work leaves.
+func (p *Pool) mayWaitPace(now time.Time, slots float64) float64 {
+	if !p.waitsSince.IsZero() && now.Sub(p.waitsSince) > paceWindow {
+		return max(leastLeft*slots, p.pace.read(now))
+	}
+	return slots * max(leastLeft, 1-max(mayWaitRoom, p.demand.read(now)/slots))
 }
 
 // dispatch books a call at a server.
@@ -394,6 +413,9 @@
 		p.prefix.add(s, h)
 	}
 	p.busy++
+	if c.Pipeline.Class() == config.MayWait {
+		p.pace.add(now, c.cost)
+	}
 	s.stale()
 	if s.rest > 0 {
 		s.probing = true
--- a/src/core/server.go
+++ b/src/core/server.go
@@ -127,10 +127,9 @@
 	return n
 }
 
-// share is what this box may have here whatever the others do.
-func (s *server) share() float64 {
-	return max(1, float64(s.slots())/float64(max(1, s.users)))
-}
+// share is what this box may have here whatever the others do: its even part, below one call where
+// more boxes use the server than it has slots.
+func (s *server) share() float64 { return float64(s.slots()) / float64(max(1, s.users)) }
 
 // countOthers estimates what the other boxes have here: their own notes where all of them are fresh,
 // otherwise the larger of the notes and the server's lagging report.
@@ -161,15 +160,15 @@
 func (s *server) opens(class config.Class) bool {
 	next, slots := float64(len(s.mine)+1), float64(s.slots())
 	if class == config.MayWait {
-		return next <= s.share() || next <= s.window && s.rates.free >= 1+mayWaitRoom*slots
+		return next <= s.share() || next <= max(1, s.window) && s.rates.free >= 1+mayWaitRoom*slots
 	}
-	return next <= s.share()*(1+promptOver) || next <= s.window*(1+promptOver) && s.rates.free >= 1-promptOver*slots
+	return next <= max(1, s.share()*(1+promptOver)) || next <= s.window*(1+promptOver) && s.rates.free >= 1-promptOver*slots
 }
 
 // adapt moves the borrowed window: up by one a report while there is room, down at once when the
 // server queues. The share is its floor.
 func (s *server) adapt(now time.Time) {
-	floor := s.share()
+	floor := max(1, s.share())
 	if s.report.Waiting > 0 {
 		s.window = max(floor, windowCut*s.window)
 		return
--- a/src/experiment/experiment.go
+++ b/src/experiment/experiment.go
@@ -196,10 +196,13 @@
 	return s.figures(x.Length), nil
 }
 
-// balance picks the box that the platform's balancer would, past dead ones.
+// balance picks the box that the platform's balancer would, over those that live.
 func (s *sim) balance(a load.Arrival) *simBox {
+	if b := s.boxes[a.Box%len(s.boxes)]; !b.dead {
+		return b
+	}
 	for i := range s.boxes {
-		if b := s.boxes[(a.Box+i)%len(s.boxes)]; !b.dead {
+		if b := s.boxes[(a.N+i)%len(s.boxes)]; !b.dead {
 			return b
 		}
 	}
--- a/src/experiment/sim.go
+++ b/src/experiment/sim.go
@@ -115,6 +115,7 @@
 	begun time.Time
 	out   *outcome
 	sent  map[core.Attempt]time.Time
+	at    map[core.Attempt]string // servers of the calls under way
 }
 
 func (s *sim) newBox(i, boxes int) *simBox {
@@ -140,6 +141,19 @@
 	return b
 }
 
+// noticed is how long the boxes take to know that one of them is gone.
+const noticed = 5 * time.Second
+
+// forget has a box count on one box fewer at every server.
+func (b *simBox) forget(gone string, users int) {
+	for _, p := range b.pools {
+		p.ForgetPeer(gone)
+		for _, name := range p.Servers() {
+			p.SetUsers(name, users)
+		}
+	}
+}
+
 // reconnect is how long callers take to notice that their box is gone and reach another.
 const reconnect = 200 * time.Millisecond
 
@@ -148,11 +162,19 @@
 func (b *simBox) die() {
 	b.dead = true
 	s := b.s
+	s.after(noticed, func() {
+		for _, o := range s.boxes {
+			o.forget(b.name, len(s.boxes)-1)
+		}
+	})
 	for n := range s.out {
 		f := b.flights[n]
 		if f == nil {
 			continue
 		}
+		for id, server := range f.at {
+			s.servers[server].cancel(id) // its connections close
+		}
 		if f.req.Pipeline().Once() {
 			f.out.err, f.out.done = code.New(code.OutcomeUnknown, "", "the box is gone"), true
 			continue
@@ -177,7 +199,7 @@
 		return
 	}
 	f := &simFlight{
-		box: b, begun: s.now, out: out, sent: map[core.Attempt]time.Time{},
+		box: b, begun: s.now, out: out, sent: map[core.Attempt]time.Time{}, at: map[core.Attempt]string{},
 		req: core.NewRequest(key, w, a.Pipeline, a.Input, deadline, 0, b.est),
 	}
 	b.flights[a.N] = f
@@ -227,6 +249,7 @@
 			f.out.first = s.now.Sub(f.out.came)
 		}
 	case core.Settle:
+		delete(f.at, a.Attempt)
 		b.pools[a.Pool].Done(s.now, a.Attempt, a.Server, a.Failure, a.Use, a.Wasted)
 		stage := f.req.Pipeline().Stages()[a.Attempt.Stage]
 		b.cost.Add(f.req.Pipeline(), stage, a.Attempt.N, a.Use, s.now.Sub(f.sent[a.Attempt]), a.Wasted)
@@ -276,6 +299,7 @@
 	server := s.servers[a.Server]
 	delay := s.delay(b, server)
 	f.sent[a.Attempt] = s.now
+	f.at[a.Attempt] = a.Server
 	stage := f.req.Pipeline().Stages()[a.Attempt.Stage]
 	if server.down {
 		s.after(delay, func() { f.post(core.Failed{Attempt: a.Attempt, Failure: core.NotSent}) })
