--- a/src/faults/fleet_test.go
+++ b/src/faults/fleet_test.go
@@ -295,6 +295,21 @@
 	f.cut = map[[2]string]bool{}
 }
 
+func (f *fleet) healLink(a, b string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.cut, [2]string{a, b})
+	delete(f.cut, [2]string{b, a})
+}
+
+// switchesOf gives the switches of a stand-in by name.
+func (f *fleet) switchesOf(server string) *standin.Switches {
+	if v := f.services[server]; v != nil {
+		return &v.Switches
+	}
+	return &f.engines[server].Switches
+}
+
 func (f *fleet) isCut(from, to string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/src/faults/history_test.go
+++ b/src/faults/history_test.go
@@ -168,18 +168,32 @@
 	}()
 }
 
+// serverFault has a server do something wrong, leave for a while, or lose a box.
 func (h *history) serverFault() {
-	fault := []standin.Fault{standin.Fail, standin.Busy, standin.DropReply, standin.LateReply, standin.TwiceReply, standin.BreakMid, standin.Refuse}[h.r.IntN(7)]
-	arm := func(s *standin.Switches) {
-		s.SetDelay(2 * time.Second)
-		s.Arm(fault, 1+h.r.IntN(3))
-	}
-	if n := fmt.Sprintf("engines-%d", 1+h.r.IntN(2)); h.r.IntN(3) == 0 {
-		arm(&h.f.engines[n].Switches)
+	pool := []string{"encoders", "retrievers", "rerankers", "records", "engines"}[h.r.IntN(5)]
+	server := fmt.Sprintf("%s-%d", pool, 1+h.r.IntN(2))
+	switch h.r.IntN(6) {
+	case 0:
+		b := h.pick()
+		h.f.cutLink(b, server)
+		h.f.cutLink(server, b)
+		time.AfterFunc(h.upTo(8*time.Second), func() { h.f.healLink(b, server) })
+		return
+	case 1:
+		w := h.f.switchesOf(server)
+		w.SetLeaving(true)
+		time.AfterFunc(h.upTo(8*time.Second), func() { w.SetLeaving(false) })
+		return
+	case 2:
+		w := h.f.switchesOf(server)
+		w.Pause()
+		time.AfterFunc(h.upTo(4*time.Second), w.Resume)
 		return
 	}
-	pool := []string{"encoders", "retrievers", "rerankers", "records"}[h.r.IntN(4)]
-	arm(&h.f.services[fmt.Sprintf("%s-%d", pool, 1+h.r.IntN(2))].Switches)
+	fault := []standin.Fault{standin.Fail, standin.Busy, standin.DropReply, standin.LateReply, standin.TwiceReply, standin.BreakMid, standin.Refuse}[h.r.IntN(7)]
+	w := h.f.switchesOf(server)
+	w.SetDelay(2 * time.Second)
+	w.Arm(fault, 1+h.r.IntN(3))
 }
 
 func TestHistories(t *testing.T) {
