Try a failed server again in pools that take only once-calls

Cause, found by reading: a server that had failed was never given a call that may not be repeated until another call succeeded there, and in a pool like the public register there is no other: two missed load reports and the box never used it again. Such a call now tries it when no other server is left and its rest is over (the new test: "no server is ever tried again" before, passes after). A probe that was answered "leaving" no longer blocks further probes.

--- a/src/core/call.go
+++ b/src/core/call.go
@@ -27,6 +27,7 @@
 	cost  float64 // expected seconds of a slot
 	index int     // place in its heap
 	mark  uint64  // its number in the prefix index
+	probe bool    // may try a server that failed lately
 	lane  *lane
 }
 
--- a/src/core/place.go
+++ b/src/core/place.go
@@ -33,7 +33,7 @@
 	if why := s.ready(now, c); why != "" {
 		return why
 	}
-	if s.rest > 0 && c.once() {
+	if s.rest > 0 && c.once() && !c.probe {
 		return "not tried with a call that may not be repeated"
 	}
 	if c.avoids(s) {
@@ -42,10 +42,17 @@
 	return ""
 }
 
-// place picks a server for a call. A call that every ready server failed before may try them again.
+// place picks a server for a call. A call that every ready server failed before may try them again. A
+// call that may not be repeated tries a server that failed lately only when there is no other: in a
+// pool that takes no other calls nobody else would ever find out that it is well again.
 func (p *Pool) place(now time.Time, c *Call) (*server, []Candidate) {
 	p.markPrefix(c)
 	ready := p.readyFor(now, c)
+	if len(ready) == 0 && c.once() {
+		c.probe = true
+		ready = p.readyFor(now, c)
+		c.probe = false
+	}
 	if len(ready) == 0 && len(c.Avoid) > 0 && !c.Hedge {
 		c.Avoid = nil
 		ready = p.readyFor(now, c)
--- a/src/core/pool.go
+++ b/src/core/pool.go
@@ -435,12 +435,12 @@
 	}
 	delete(s.mine, id)
 	p.busy--
+	s.probing = false
 	s.stale()
 	switch f {
 	case 0:
 		if wasted && u == (Use{}) {
-			s.probing = false // stopped by us: it says nothing about the server
-			return true
+			return true // stopped by us: it says nothing about the server
 		}
 		s.succeeded()
 		s.learn(now, r, u)
--- a/src/core/pool_test.go
+++ b/src/core/pool_test.go
@@ -207,3 +207,47 @@
 		t.Error("an older report undid what another box heard")
 	}
 }
+
+// In a pool that takes nothing but calls that may not be repeated, servers that failed must be tried
+// again by such calls once their rest is over; nobody else would.
+func TestOnceCallsTryFailedServersAgain(t *testing.T) {
+	c := benchConfig(t, 2, 1)
+	raw := config.ExamplePageworks()
+	b, err := config.Marshal(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	page, _ := config.Parse(b)
+	stamp := page.Pipeline("tag-stamp")
+	p := NewPool("photo-archive")
+	p.Self, p.Estimates = "b", NewEstimates()
+	p.SetServers(page.Pool("photo-archive"))
+	now := time.Unix(1_000_000, 0)
+	push := func(n int) *Call {
+		call := benchCall(c, n, now)
+		call.Workspace, call.Pipeline, call.Stage, call.MaxTokens = page.Workspace("lakeside"), stamp, stamp.Stages()[2], 0
+		if err := p.Push(now, call); err != nil {
+			t.Fatal(err)
+		}
+		return call
+	}
+	for _, name := range p.Servers() {
+		for range failuresToRest {
+			p.ReportFailed(now, name)
+		}
+	}
+	push(1)
+	if grants, _ := p.Next(now); len(grants) > 0 {
+		t.Fatal("a resting server got a call that may not be repeated")
+	}
+	now = now.Add(restFirst + time.Millisecond)
+	grants, _ := p.Next(now)
+	if len(grants) != 1 {
+		t.Fatal("no server is ever tried again")
+	}
+	p.Done(now, grants[0].Call.Attempt, grants[0].Server, 0, Use{Engine: time.Millisecond}, false)
+	push(2)
+	if again, _ := p.Next(now); len(again) != 1 || again[0].Server != grants[0].Server {
+		t.Errorf("the next call went to %v, not to the server that is well again", again)
+	}
+}
