--- a/src/box/documents.go
+++ b/src/box/documents.go
@@ -23,6 +23,7 @@
 	list       *core.Spread
 	views      *core.Views
 	boxes      port.BoxList
+	holders    config.Holders // who may hold what, by the configuration in force
 	rawList    []byte
 	past       [][]byte // earlier configurations, to make differences against, newest first
 	older      string   // digest of a version older than the one in force, not to be parsed again
@@ -199,7 +200,10 @@
 	d.refusal = ""
 	d.setRegion(c)
 	b.conf.Store(c)
-	d.views.Observe(b.wall(), d.boxes.Boxes, mayHold(c))
+	if h := c.Holders(); !h.Same(d.holders) {
+		d.holders = h
+		d.views.Observe(b.wall(), d.boxes.Boxes, h.May)
+	}
 	d.mu.Unlock()
 	b.pools.setServers(c)
 	b.burn.SetLevels(c.ServiceLevels())
@@ -213,14 +217,6 @@
 	}
 }
 
-// mayHold says, by one configuration, which failure domains' boxes may hold a workspace's requests.
-func mayHold(c *config.Config) core.DomainFilter {
-	return func(workspace, domain string) bool {
-		w := c.Workspace(workspace)
-		return w != nil && config.MayEnter(w, c.DomainIndex(domain))
-	}
-}
-
 func (d *documents) readList(ctx context.Context) {
 	defer d.readEnded(1)
 	at := d.box.now()
@@ -254,9 +250,7 @@
 	if fresh {
 		d.list.Adopt(l.Revision, digest, readAt)
 		d.boxes, d.rawList = l, raw
-		if c := d.box.Config(); c != nil {
-			d.views.Observe(d.box.wall(), l.Boxes, mayHold(c))
-		}
+		d.views.Observe(d.box.wall(), l.Boxes, d.holders.May)
 	}
 	d.mu.Unlock()
 	if fresh {
