--- a/src/cli/plot.go
+++ b/src/cli/plot.go
@@ -32,7 +32,7 @@
 			windows = append(windows, w)
 		}
 		byWindow[w] = append(byWindow[w], b.GetBurn())
-		if len(windows) == 1 && len(byWindow[w]) > len(levels) || len(levels) == 0 || levels[len(levels)-1] != b.GetLevel() {
+		if len(levels) == 0 || levels[len(levels)-1] != b.GetLevel() {
 			levels = append(levels, b.GetLevel())
 		}
 	}
--- a/src/cli/report.go
+++ b/src/cli/report.go
@@ -46,11 +46,11 @@
 			makers := map[string]func() *config.Document{
 				"pageworks": config.ExamplePageworks, "giftenregister": config.ExampleGiftenregister, "target": config.ExampleTarget,
 			}
-			make := makers[c.Args().First()]
-			if make == nil {
+			maker := makers[c.Args().First()]
+			if maker == nil {
 				return eris.Errorf("no example %q", c.Args().First())
 			}
-			raw, err := config.Marshal(make())
+			raw, err := config.Marshal(maker())
 			if err != nil {
 				return eris.Wrap(err, "example")
 			}
