Tell loads to all boxes of a small fleet every 200 ms

Fleets of up to 16 boxes now tell loads directly when they change; larger ones don't, since their boxes hardly share servers and bytes are bounded.

--- a/src/box/beats.go
+++ b/src/box/beats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,8 @@
 	core     *core.Members
 	leavings map[string]core.LeavingNote
 	repeats  map[string]int
+	told     []core.LoadNote // the last loads told, and when; only tellLoads uses them
+	toldAt   time.Time
 }
 
 // leavingRepeats is how many beats pass on that a server is leaving.
@@ -54,6 +57,25 @@
 	}
 }
 
+// tellLoads gives every box of a small fleet this box's loads, more often than heartbeats go round:
+// how freshly boxes know of one another's calls decides how well they share engines. What does not
+// change is told again only before it would be taken for stale.
+func (b *Box) tellLoads(context.Context) {
+	f := &b.fleet
+	f.mu.Lock()
+	to, self := f.core.Near(), f.core.Self
+	f.mu.Unlock()
+	loads := b.loadNotes(b.now())
+	now := b.now()
+	if len(to) == 0 || slices.Equal(loads, f.told) && (len(loads) == 0 || now.Sub(f.toldAt) < core.TellAgain) {
+		return
+	}
+	f.told, f.toldAt = loads, now
+	for _, address := range to {
+		b.Peers.Beat(address, core.Beat{From: self, News: true, Loads: loads})
+	}
+}
+
 // news fills heartbeats with what other parts of the box tell; the fleet's lock is held.
 func (b *Box) news(now time.Time) func(*core.Beat) {
 	loads := b.loadNotes(now)
@@ -112,7 +134,9 @@
 	for _, o := range h.Reply {
 		b.Peers.Beat(o.Address, o.Beat)
 	}
-	b.docs.hear(now, m.From.ID.Name, m, h.AskedAt)
+	if !m.News {
+		b.docs.hear(now, m.From.ID.Name, m, h.AskedAt)
+	}
 	b.takeLoads(now, m)
 	if changed {
 		b.membersChanged()
--- a/src/core/constants.go
+++ b/src/core/constants.go
@@ -60,6 +60,9 @@
 // Membership.
 const (
 	HeartbeatEvery   = 500 * time.Millisecond // pace of heartbeats
+	NewsEvery        = 200 * time.Millisecond // pace at which boxes of a small fleet tell all others of their loads
+	TellAgain        = 600 * time.Millisecond // after which unchanged loads are told again
+	smallFleet       = 15                     // other boxes up to which they do; beyond, servers are hardly shared
 	heartbeatFanout  = 3                      // boxes each beat goes to, whatever the fleet's size
 	rumoursPerBeat   = 12                     // members told about in one beat
 	rumourRepeats    = 3                      // times log2(fleet) that a fresh rumour is repeated
--- a/src/core/members.go
+++ b/src/core/members.go
@@ -310,12 +310,15 @@
 	}
 	m.hear(now, b.From)
 	e := m.all[b.From.ID.Name]
-	if e.id == b.From.ID {
+	if e.id == b.From.ID && !b.News {
 		e.version = b.Config.Version
 	}
 	for _, r := range b.Rumours {
 		m.hear(now, r)
 	}
+	if b.News {
+		return h
+	}
 	if b.Answer {
 		if s, ok := m.sent[b.Seq]; ok && s.to == b.From.ID.Name {
 			h.AskedAt = s.at
@@ -387,6 +390,20 @@
 	return out
 }
 
+// Near lists where the usable members of a small fleet listen; a large one gives none.
+func (m *Members) Near() []string {
+	var out []string
+	for _, e := range m.all {
+		if e.Usable() && e.id.Incarnation != 0 && e.address != "" {
+			out = append(out, e.address)
+		}
+	}
+	if len(out) > smallFleet {
+		return nil
+	}
+	return out
+}
+
 // Usable lists the names of members that take work, this box included unless it is leaving.
 func (m *Members) Usable() []string {
 	var out []string
--- a/src/core/rumour.go
+++ b/src/core/rumour.go
@@ -33,6 +33,7 @@
 	From     Rumour        `msgpack:"f"`
 	Seq      uint64        `msgpack:"q"`
 	Answer   bool          `msgpack:"a,omitempty"`
+	News     bool          `msgpack:"w,omitempty"` // tells of loads only and wants no answer
 	AskFor   string        `msgpack:"k,omitempty"` // box to be asked on the sender's behalf
 	Rumours  []Rumour      `msgpack:"r,omitempty"`
 	Config   Statement     `msgpack:"c"`
