Let readers watch the configuration, and keep go-zero's lines out of tests

platform.watch has a reader wait at the service, one call, for the next version; off by default, since a confirmation is as old as its call's start. The test found that the entity tag was lost when the query changed, so that the first watch answered at once.

--- a/src/config/settings.go
+++ b/src/config/settings.go
@@ -39,6 +39,9 @@
 	Addresses   []string `toml:"addresses"`
 	PollEvery   Duration `toml:"poll_every"`
 	CallTimeout Duration `toml:"call_timeout"`
+	// Watch has readers wait at the service for the next configuration, up to this long; 0 polls. A
+	// confirmation is as old as its call's start, so a long watch unsettles homes of keys.
+	Watch Duration `toml:"watch"`
 }
 
 // OnceSettings bound clocks and lists for calls that may not be repeated.
@@ -158,6 +161,9 @@
 	}
 	k.positive("platform.poll_every", s.Platform.PollEvery)
 	k.positive("platform.call_timeout", s.Platform.CallTimeout)
+	if w := s.Platform.Watch; w < 0 || 2*w > s.AtMostOnce.FreshWithin {
+		k.bad("platform.watch", "must be 0 or at most half of at_most_once.fresh_within")
+	}
 	k.positive("at_most_once.list_lag", s.AtMostOnce.ListLag)
 	k.positive("at_most_once.fresh_within", s.AtMostOnce.FreshWithin)
 	k.positive("at_most_once.clock_skew", s.AtMostOnce.ClockSkew)
--- a/src/local/local.go
+++ b/src/local/local.go
@@ -14,6 +14,7 @@
 
 	"github.com/stilemast/stilemast/src/config"
 	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/logging"
 	"github.com/stilemast/stilemast/src/node"
 	"github.com/stilemast/stilemast/src/standin"
 	"github.com/stilemast/stilemast/src/web"
@@ -44,6 +45,7 @@
 
 // Start brings everything up and waits until each box is ready.
 func (s *Set) Start() error {
+	logging.Adopt(s.Log)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	if err := s.startBackends(ctx); err != nil {
@@ -187,7 +189,7 @@
 		}
 	}
 	for _, e := range s.Engines {
-		if r := e.Report(); r.Model == "" || r.Loading > 0 {
+		if r := e.Report(); len(s.Nodes) > 0 && r.Model == "" || r.Loading > 0 {
 			return false
 		}
 	}
--- a/src/local/local_test.go
+++ b/src/local/local_test.go
@@ -29,6 +29,7 @@
 	"github.com/stilemast/stilemast/src/config"
 	"github.com/stilemast/stilemast/src/load"
 	"github.com/stilemast/stilemast/src/peer"
+	"github.com/stilemast/stilemast/src/platform"
 	"github.com/stilemast/stilemast/src/port"
 	"github.com/stilemast/stilemast/src/rpc"
 )
@@ -281,3 +282,45 @@
 		t.Errorf("a certificate that no workspace lists: %v", err)
 	}
 }
+
+// A watching reader waits at the service, which counts one call for it, and hears of a change at once;
+// an unchanged document does not travel again.
+func TestWatchOfTheConfiguration(t *testing.T) {
+	d := config.ExamplePageworks()
+	s := &Set{Document: d, Boxes: 0, Log: slog.New(slog.DiscardHandler)}
+	defer s.Close()
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	c := platform.NewClient([]string{s.PlatformAddress()}, 20*time.Second)
+	ctx := context.Background()
+	first, err := c.Config(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := c.Config(ctx)
+	if err != nil || &again[0] != &first[0] {
+		t.Errorf("an unchanged document travelled again: %v", err)
+	}
+	c.Watch = 20 * time.Second
+	before := s.Platform.Calls()
+	got := make(chan []byte, 1)
+	go func() {
+		b, _ := c.Config(ctx)
+		got <- b
+	}()
+	for s.Platform.Calls() == before { // until the watch has come
+		time.Sleep(time.Millisecond)
+	}
+	d.Version++
+	if err := s.Publish(); err != nil {
+		t.Fatal(err)
+	}
+	conf, faults := config.Parse(<-got)
+	if len(faults) > 0 || conf.Version() != 2 {
+		t.Errorf("the watch gave %v", faults)
+	}
+	if n := s.Platform.Calls() - before; n != 1 {
+		t.Errorf("the watch counted as %d calls", n)
+	}
+}
--- a/src/node/node.go
+++ b/src/node/node.go
@@ -88,12 +88,14 @@
 	}
 	n.Settings.Listen.Peers = n.beats.Addr().String()
 	n.peers = peer.NewClient(clientTLS)
+	reads := platform.NewClient(n.Settings.Platform.Addresses, time.Duration(n.Settings.Platform.CallTimeout))
+	reads.Watch = time.Duration(n.Settings.Platform.Watch)
 	n.box = &box.Box{
 		Settings: n.Settings,
 		ID:       core.BoxID{Name: n.Settings.Box, Incarnation: uint64(time.Now().UnixNano())},
 		Release:  n.Release,
 		Backends: backend.NewClient(backendTLS(n.Settings.TLS, clientTLS)).Ports(),
-		Platform: platform.NewClient(n.Settings.Platform.Addresses, time.Duration(n.Settings.Platform.CallTimeout)).Ports(),
+		Platform: reads.Ports(),
 		Peers:    n.peers.Ports(),
 		Log:      n.Log,
 	}
--- a/src/platform/client.go
+++ b/src/platform/client.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +29,9 @@
 	PathBoxes  = "/v1/boxes"
 )
 
+// WaitQuery names the milliseconds that a read may wait for a change.
+const WaitQuery = "wait_ms"
+
 // serviceName names the breaker that httpc looks up, which is switched off.
 const serviceName = "stilemast-platform"
 
@@ -34,11 +39,14 @@
 type Client struct {
 	Addresses []string
 	Timeout   time.Duration
+	// Watch has the service hold a read of the configuration up to this long until it changes; 0 reads
+	// at once. The service counts a waiting read as one call.
+	Watch time.Duration
 
 	http httpc.Service
 	turn atomic.Uint32
 	mu   sync.Mutex
-	seen map[string]seen // by path
+	seen map[string]seen // by path, without its query
 }
 
 // seen is the last answer of a path, so that an unchanged one need not travel again.
@@ -61,12 +69,17 @@
 func (c *Client) Ports() port.Platform { return port.Platform{Config: c.Config, Boxes: c.Boxes} }
 
 // Config reads the published configuration.
-func (c *Client) Config(ctx context.Context) ([]byte, error) { return c.read(ctx, PathConfig) }
+func (c *Client) Config(ctx context.Context) ([]byte, error) {
+	if c.Watch == 0 {
+		return c.read(ctx, PathConfig, 0)
+	}
+	return c.read(ctx, PathConfig+"?"+WaitQuery+"="+strconv.FormatInt(c.Watch.Milliseconds(), 10), c.Watch)
+}
 
 // Boxes reads the box list.
 func (c *Client) Boxes(ctx context.Context) (port.BoxList, error) {
 	var l port.BoxList
-	b, err := c.read(ctx, PathBoxes)
+	b, err := c.read(ctx, PathBoxes, 0)
 	if err != nil {
 		return l, err
 	}
@@ -76,8 +89,8 @@
 	return l, nil
 }
 
-func (c *Client) read(ctx context.Context, path string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+func (c *Client) read(ctx context.Context, path string, wait time.Duration) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout+wait)
 	defer cancel()
 	address := c.Addresses[int(c.turn.Load())%len(c.Addresses)]
 	b, err := c.get(ctx, address, path)
@@ -94,8 +107,9 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "request can't be made")
 	}
+	document, _, _ := strings.Cut(path, "?")
 	c.mu.Lock()
-	last := c.seen[path]
+	last := c.seen[document]
 	c.mu.Unlock()
 	if last.tag != "" {
 		req.Header.Set("If-None-Match", last.tag)
@@ -116,7 +130,7 @@
 		return nil, eris.Wrap(err, "answer broke off")
 	}
 	c.mu.Lock()
-	c.seen[path] = seen{tag: resp.Header.Get("ETag"), body: b}
+	c.seen[document] = seen{tag: resp.Header.Get("ETag"), body: b}
 	c.mu.Unlock()
 	return b, nil
 }
--- a/src/standin/http.go
+++ b/src/standin/http.go
@@ -98,12 +98,30 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
+	wait, _ := strconv.Atoi(r.URL.Query().Get(platform.WaitQuery))
+	raw = p.changed(r.Context(), raw, r.Header.Get("If-None-Match"), time.Duration(min(wait, maxWatch))*time.Millisecond)
 	writeTagged(w, r, raw)
 }
 
+// maxWatch is the longest a read may wait for a change, in milliseconds.
+const maxWatch = 30_000
+
+// changed waits until the configuration is not the one that the reader has. It counts no call: the
+// waiting one was counted when it came.
+func (p *Platform) changed(ctx context.Context, raw []byte, tag string, wait time.Duration) []byte {
+	until := time.Now().Add(wait)
+	for tagOf(raw) == tag && time.Now().Before(until) && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+		raw = p.shown()
+	}
+	return raw
+}
+
+func tagOf(b []byte) string { return `"` + config.Digest(b) + `"` }
+
 // writeTagged answers with an entity tag, or that nothing changed since the asker's.
 func writeTagged(w http.ResponseWriter, r *http.Request, b []byte) {
-	tag := `"` + config.Digest(b) + `"`
+	tag := tagOf(b)
 	w.Header().Set("ETag", tag)
 	if r.Header.Get("If-None-Match") == tag {
 		w.WriteHeader(http.StatusNotModified)
--- a/src/standin/platform.go
+++ b/src/standin/platform.go
@@ -113,12 +113,17 @@
 	if err := p.enter(ctx); err != nil {
 		return nil, err
 	}
+	return p.shown(), nil
+}
+
+// shown is the configuration on show.
+func (p *Platform) shown() []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.stale != nil {
-		return p.stale, nil
+		return p.stale
 	}
-	return p.config, nil
+	return p.config
 }
 
 // Boxes reads the box list as it was ListLag ago.
