--- a/src/box/documents.go
+++ b/src/box/documents.go
@@ -250,7 +250,9 @@
 	if fresh {
 		d.list.Adopt(l.Revision, digest, readAt)
 		d.boxes, d.rawList = l, raw
-		d.views.Observe(d.box.wall(), l.Boxes, d.holders.May)
+		if d.box.Config() != nil { // without one nobody could be a home, which is no view of the fleet
+			d.views.Observe(d.box.wall(), l.Boxes, d.holders.May)
+		}
 	}
 	d.mu.Unlock()
 	if fresh {
--- a/src/box/flight.go
+++ b/src/box/flight.go
@@ -155,7 +155,7 @@
 	stage := f.req.Pipeline().Stages()[a.Attempt.Stage]
 	ctx, cancel := context.WithTimeout(ctx, f.req.CallLimit(f.box.now(), f.begun, a.Attempt))
 	defer cancel()
-	stall := newStallWatch(stage, cancel)
+	stall := newStallWatch(stage, a.Attempt.N, cancel)
 	defer stall.end()
 	emit := func(offset int, data []byte) {
 		stall.alive()
@@ -229,11 +229,11 @@
 // stallWatch cancels a stream that stays silent.
 type stallWatch struct{ t *time.Timer }
 
-func newStallWatch(s *config.Stage, cancel func()) *stallWatch {
+func newStallWatch(s *config.Stage, attempt int, cancel func()) *stallWatch {
 	if s.Kind() != config.Generate {
 		return &stallWatch{}
 	}
-	return &stallWatch{t: time.AfterFunc(core.StallLimit, cancel)}
+	return &stallWatch{t: time.AfterFunc(core.FirstPieceLimit(attempt), cancel)}
 }
 
 func (w *stallWatch) alive() {
--- a/src/core/request.go
+++ b/src/core/request.go
@@ -111,6 +111,11 @@
 	return min(left, first<<min(id.N, maxDoublings))
 }
 
+// FirstPieceLimit is how long a stream may take to begin. A call can stand in a busy engine's queue
+// behind prompt work, which is no sign of a broken stream: each attempt waits twice as long as the one
+// before, or a long queue would have calls go from engine to engine and never be served.
+func FirstPieceLimit(attempt int) time.Duration { return StallLimit << min(attempt+1, maxDoublings) }
+
 // Finished says whether the final answer is out.
 func (r *Request) Finished() bool { return r.finished }
 
--- a/src/core/request_test.go
+++ b/src/core/request_test.go
@@ -263,3 +263,21 @@
 		})
 	})
 }
+
+// A call in a busy engine's queue was taken for a broken stream after three seconds, went to the next
+// engine's queue, and so on: a planned stop waited a minute for it in vain.
+func TestStreamsMayBeginLate(t *testing.T) {
+	if FirstPieceLimit(0) <= StallLimit {
+		t.Errorf("the first piece has %s, as long as a later one", FirstPieceLimit(0))
+	}
+	sum := time.Duration(0)
+	for n := range quickAttempts {
+		if n > 0 && FirstPieceLimit(n) <= FirstPieceLimit(n-1) {
+			t.Errorf("attempt %d has no more time than the one before", n)
+		}
+		sum += FirstPieceLimit(n)
+	}
+	if sum < time.Minute {
+		t.Errorf("the first %d attempts wait %s in all", quickAttempts, sum)
+	}
+}
--- a/src/load/run.go
+++ b/src/load/run.go
@@ -147,10 +147,17 @@
 // persist sends a request, and where callers come back does so with the same key while that can help.
 func (r *Run) persist(ctx context.Context, clients []pb.PipelinesClient, box int, a Arrival, key string) Result {
 	begun := time.Now()
+	var told Result // the last answer with a number, which tells more than a connection that broke
 	for try := 0; ; try++ {
 		res := r.send(ctx, clients[(box+try)%len(clients)], a, key)
 		again := res.Code == code.AnswerInterrupted || res.Code == code.Draining || res.Code == code.NotReady || res.Code.Entry().SameKey
+		if res.Code != code.AnswerInterrupted {
+			told = res
+		}
 		if !r.ComeBack || !again || try == comeBackTries {
+			if res.Code == code.AnswerInterrupted && told.Key != "" {
+				res = told
+			}
 			res.Took = time.Since(begun)
 			res.Late = res.Took > a.Pipeline.Deadline()
 			return res
