Keep go-zero from cutting planned stops

Cause: go-zero's proc package, linked in with its router, answers SIGTERM by sending the process a second one after 5.5 s, which serve takes for an operator's and cuts.

--- a/src/cli/serve.go
+++ b/src/cli/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
+	"github.com/zeromicro/go-zero/core/proc"
 
 	"github.com/stilemast/stilemast/src/config"
 	"github.com/stilemast/stilemast/src/core"
@@ -34,6 +35,9 @@
 	}
 }
 
+// neverForced is longer than any planned stop may take.
+const neverForced = 24 * time.Hour
+
 func serve(s *config.Settings) error {
 	log := logger(s.LogLevel).With("box", s.Box)
 	n := &node.Node{Settings: s, Log: log, Release: Release}
@@ -41,6 +45,9 @@
 	if err := n.Start(); err != nil {
 		return err
 	}
+	// go-zero answers SIGTERM by a second one 5.5 s later, which would cut running requests. Its
+	// listeners may have set that time when they started, so it is set after them.
+	proc.SetTimeToForceQuit(neverForced)
 	log.Info("serving", "callers", n.CallersAddress(), "peers", n.PeersAddress(), "release", Release)
 	select {
 	case <-signals:
--- /dev/null
+++ b/src/cli/serve_test.go
@@ -0,0 +1,32 @@
+package cli
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/proc"
+)
+
+// go-zero sends a process that got SIGTERM a second one after 5.5 s unless told otherwise; the second
+// one cut every planned stop that took longer.
+func TestNoSecondSignalComesByItself(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes seven seconds")
+	}
+	proc.SetTimeToForceQuit(neverForced)
+	c := make(chan os.Signal, 4)
+	signal.Notify(c, syscall.SIGTERM)
+	defer signal.Stop(c)
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	<-c
+	select {
+	case s := <-c:
+		t.Errorf("a second %s came by itself", s)
+	case <-time.After(7 * time.Second):
+	}
+}
