--- a/main.go
+++ b/main.go
@@ -4,7 +4,8 @@
 import (
 	"os"
 
+	"github.com/stilemast/stilemast/platform"
 	"github.com/stilemast/stilemast/src/cli"
 )
 
-func main() { os.Exit(cli.Main(os.Args)) }
+func main() { os.Exit(cli.Main(os.Args, platform.Adapter())) }
--- /dev/null
+++ b/src/batch/message.go
@@ -0,0 +1,138 @@
+// Package batch forms the calls to backend servers that make the pieces of stages. One box schedules
+// all pieces of a pool, whichever box they come from, since a server takes one call at a time and a
+// call's fixed time is long: pieces of many requests must share it.
+//
+// Flow. An owner sends Submit to the pool's scheduler, the first living box by rendezvous hash; the
+// scheduler answers Accept, forms calls whenever a server is free, and answers Done with the handles
+// of the results, or Failed. The owner repeats Submit while it waits, which the scheduler answers from
+// memory, so that a lost message or a scheduler that is gone costs a moment and no request. Two
+// schedulers in a partition are harmless: a full server says so, and a piece may be made again.
+package batch
+
+import "time"
+
+// JobID names one job: the box that owns it, that box's life, and a number of its own.
+type JobID struct {
+	Box  string `msgpack:"b"`
+	Life uint64 `msgpack:"l"`
+	N    uint64 `msgpack:"n"`
+}
+
+// Job is one stage of one request. Times are measured on the clock of whoever holds it.
+type Job struct {
+	ID          JobID
+	Pool        string
+	Request     string // the caller's attempt
+	Class       string // pipeline and stage, for what is learned of their pieces
+	Stage       int
+	Pieces      int
+	Inputs      []string // handles of results that each piece needs
+	InputDomain string   // failure domain where most of them lie; "" for none
+	Key         string   // the caller's key for pieces without inputs
+	ResultBytes float64
+	Priority    int
+	Due         time.Time // end of this stage by which the request is still in time
+	Deadline    time.Time // end of this stage after which it is of no use
+}
+
+// Reason says why a job failed.
+type Reason uint8
+
+// The reasons. Gone asks the owner to make the inputs again.
+const (
+	Late    Reason = iota + 1 // can't be done by its deadline
+	Gone                      // an input is gone
+	Errors                    // its pieces failed too often
+	NoPool                    // the scheduler knows no such pool
+	Stopped                   // the owner withdrew it
+)
+
+// String names the reason for logs.
+func (r Reason) String() string {
+	switch r {
+	case Late:
+		return "late"
+	case Gone:
+		return "input_gone"
+	case Errors:
+		return "errors"
+	case NoPool:
+		return "no_pool"
+	case Stopped:
+		return "withdrawn"
+	}
+	return "unknown"
+}
+
+// Message is what boxes say to one another of jobs; exactly one field is set. From and Address name
+// the sender, to which answers go.
+type Message struct {
+	From     string    `msgpack:"f"`
+	Address  string    `msgpack:"a"`
+	Submit   *Submit   `msgpack:"s,omitempty"`
+	Accept   *JobID    `msgpack:"c,omitempty"`
+	Done     *Done     `msgpack:"d,omitempty"`
+	Failed   *Failed   `msgpack:"x,omitempty"`
+	Withdraw *Withdraw `msgpack:"w,omitempty"`
+	Free     *Free     `msgpack:"r,omitempty"`
+}
+
+// Submit asks for a job; its times are durations from the sending.
+type Submit struct {
+	ID          JobID         `msgpack:"i"`
+	Pool        string        `msgpack:"p"`
+	Request     string        `msgpack:"q"`
+	Class       string        `msgpack:"c"`
+	Stage       int           `msgpack:"s"`
+	Pieces      int           `msgpack:"n"`
+	Inputs      []string      `msgpack:"u,omitempty"`
+	InputDomain string        `msgpack:"d,omitempty"`
+	Key         string        `msgpack:"k,omitempty"`
+	ResultBytes float64       `msgpack:"b"`
+	Priority    int           `msgpack:"y"`
+	DueIn       time.Duration `msgpack:"t"`
+	DeadlineIn  time.Duration `msgpack:"l"`
+}
+
+// Done gives the results of a job, a handle for each piece in order.
+type Done struct {
+	ID      JobID    `msgpack:"i"`
+	Handles []string `msgpack:"h"`
+	Domain  string   `msgpack:"d"` // where most of them lie
+}
+
+// Failed ends a job without results.
+type Failed struct {
+	ID     JobID  `msgpack:"i"`
+	Reason Reason `msgpack:"r"`
+}
+
+// Withdraw ends a job that its owner needs no more; results made of it are freed.
+type Withdraw struct {
+	ID   JobID  `msgpack:"i"`
+	Pool string `msgpack:"p"`
+}
+
+// Free gives up results that have been read.
+type Free struct {
+	Pool    string   `msgpack:"p"`
+	Handles []string `msgpack:"h"`
+}
+
+// Submission makes the message of a job at a moment.
+func (j *Job) Submission(now time.Time) *Submit {
+	return &Submit{
+		ID: j.ID, Pool: j.Pool, Request: j.Request, Class: j.Class, Stage: j.Stage, Pieces: j.Pieces,
+		Inputs: j.Inputs, InputDomain: j.InputDomain, Key: j.Key, ResultBytes: j.ResultBytes,
+		Priority: j.Priority, DueIn: j.Due.Sub(now), DeadlineIn: j.Deadline.Sub(now),
+	}
+}
+
+// Job turns a submission into a job on the receiver's clock.
+func (s *Submit) Job(now time.Time) *Job {
+	return &Job{
+		ID: s.ID, Pool: s.Pool, Request: s.Request, Class: s.Class, Stage: s.Stage, Pieces: s.Pieces,
+		Inputs: s.Inputs, InputDomain: s.InputDomain, Key: s.Key, ResultBytes: s.ResultBytes,
+		Priority: s.Priority, Due: now.Add(s.DueIn), Deadline: now.Add(s.DeadlineIn),
+	}
+}
--- /dev/null
+++ b/src/catalog/feed.go
@@ -0,0 +1,139 @@
+package catalog
+
+import (
+	"time"
+
+	"github.com/stilemast/stilemast/src/core"
+)
+
+// Tunables of the spread of published documents.
+const (
+	readers        = 3                       // boxes that read the platform, however large the fleet
+	selfReadAfter  = 1200 * time.Millisecond // unconfirmed this long, a box reads by itself
+	selfReadSpread = 800 * time.Millisecond  // spread of that time over the boxes of a large fleet
+	pullPatience   = 600 * time.Millisecond  // for a peer to hand over a document
+)
+
+// Feed decides how one published document reaches this box: by reading the platform or from peers.
+//
+// Idea. A document is known as of a revision of the platform's store, which orders all its states.
+// The first few living boxes by rendezvous hash read; the others hear of revisions by heartbeat and
+// pull a state that is newer. A statement in answer to a question sent at t that gives the age a
+// confirms the same content as of t-a, whatever clocks and pauses do. A box that nobody confirms
+// reads by itself, and one that the platform turns away lives on its peers.
+//
+// Cost. A constant number of readers; one pull for each box and change. Not safe for concurrent use.
+type Feed struct {
+	Self string
+
+	asOf      uint64
+	digest    string
+	confirmed time.Time
+	told      map[string]core.Statement
+	pulling   string
+	pullSince time.Time
+}
+
+// NewFeed holds nothing yet.
+func NewFeed(self string) *Feed { return &Feed{Self: self, told: map[string]core.Statement{}} }
+
+// AsOf is the revision at which the held content was the newest; 0 when nothing is held.
+func (f *Feed) AsOf() uint64 { return f.asOf }
+
+// Confirmed is when the held content was last known to be the newest.
+func (f *Feed) Confirmed() time.Time { return f.confirmed }
+
+// Read takes the platform's state as of a revision, read at a time. It says whether the content
+// changed; an older state than the held one changes nothing.
+func (f *Feed) Read(at time.Time, asOf uint64, digest string) bool {
+	if asOf < f.asOf {
+		return false
+	}
+	changed := digest != f.digest
+	f.asOf, f.digest = asOf, digest
+	f.confirm(at)
+	return changed
+}
+
+// Pulled takes a peer's state. It says whether the content is newer and must be taken.
+func (f *Feed) Pulled(asOf uint64, digest string) bool {
+	f.pulling = ""
+	if asOf <= f.asOf {
+		return false
+	}
+	changed := digest != f.digest
+	f.asOf, f.digest = asOf, digest
+	return changed
+}
+
+func (f *Feed) confirm(at time.Time) {
+	if at.After(f.confirmed) {
+		f.confirmed = at
+	}
+}
+
+// Say makes the statement for a heartbeat.
+func (f *Feed) Say(now time.Time) core.Statement {
+	st := core.Statement{Version: f.asOf, Digest: f.digest, Age: -1}
+	if !f.confirmed.IsZero() {
+		st.Age = now.Sub(f.confirmed)
+	}
+	return st
+}
+
+// Hear takes a peer's statement. askedAt is when the question it answers was sent, or zero.
+func (f *Feed) Hear(from string, st core.Statement, askedAt time.Time) {
+	f.told[from] = st
+	if st.Version == 0 || st.Digest != f.digest {
+		return
+	}
+	f.asOf = max(f.asOf, st.Version)
+	if !askedAt.IsZero() && st.Age >= 0 {
+		f.confirm(askedAt.Add(-st.Age))
+	}
+}
+
+// Forget drops what a box that is gone said.
+func (f *Feed) Forget(box string) { delete(f.told, box) }
+
+// Pull names the peer to ask for a newer state now, or "".
+func (f *Feed) Pull(now time.Time) string {
+	if f.pulling != "" && now.Sub(f.pullSince) < pullPatience {
+		return ""
+	}
+	best, last := "", f.pulling
+	for box, st := range f.told {
+		if st.Version <= f.asOf || st.Digest == f.digest {
+			continue
+		}
+		if best == "" || best == last || box != last && st.Version > f.told[best].Version {
+			best = box
+		}
+	}
+	f.pulling, f.pullSince = best, now
+	return best
+}
+
+// PullFailed lets the next Pull name another peer at once.
+func (f *Feed) PullFailed(from string) {
+	if f.pulling == from {
+		f.pullSince = time.Time{}
+	}
+}
+
+// Reads says whether this box should read the platform now: it is among the first of the living, or
+// nobody has confirmed its content for a while.
+func (f *Feed) Reads(now time.Time, living []string) bool {
+	own := Hash("reader", f.Self)
+	ahead := 0
+	for _, box := range living {
+		if box != f.Self && Hash("reader", box) > own {
+			ahead++
+		}
+	}
+	if ahead < readers || f.asOf == 0 {
+		return true
+	}
+	patience := selfReadAfter + time.Duration(own%uint64(selfReadSpread))
+	return now.Sub(f.confirmed) > patience
+}
--- a/src/cli/cli.go
+++ b/src/cli/cli.go
@@ -14,6 +14,7 @@
 
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/logging"
+	"github.com/stilemast/stilemast/src/node"
 	"github.com/stilemast/stilemast/src/rpc"
 )
 
@@ -29,8 +30,8 @@
 	exitRan     = 4 // refused after something ran
 )
 
-// Main runs the command line and gives the exit code.
-func Main(args []string) int {
+// Main runs the command line and gives the exit code. The adapter connects gateways to a platform.
+func Main(args []string, adapter node.Adapter) int {
 	logging.Adopt(logger("warn"))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
@@ -40,7 +41,7 @@
 		Version:               Release,
 		EnableShellCompletion: true,
 		Commands: []*cli.Command{
-			serveCommand(), demoCommand(), runCommand(), loadCommand(), experimentCommand(),
+			serveCommand(adapter), demoCommand(), runCommand(), loadCommand(), experimentCommand(),
 			validateCommand(), planCommand(), statusCommand(), drainCommand(), explainCommand(),
 			costCommand(), burnCommand(), exampleCommand(), standinCommand(),
 		},
--- /dev/null
+++ b/src/cli/gateway.go
@@ -0,0 +1,84 @@
+package cli
+
+import (
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/stilemast/stilemast/src/config"
+	"github.com/stilemast/stilemast/src/logging"
+	"github.com/stilemast/stilemast/src/node"
+)
+
+// logPatience bounds how long a stopping process waits for its last lines to be read.
+const logPatience = 200 * time.Millisecond
+
+// serveGateway runs a process that serves opaque requests until it is told to stop.
+func serveGateway(path string, adapter node.Adapter) error {
+	s, err := config.ReadGatewaySettings(path)
+	if err != nil {
+		return err
+	}
+	stream := logging.NewStream(os.Stdout)
+	defer stream.Close(logPatience)
+	level := &slog.LevelVar{}
+	setLevel(level, s.LogLevel)
+	log := slog.New(slog.NewJSONHandler(stream, &slog.HandlerOptions{Level: level})).With("box", s.Box)
+	log.Info("starting", "release", Release, "domain", s.FailureDomain, "callers", s.Listen.Callers, "peers", s.Listen.Peers, "store", s.Platform.Address, "seeds", s.Fleet.Seeds)
+	stops, reloads := stopSignals(), make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	n := &node.GatewayNode{Settings: s, Adapter: adapter, Log: log}
+	if err := n.Start(); err != nil {
+		log.Error("not started", "cause", err.Error())
+		return err
+	}
+	log.Info("serving")
+	for {
+		select {
+		case <-reloads:
+			reload(path, s, level, log)
+		case <-stops:
+			return stopGateway(n, stops, log)
+		}
+	}
+}
+
+// reload takes what may change while a process runs: the level of the log. The rest needs a restart,
+// and a file that can't be taken leaves everything as it is.
+func reload(path string, old *config.GatewaySettings, level *slog.LevelVar, log *slog.Logger) {
+	s, err := config.ReadGatewaySettings(path)
+	if err != nil {
+		log.Error("settings not reloaded; the old ones stay", "cause", err.Error())
+		return
+	}
+	setLevel(level, s.LogLevel)
+	restart := s.Listen != old.Listen || s.Box != old.Box || s.Platform != old.Platform || s.Retry != old.Retry || s.Policy != old.Policy
+	log.Info("settings reloaded", "log_level", s.LogLevel, "needs_restart", restart)
+}
+
+func setLevel(level *slog.LevelVar, word string) {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(word)); err == nil {
+		level.Set(l)
+	}
+}
+
+func stopGateway(n *node.GatewayNode, stops chan os.Signal, log *slog.Logger) error {
+	ended := make(chan int, 1)
+	go func() { ended <- n.Stop() }()
+	select {
+	case cut := <-ended:
+		log.Info("stopped", "cut", cut)
+		if cut > 0 {
+			return eris.Errorf("the planned stop ran out of time with %d requests running", cut)
+		}
+		return nil
+	case <-stops:
+		log.Warn("stopped at once by a second signal")
+		return eris.New("stopped at once by a second signal; running requests were cut")
+	}
+}
--- a/src/cli/serve.go
+++ b/src/cli/serve.go
@@ -20,12 +20,19 @@
 	"github.com/stilemast/stilemast/src/web"
 )
 
-func serveCommand() *cli.Command {
+func serveCommand(adapter node.Adapter) *cli.Command {
 	return &cli.Command{
 		Name:  "serve",
 		Usage: "run one box until it is told to stop; SIGTERM is a planned stop, a second one cuts",
-		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "TOML `FILE` with the box's settings", Required: true}},
+		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "TOML `FILE` with the box's settings", Sources: cli.EnvVars("STILEMAST_CONFIG"), Required: true}},
 		Action: func(_ context.Context, c *cli.Command) error {
+			mode, err := config.ReadMode(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			if mode == config.ModeGateway {
+				return serveGateway(c.String("settings"), adapter)
+			}
 			s, err := config.ReadSettings(c.String("settings"))
 			if err != nil {
 				return err
--- a/src/code/code.go
+++ b/src/code/code.go
@@ -51,6 +51,7 @@
 	BadAttachToken    Code = 1006
 	BadField          Code = 1007
 	KeyReusedOtherway Code = 1008
+	HeaderTooLarge    Code = 1009
 
 	Unauthenticated  Code = 2001
 	NotYourWorkspace Code = 2002
@@ -118,6 +119,7 @@
 	{BadAttachToken, "BAD_ATTACH_TOKEN", RanUnknown, false, codes.InvalidArgument, "The attach token can't be read."},
 	{BadField, "BAD_FIELD", RanNo, false, codes.InvalidArgument, "A field of the call is missing or out of range."},
 	{KeyReusedOtherway, "KEY_REUSED", RanUnknown, false, codes.AlreadyExists, "The key was used before for another workspace, pipeline or input."},
+	{HeaderTooLarge, "HEADER_TOO_LARGE", RanNo, false, codes.ResourceExhausted, "The header is longer than the configuration allows."},
 	{Unauthenticated, "UNAUTHENTICATED", RanNo, false, codes.Unauthenticated, "No valid certificate or token came with the call."},
 	{NotYourWorkspace, "NOT_YOUR_WORKSPACE", RanNo, false, codes.PermissionDenied, "The caller's credentials are bound to another workspace."},
 	{UnknownWorkspace, "UNKNOWN_WORKSPACE", RanNo, false, codes.NotFound, "The configuration in force has no such workspace."},
--- a/src/config/settings.go
+++ b/src/config/settings.go
@@ -178,12 +178,16 @@
 	k.policy(s.Policy)
 	k.positive("stop_within", s.StopWithin)
 	k.tls(s.TLS)
-	switch s.LogLevel {
+	k.logLevel(s.LogLevel)
+	return k.fs
+}
+
+func (k *checker) logLevel(level string) {
+	switch level {
 	case "debug", "info", "warn", "error":
 	default:
-		k.bad("log_level", "%q is not debug, info, warn or error", s.LogLevel)
+		k.bad("log_level", "%q is not debug, info, warn or error", level)
 	}
-	return k.fs
 }
 
 func (k *checker) address(field, a string, needed bool) {
--- a/src/core/members.go
+++ b/src/core/members.go
@@ -285,6 +285,11 @@
 	return BeatTo{Address: e.address, Beat: b}
 }
 
+// Introduce makes a question to an address whose box is not known yet.
+func (m *Members) Introduce(address string) BeatTo {
+	return BeatTo{Address: address, Beat: m.beat()}
+}
+
 // beat makes a message with this box's news.
 func (m *Members) beat() Beat {
 	m.seq++
--- a/src/core/rumour.go
+++ b/src/core/rumour.go
@@ -28,6 +28,21 @@
 	Seq         uint64 `msgpack:"q"`
 }
 
+// BackendNote says what a box has at a server that takes opaque requests, named by its hash.
+type BackendNote struct {
+	Server   uint64 `msgpack:"s"`
+	Requests uint16 `msgpack:"n"`
+	Tokens   uint32 `msgpack:"t"` // of prompts still to be read
+	Resting  bool   `msgpack:"r"` // it failed there lately
+}
+
+// WaitNote says how long a piece of a priority waits in a pool, as its scheduler expects.
+type WaitNote struct {
+	Pool     uint64        `msgpack:"p"`
+	Priority int           `msgpack:"y"`
+	Wait     time.Duration `msgpack:"w"`
+}
+
 // Beat is a heartbeat, its answer, or an indirect question. All three carry the same news.
 type Beat struct {
 	From     Rumour        `msgpack:"f"`
@@ -40,6 +55,8 @@
 	List     Statement     `msgpack:"l"`
 	Loads    []LoadNote    `msgpack:"o,omitempty"`
 	Leavings []LeavingNote `msgpack:"v,omitempty"`
+	Backends []BackendNote `msgpack:"b,omitempty"`
+	Waits    []WaitNote    `msgpack:"t,omitempty"`
 }
 
 // BeatTo is a heartbeat to be sent.
--- /dev/null
+++ b/src/gateway/admission.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/stilemast/stilemast/src/code"
+)
+
+// Tunables of admission.
+const (
+	lateFactor    = 1.1                    // of the objective that the expected time may take
+	leastReturn   = 300 * time.Millisecond // shortest time after which a caller is asked back
+	mostReturn    = 3 * time.Second
+	returnPart    = 1.0 // of the expected excess that is waited for
+	notReadyAfter = 300 * time.Millisecond
+)
+
+// expected estimates the time from now to the first output, with the waits that the pools'
+// schedulers tell of. The second result is the part of it that is waiting.
+func (s *stageRun) expected(now time.Time) (total, waits time.Duration) {
+	g := s.gateway
+	n := len(s.pipeline.Stages)
+	end, waited := make([]time.Duration, n), make([]time.Duration, n)
+	first := g.estimates.get(s.pipeline.Name)
+	for i, st := range s.pipeline.Stages {
+		for _, a := range st.After {
+			if a >= 0 && a < i && end[a] > end[i] {
+				end[i], waited[i] = end[a], waited[a]
+			}
+		}
+		if s.request.Pieces[i] > 0 {
+			w := g.fleet.waitAt(now, st.Pool, s.priority)
+			end[i] += w + s.least(i)
+			waited[i] += w
+		}
+		if end[i] > total {
+			total, waits = end[i], waited[i]
+		}
+	}
+	return total + first, waits
+}
+
+// admit refuses a request that can't be in time any more: served late it is worth little and makes
+// others late, while its caller may come back when the backlog is gone.
+func (g *Gateway) admit(s *stageRun) *code.Error {
+	if !g.Settings.Admission || len(s.pipeline.Stages) == 0 {
+		return nil
+	}
+	now := g.now()
+	total, waits := s.expected(now)
+	left := s.objective.Sub(now)
+	limit := time.Duration(lateFactor * float64(left))
+	if total <= limit || waits <= 0 {
+		return nil
+	}
+	err := code.New(code.CannotFinish, "deadline", "expected in %s, of which %s are waits; %s are left to be in time", total.Round(time.Millisecond), waits.Round(time.Millisecond), left.Round(time.Millisecond))
+	err.Ran = code.RanNo
+	err.RetryAfter = min(mostReturn, max(leastReturn, time.Duration(returnPart*float64(total-limit))))
+	return err
+}
+
+// refusal makes an error for a request that has not run, with the time to come back.
+func refusal(c code.Code, field string, after time.Duration, format string, args ...any) *code.Error {
+	err := code.New(c, field, format, args...)
+	err.Ran = code.RanNo
+	err.RetryAfter = after
+	return err
+}
--- /dev/null
+++ b/src/gateway/attempts.go
@@ -0,0 +1,275 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/stilemast/stilemast/src/balance"
+	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/exchange"
+)
+
+// Tunables of attempts.
+const (
+	maxUnsent      = 3                       // servers in a row to which nothing could be sent
+	maxAnswer      = 8 << 20                 // bytes of an answer that is no stream
+	hedgeShare     = 1.0                     // of the objective that a repeatable request's first attempt has
+	leastAttempt   = 100 * time.Millisecond  // least time of an attempt that may be repeated
+	silentFactor   = 4.0                     // of the expected time to the first event, before a resumable stream moves
+	silentFloor    = 1200 * time.Millisecond // least such time
+	gapLimit       = 2 * time.Second         // silence inside a resumable stream before it moves
+	failureReturn  = 400 * time.Millisecond  // after which a caller is asked back when servers failed
+	priorityHigher = 9                       // least urgent priority at a server
+)
+
+// errSilent ends an attempt whose server stayed silent too long.
+var errSilent = errors.New("the server stayed silent")
+
+// verdict says what to do after an attempt.
+type verdict uint8
+
+const (
+	answered verdict = iota + 1 // the caller has its answer
+	again                       // another server may be asked
+	over                        // the request ends with the error
+)
+
+// repeatable says whether the request may be sent again after it may have run.
+func (v *visit) repeatable() bool {
+	p := v.pipeline
+	return p.Kind == catalog.Repeatable || p.Kind == catalog.Stream && p.Resumable
+}
+
+// attempt sends the request to one server after another until the caller has its answer.
+func (v *visit) attempt(ctx context.Context) {
+	unsent := 0
+	for {
+		what, err, sent := v.once(ctx)
+		if what == answered {
+			return
+		}
+		if !sent {
+			if unsent++; unsent >= maxUnsent || what == over {
+				v.fail(ctx, err)
+				return
+			}
+			continue
+		}
+		if what == over || ctx.Err() != nil || v.attempts >= max(1, v.pipeline.Attempts) || !v.takeRetry() {
+			v.fail(ctx, err)
+			return
+		}
+		if v.needsStages() {
+			if e := v.makeStages(ctx); e != nil {
+				v.fail(ctx, e)
+				return
+			}
+		}
+	}
+}
+
+// needsStages says whether results that were given up are needed again.
+func (v *visit) needsStages() bool {
+	if v.made == nil {
+		return false
+	}
+	for _, i := range v.pipeline.Final() {
+		if v.made.freed[i] {
+			return true
+		}
+	}
+	return false
+}
+
+// takeRetry spends one repeat of the budget that all boxes share.
+func (v *visit) takeRetry() bool {
+	g := v.gateway
+	now := g.now()
+	boxes := g.fleet.boxes(now)
+	e := g.pools.get(v.pool)
+	e.mu.Lock()
+	ok := e.budget.Take(now, boxes)
+	e.mu.Unlock()
+	g.Log.Info("retry", "request", v.request.ID, "pool", v.pool, "allowed", ok, "boxes", boxes, "attempts", v.attempts)
+	if g.Watch.Retried != nil {
+		g.Watch.Retried(v.pool, ok)
+	}
+	return ok
+}
+
+// fail ends a request that no server answered.
+func (v *visit) fail(ctx context.Context, err *code.Error) {
+	if v.begun {
+		v.ended("cut", "cause", err.Message)
+		v.caller.Cut()
+		return
+	}
+	switch {
+	case v.callerLeft(ctx):
+		err = code.New(code.Cancelled, "", "the caller left")
+	case ctx.Err() != nil && v.maybeRan:
+		err = code.New(code.DeadlinePassed, "deadline", "no answer in time: %s", err.Message)
+	}
+	if v.maybeRan {
+		err.Ran, err.RetryAfter = code.RanUnknown, 0
+	}
+	v.refuse(err)
+}
+
+// once makes one attempt. The last result says whether any byte of the request left this box.
+func (v *visit) once(ctx context.Context) (verdict, *code.Error, bool) {
+	g := v.gateway
+	e := g.pools.get(v.pool)
+	now := g.now()
+	e.mu.Lock()
+	s, why, ok := e.picker.Pick(now, &v.wish)
+	e.mu.Unlock()
+	if !ok {
+		return over, refusal(code.BackendsDown, "pool", failureReturn, "no server of %s is left to be tried", v.pool), false
+	}
+	v.wish.Exclude[s.ID] = true
+	handles, _, _ := v.made.final()
+	c := &Call{
+		Server: s, Request: v.request, Left: v.deadline.Sub(now), Workspace: v.workspace,
+		Urgency: min(v.priority, priorityHigher), Inputs: handles, LastEvent: v.lastEvent, Fresh: !v.repeatable(),
+	}
+	if c.LastEvent == "" {
+		c.LastEvent = v.request.LastEvent
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := v.patience(cancel)
+	defer watch.Stop()
+	began := g.now()
+	reply, err := g.Backends.Send(ctx, c)
+	var notSent *exchange.NotSent
+	if errors.As(err, &notSent) {
+		v.settle(e, s, balance.Broken, began, "not sent: "+notSent.Cause.Error(), why)
+		return again, refusal(code.BackendsDown, "pool", failureReturn, "%s could not be reached", s.ID), false
+	}
+	v.attempts++
+	if err != nil {
+		v.maybeRan = true
+		v.settle(e, s, v.blame(ctx), began, err.Error(), why)
+		return v.afterBreak(), code.New(code.OutcomeUnknown, "", "%s gave no answer: %v", s.ID, err), true
+	}
+	return v.take(ctx, e, s, reply, began, watch, why)
+}
+
+// blame says whether a broken exchange speaks against the server: not when the caller left.
+func (v *visit) blame(ctx context.Context) balance.Outcome {
+	if v.callerLeft(ctx) && !errors.Is(context.Cause(ctx), errSilent) {
+		return balance.Dropped
+	}
+	return balance.Broken
+}
+
+// afterBreak says whether a request that may have run may be sent again.
+func (v *visit) afterBreak() verdict {
+	if v.repeatable() {
+		return again
+	}
+	return over
+}
+
+// patience ends an attempt whose server stays silent, where another server may be asked.
+func (v *visit) patience(cancel context.CancelCauseFunc) *time.Timer {
+	limit := v.deadline.Sub(v.gateway.now()) + time.Hour
+	p := v.pipeline
+	if v.attempts+1 < p.Attempts {
+		switch {
+		case p.Kind == catalog.Repeatable:
+			limit = max(leastAttempt, time.Duration(hedgeShare*float64(p.Objective)))
+		case p.Kind == catalog.Stream && p.Resumable:
+			limit = max(silentFloor, time.Duration(silentFactor*float64(v.gateway.estimates.get(p.Name))))
+		}
+	}
+	return time.AfterFunc(limit, func() { cancel(errSilent) })
+}
+
+// take judges the head of an answer and passes the answer on.
+func (v *visit) take(ctx context.Context, e *pool, s catalog.Server, reply *Reply, began time.Time, watch *time.Timer, why string) (verdict, *code.Error, bool) {
+	switch {
+	case reply.Missing:
+		reply.Close(false)
+		v.settle(e, s, balance.Dropped, began, "an input is gone", why)
+		v.made.freeAll()
+		delete(v.wish.Exclude, s.ID)
+		if v.remade {
+			return over, refusal(code.BackendFailed, "stages", failureReturn, "results of stages were gone twice"), true
+		}
+		v.remade = true
+		v.attempts--
+		return again, refusal(code.BackendFailed, "stages", failureReturn, "results of stages were gone"), true
+	case reply.NotRun:
+		reply.Close(false)
+		v.settle(e, s, balance.Full, began, http.StatusText(reply.Status)+", not run", why)
+		return again, refusal(code.QueueFull, "pool", failureReturn, "%s did not take the request: status %d", s.ID, reply.Status), true
+	}
+	v.maybeRan = true
+	if reply.Events && isSuccess(reply.Status) {
+		return v.relay(ctx, e, s, reply, began, watch, why)
+	}
+	body, err := readWhole(reply)
+	if err != nil {
+		reply.Close(false)
+		v.settle(e, s, v.blame(ctx), began, "answer broke off: "+err.Error(), why)
+		return v.afterBreak(), code.New(code.OutcomeUnknown, "", "the answer of %s broke off: %v", s.ID, err), true
+	}
+	reply.Close(true)
+	if reply.Status >= http.StatusInternalServerError && v.repeatable() && v.attempts < v.pipeline.Attempts && !v.begun && v.takeRetry() {
+		v.settle(e, s, balance.Failed, began, "status "+http.StatusText(reply.Status), why)
+		what, err, sent := v.once(ctx)
+		return what, err, sent
+	}
+	if v.begun {
+		v.settle(e, s, balance.Failed, began, "status "+http.StatusText(reply.Status), why)
+		return over, code.New(code.AnswerInterrupted, "", "the stream could not go on: status %d", reply.Status), true
+	}
+	outcome := balance.Good
+	if reply.Status >= http.StatusInternalServerError {
+		outcome = balance.Failed
+	}
+	v.settle(e, s, outcome, began, "status "+http.StatusText(reply.Status), why)
+	v.firstOut = v.gateway.now()
+	v.ended("answered", "status", reply.Status, "server", s.ID, "bytes", len(body))
+	v.caller.Whole(reply.Status, reply.Header, body)
+	return answered, nil, true
+}
+
+// readWhole reads the body of an answer that is no stream.
+func readWhole(r *Reply) ([]byte, error) {
+	var body []byte
+	buf := make([]byte, 8<<10)
+	for {
+		n, err := r.Read(buf)
+		body = append(body, buf[:n]...)
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(body) > maxAnswer {
+			return nil, code.New(code.MessageTooLarge, "answer", "over %d bytes", maxAnswer)
+		}
+	}
+}
+
+// settle tells the pool how an exchange ended.
+func (v *visit) settle(e *pool, s catalog.Server, o balance.Outcome, began time.Time, detail, why string) {
+	g := v.gateway
+	now := g.now()
+	e.mu.Lock()
+	rests := e.picker.Ended(now, s.ID, &v.wish, o)
+	e.mu.Unlock()
+	took := now.Sub(began)
+	g.Log.Info("exchange", "request", v.request.ID, "pool", e.name, "server", s.ID, "domain", s.Domain, "outcome", o.String(), "took_ms", took.Milliseconds(), "detail", detail, "chosen", why, "rests", rests)
+	if g.Watch.Exchanged != nil {
+		g.Watch.Exchanged(e.name, o.String(), took)
+	}
+}
--- /dev/null
+++ b/src/gateway/fleet.go
@@ -0,0 +1,280 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/stilemast/stilemast/src/balance"
+	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/port"
+)
+
+// Tunables of the fleet.
+const (
+	waitLife     = 1500 * time.Millisecond // a scheduler's note on its wait counts this long
+	seenLately   = 60 * time.Second        // a box heard of this lately may be alive, for the shared budget
+	notesPerBeat = 64
+)
+
+// fleet is the membership and what the boxes tell one another of their loads.
+type fleet struct {
+	gateway *Gateway
+
+	mu        sync.Mutex
+	core      *core.Members
+	addresses map[string]string    // of boxes that sent messages, by name
+	seen      map[string]time.Time // boxes heard of, and when last
+	waits     map[waitKey]waitNote
+	usableNow []string
+}
+
+type waitKey struct {
+	pool     uint64
+	priority int
+}
+
+type waitNote struct {
+	wait time.Duration
+	at   time.Time
+}
+
+func (f *fleet) init(g *Gateway) {
+	f.gateway = g
+	self := core.Rumour{ID: g.ID, Address: g.Settings.Address, Domain: g.Settings.FailureDomain}
+	f.core = core.NewMembers(self, g.Rand)
+	f.addresses, f.seen = map[string]string{}, map[string]time.Time{}
+	f.waits = map[waitKey]waitNote{}
+	f.usableNow = []string{g.ID.Name}
+}
+
+// beat sends the heartbeats that are due. Seeds whose names are not known yet are asked too.
+func (g *Gateway) beat(context.Context) {
+	f := &g.fleet
+	now := g.now()
+	f.mu.Lock()
+	f.core.Expect = g.news(now)
+	out := append(f.core.Tick(now), f.core.Indirect(now)...)
+	out = append(out, f.seedBeats()...)
+	changed := f.core.Changed()
+	f.mu.Unlock()
+	g.send(out)
+	if changed {
+		g.membersChanged()
+	}
+}
+
+// seedBeats asks the seeds that no living member is known to have.
+func (f *fleet) seedBeats() []core.BeatTo {
+	known := map[string]bool{f.gateway.Settings.Address: true}
+	for _, m := range f.core.Each() {
+		if m.State() != core.MemberDead {
+			known[m.Address()] = true
+		}
+	}
+	var out []core.BeatTo
+	for _, s := range f.gateway.Settings.Seeds {
+		if !known[s] {
+			out = append(out, f.core.Introduce(s))
+		}
+	}
+	return out
+}
+
+func (g *Gateway) send(beats []core.BeatTo) {
+	for _, o := range beats {
+		g.Peers.Beat(o.Address, o.Beat)
+	}
+}
+
+// tellNews gives every box of a small fleet this box's loads, more often than heartbeats go round.
+func (g *Gateway) tellNews(context.Context) { g.announce() }
+
+// announce tells every box of a small fleet what this box holds and has, without waiting for a beat.
+func (g *Gateway) announce() {
+	f := &g.fleet
+	now := g.now()
+	f.mu.Lock()
+	to, self := f.core.Near(), f.core.Self
+	f.mu.Unlock()
+	if len(to) == 0 {
+		return
+	}
+	b := core.Beat{From: self, News: true}
+	g.news(now)(&b)
+	for _, address := range to {
+		g.Peers.Beat(address, b)
+	}
+}
+
+// news fills heartbeats with what other parts of the box tell.
+func (g *Gateway) news(now time.Time) func(*core.Beat) {
+	loads, waits := g.loadNotes(now), g.desk.waits(now)
+	return func(b *core.Beat) {
+		g.published.say(now, b)
+		b.Backends, b.Waits = loads, waits
+	}
+}
+
+func (g *Gateway) loadNotes(now time.Time) []core.BackendNote {
+	var out []core.BackendNote
+	for _, p := range g.pools.list() {
+		p.mu.Lock()
+		own, resting := p.picker.Own(), p.picker.Resting(now)
+		p.mu.Unlock()
+		for id, l := range own {
+			out = append(out, core.BackendNote{Server: catalog.Hash(id), Requests: uint16(l.Requests), Tokens: uint32(l.Tokens), Resting: slices.Contains(resting, id)})
+		}
+		for _, id := range resting {
+			if _, ok := own[id]; !ok {
+				out = append(out, core.BackendNote{Server: catalog.Hash(id), Resting: true})
+			}
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Server < out[j].Server })
+	return out[:min(len(out), notesPerBeat)]
+}
+
+// TakeBeat takes a heartbeat of another box.
+func (g *Gateway) TakeBeat(m core.Beat) {
+	f := &g.fleet
+	now := g.now()
+	f.mu.Lock()
+	f.seen[m.From.ID.Name] = now
+	f.core.Expect = g.news(now)
+	h := f.core.Receive(now, m)
+	changed := f.core.Changed()
+	if len(m.Waits) > 0 {
+		for _, w := range m.Waits {
+			f.waits[waitKey{w.Pool, w.Priority}] = waitNote{wait: w.Wait, at: now}
+		}
+	}
+	f.mu.Unlock()
+	g.send(h.Reply)
+	g.published.hear(m, h.AskedAt)
+	g.takeLoads(now, m)
+	if changed {
+		g.membersChanged()
+	}
+}
+
+func (g *Gateway) takeLoads(now time.Time, m core.Beat) {
+	notes := make(map[uint64]core.BackendNote, len(m.Backends))
+	for _, n := range m.Backends {
+		notes[n.Server] = n
+	}
+	p := &g.published
+	p.mu.Lock()
+	list := p.list()
+	p.mu.Unlock()
+	for _, s := range list {
+		n := notes[catalog.Hash(s.ID)]
+		e := g.pools.get(s.Pool)
+		e.mu.Lock()
+		e.picker.PeerLoad(now, m.From.ID.Name, s.ID, balance.Load{Requests: int(n.Requests), Tokens: int(n.Tokens)})
+		if n.Resting {
+			e.picker.Rest(now, s.ID)
+		}
+		e.mu.Unlock()
+	}
+}
+
+// membersChanged notes who is usable now and forgets who is not.
+func (g *Gateway) membersChanged() {
+	f := &g.fleet
+	f.mu.Lock()
+	before := f.usableNow
+	f.usableNow = f.core.Usable()
+	after := f.usableNow
+	f.mu.Unlock()
+	for _, b := range after {
+		if !slices.Contains(before, b) {
+			g.Log.Info("member joined", "member", b, "members", len(after))
+		}
+	}
+	for _, b := range before {
+		if !slices.Contains(after, b) {
+			g.Log.Warn("member lost", "member", b, "members", len(after))
+			g.published.forget(b)
+		}
+	}
+}
+
+func (f *fleet) leave() {
+	f.mu.Lock()
+	f.core.Leave("")
+	f.mu.Unlock()
+	f.gateway.membersChanged()
+	f.gateway.announce()
+}
+
+// usable lists the boxes that take work, this one among them unless it is leaving.
+func (f *fleet) usable() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.usableNow
+}
+
+// boxes counts the boxes that may be alive, those heard of in the last minute among them.
+func (f *fleet) boxes(now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 1
+	for b, at := range f.seen {
+		if now.Sub(at) > seenLately {
+			delete(f.seen, b)
+			continue
+		}
+		n++
+	}
+	return max(n, len(f.gateway.Settings.Seeds))
+}
+
+func (f *fleet) learnAddress(box, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.addresses[box] = address
+}
+
+func (f *fleet) addressOf(box string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.core.Find(box); m != nil && m.Address() != "" {
+		return m.Address()
+	}
+	return f.addresses[box]
+}
+
+// stateOf is what this box thinks of another.
+func (f *fleet) stateOf(box string) core.MemberState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.core.Find(box); m != nil {
+		return m.State()
+	}
+	return core.MemberDead
+}
+
+// waitAt is how long a piece of a priority waits in a pool, as its scheduler told lately.
+func (f *fleet) waitAt(now time.Time, pool string, priority int) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	hash, best, at := catalog.Hash(pool), time.Duration(0), -1
+	for k, n := range f.waits {
+		if k.pool == hash && k.priority <= priority && k.priority > at && now.Sub(n.at) < waitLife {
+			best, at = n.wait, k.priority
+		}
+	}
+	return best
+}
+
+// TakeQuestion answers another box.
+func (g *Gateway) TakeQuestion(_ context.Context, q port.Question) port.Answer {
+	if q.Publish == nil {
+		return port.Answer{}
+	}
+	return port.Answer{Publish: g.published.answer(*q.Publish)}
+}
--- /dev/null
+++ b/src/gateway/gateway.go
@@ -0,0 +1,332 @@
+// Package gateway serves opaque requests: it does not look into them, but decides where each stage
+// and the request itself run, what waits and what is refused.
+//
+//	callers ─► serve.go ─► admission.go ─► stages.go ─► scheduling.go (one box for each pool) ─► pieces
+//	                │                                                                          at servers
+//	                └────► attempts.go ─► balance.Pool, retry.Budget ─► server ─► relay.go ─► caller
+//	platform ─► published.go ─► catalog and servers ◄─► peers (fleet.go: heartbeats, loads, waits)
+//
+// Decisions lie in the pure packages batch, balance, retry, catalog and core; this package holds the
+// state under its locks and carries the decisions out through ports.
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/stilemast/stilemast/src/balance"
+	"github.com/stilemast/stilemast/src/batch"
+	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/port"
+	"github.com/stilemast/stilemast/src/retry"
+)
+
+// Settings are what a gateway is told at its start.
+type Settings struct {
+	Address       string   // where other boxes reach this one
+	FailureDomain string   // where it stands
+	Seeds         []string // addresses of boxes to begin with; they may be gone
+	RetryRatio    float64
+	RetrySlack    float64
+	RetryWindow   time.Duration
+	Admission     bool // refuse at arrival what can't be in time
+	SharedBatches bool // one box forms the calls of a pool; false is a baseline
+}
+
+// Gateway is the opaque-request side of one box. Set the exported fields before Run.
+type Gateway struct {
+	Settings Settings
+	ID       core.BoxID
+	Backends Backends
+	Store    Store
+	Peers    port.Peers
+	Log      *slog.Logger
+	Watch    Watcher
+	Clock    func() time.Time // never steps
+	Rand     *rand.Rand
+
+	index     atomic.Pointer[catalog.Index]
+	published published
+	fleet     fleet
+	pools     pools
+	desk      desk // jobs that this box schedules
+	waiting   waiting
+	estimates estimates
+
+	draining   atomic.Bool
+	lastTick   atomic.Int64 // unix nanoseconds
+	wokenAt    atomic.Int64 // end of the last pause of this process, 0 for none
+	startedAt  time.Time
+	running    atomic.Int64
+	background sync.WaitGroup
+}
+
+// Watcher is told what happened, for metrics. Nil fields are skipped.
+type Watcher struct {
+	Ended     func(pipeline, result string, took, first time.Duration)
+	Exchanged func(pool, outcome string, took time.Duration)
+	Batched   func(pool string, pieces int, outcome string, took time.Duration)
+	StoreRead func(document string, ok bool)
+	Retried   func(pool string, allowed bool)
+}
+
+// Paces of the background work.
+const (
+	tickEvery    = 100 * time.Millisecond
+	scheduleTick = 40 * time.Millisecond
+	pauseLimit   = time.Second            // a longer gap between ticks is a pause of the process
+	wakeWait     = 800 * time.Millisecond // that requests wait for a confirmation after a pause
+	sweepEvery   = 2 * time.Second
+)
+
+// Run works until the context ends. Init must have been called.
+func (g *Gateway) Run(ctx context.Context) {
+
+	g.every(ctx, tickEvery, g.tick)
+	g.every(ctx, core.HeartbeatEvery, g.beat)
+	g.every(ctx, core.NewsEvery, g.tellNews)
+	g.every(ctx, scheduleTick, g.desk.tick)
+	g.every(ctx, tickEvery, g.pullPublished)
+	g.background.Add(2)
+	go g.readCatalog(ctx)
+	go g.readServers(ctx)
+	<-ctx.Done()
+	g.background.Wait()
+}
+
+// Init fills what Run needs; it must be called before Run and before any message is taken.
+func (g *Gateway) Init() {
+	if g.Clock == nil {
+		g.Clock = time.Now
+	}
+	if g.Log == nil {
+		g.Log = slog.New(slog.DiscardHandler)
+	}
+	if g.Rand == nil {
+		g.Rand = rand.New(rand.NewPCG(g.ID.Incarnation, 1))
+	}
+	g.startedAt = g.now()
+	g.lastTick.Store(g.now().UnixNano())
+	g.published.init(g)
+	g.fleet.init(g)
+	g.pools.init(g)
+	g.desk.init(g)
+	g.waiting.init(g)
+	g.estimates.init()
+}
+
+func (g *Gateway) now() time.Time { return g.Clock() }
+
+func (g *Gateway) every(ctx context.Context, pace time.Duration, fn func(context.Context)) {
+	g.background.Add(1)
+	go func() {
+		defer g.background.Done()
+		t := time.NewTicker(pace)
+		defer t.Stop()
+		for {
+			fn(ctx)
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			}
+		}
+	}()
+}
+
+// tick watches for pauses of this process.
+func (g *Gateway) tick(context.Context) {
+	now := g.now()
+	last := time.Unix(0, g.lastTick.Swap(now.UnixNano()))
+	if now.Sub(last) > pauseLimit {
+		g.wokenAt.Store(now.UnixNano())
+		g.Log.Warn("process was paused", "gap_ms", now.Sub(last).Milliseconds())
+	}
+}
+
+// awake says whether this process can trust what it believes: it was not paused since its documents
+// were last confirmed. It looks at the clock itself, since after a pause a sender may run before the
+// tick does.
+func (g *Gateway) awake() bool {
+	now := g.now()
+	if now.Sub(time.Unix(0, g.lastTick.Load())) > pauseLimit {
+		return false
+	}
+	woken := g.wokenAt.Load()
+	if woken == 0 {
+		return true
+	}
+	if g.published.confirmedAt().UnixNano() >= woken || now.Sub(time.Unix(0, woken)) > wakeWait {
+		g.wokenAt.CompareAndSwap(woken, 0)
+		return true
+	}
+	return false
+}
+
+// awaitAwake holds a request back after a pause until beliefs are confirmed, for a bounded time.
+func (g *Gateway) awaitAwake(ctx context.Context) {
+	for !g.awake() && ctx.Err() == nil {
+		sleep(ctx, 20*time.Millisecond)
+	}
+}
+
+// Ready says whether the balancer should send callers here.
+func (g *Gateway) Ready() bool {
+	return !g.draining.Load() && g.index.Load() != nil && g.published.hasServers()
+}
+
+// Drain begins a planned stop: this box is not ready any more and tells the others that it leaves.
+func (g *Gateway) Drain() {
+	if g.draining.Swap(true) {
+		return
+	}
+	g.fleet.leave()
+	g.Log.Info("planned stop begins", "running", g.running.Load())
+}
+
+// Draining says whether a planned stop has begun.
+func (g *Gateway) Draining() bool { return g.draining.Load() }
+
+// Running counts the requests that this box serves and the jobs that it schedules for others.
+func (g *Gateway) Running() int { return int(g.running.Load()) + g.desk.foreign() }
+
+// Version is the version of the catalog in force, 0 for none.
+func (g *Gateway) Version() uint64 {
+	if x := g.index.Load(); x != nil {
+		return x.Version()
+	}
+	return 0
+}
+
+// Limits are what callers may send, as far as they are known.
+func (g *Gateway) Limits() catalog.Limits {
+	if x := g.index.Load(); x != nil {
+		return x.Catalog().Limits
+	}
+	return catalog.Limits{}
+}
+
+// pools holds a picker and a retry budget for each pool, each under its own lock.
+type pools struct {
+	gateway *Gateway
+	mu      sync.RWMutex
+	all     map[string]*pool
+}
+
+type pool struct {
+	mu     sync.Mutex
+	name   string
+	picker *balance.Pool
+	budget *retry.Budget
+}
+
+func (p *pools) init(g *Gateway) {
+	p.gateway = g
+	p.all = map[string]*pool{}
+}
+
+// get gives a pool, making it when it is new.
+func (p *pools) get(name string) *pool {
+	p.mu.RLock()
+	e := p.all[name]
+	p.mu.RUnlock()
+	if e != nil {
+		return e
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e = p.all[name]; e == nil {
+		s := p.gateway.Settings
+		e = &pool{
+			name:   name,
+			picker: balance.NewPool(p.gateway.ID.Name, s.FailureDomain),
+			budget: &retry.Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
+		}
+		p.all[name] = e
+	}
+	return e
+}
+
+func (p *pools) list() []*pool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	out := make([]*pool, 0, len(p.all))
+	for _, e := range p.all {
+		out = append(out, e)
+	}
+	return out
+}
+
+// configure gives every pool its servers that take new work.
+func (p *pools) configure(servers map[string][]catalog.Server) {
+	for name := range servers {
+		p.get(name)
+	}
+	for _, e := range p.list() {
+		e.mu.Lock()
+		e.picker.Configure(servers[e.name])
+		e.mu.Unlock()
+	}
+}
+
+// estimates are moving means of how long pipelines take from dispatch to the first output.
+type estimates struct {
+	mu    sync.Mutex
+	first map[string]time.Duration
+}
+
+const (
+	estimateLearning = 0.1
+	firstGuess       = 250 * time.Millisecond
+)
+
+func (e *estimates) init() { e.first = map[string]time.Duration{} }
+
+func (e *estimates) learn(pipeline string, took time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	old, ok := e.first[pipeline]
+	if !ok {
+		old = took
+	}
+	e.first[pipeline] = old + time.Duration(estimateLearning*float64(took-old))
+}
+
+func (e *estimates) get(pipeline string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if d, ok := e.first[pipeline]; ok {
+		return d
+	}
+	return firstGuess
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// TakeBatch takes another box's message on jobs.
+func (g *Gateway) TakeBatch(m batch.Message) {
+	g.fleet.learnAddress(m.From, m.Address)
+	if m.Submit != nil || m.Withdraw != nil || m.Free != nil {
+		g.desk.take(m)
+		return
+	}
+	g.waiting.take(m)
+}
+
+// ConfirmedAge is how long ago both published documents were last known to be the newest.
+func (g *Gateway) ConfirmedAge() time.Duration { return g.now().Sub(g.published.confirmedAt()) }
+
+// Members counts the boxes that take work, as far as this one knows.
+func (g *Gateway) Members() int { return len(g.fleet.usable()) }
--- /dev/null
+++ b/src/gateway/ports.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/stilemast/stilemast/src/balance"
+	"github.com/stilemast/stilemast/src/batch"
+	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/code"
+)
+
+// Request is one try of a caller, in the product's terms.
+type Request struct {
+	ID        string // of this try
+	Method    string
+	Target    string // path and query as the caller sent them
+	Host      string
+	Path      string
+	Header    http.Header // what is passed on as it is
+	Body      []byte
+	Token     string
+	Left      time.Duration // that the caller will wait, 0 when it did not say
+	Parts     []balance.Part
+	Pieces    []int // of each stage; nil when the caller did not say
+	PieceKey  string
+	LastEvent string // the last event that the caller has, "" for none
+}
+
+// Caller takes the answer. Exactly one of Refuse and Whole is called, or Begin followed by any number
+// of Events and then End or Cut.
+type Caller struct {
+	Refuse func(*code.Error)
+	Whole  func(status int, h http.Header, body []byte)
+	Begin  func(status int, h http.Header)
+	Event  func(data []byte) error
+	End    func()
+	Cut    func() // ends the connection so that the answer can't look complete
+}
+
+// Call is one attempt at a server.
+type Call struct {
+	Server    catalog.Server
+	Request   *Request
+	Left      time.Duration
+	Workspace string
+	Urgency   int
+	Inputs    []string // handles of stage results
+	LastEvent string
+	Fresh     bool // on a new connection, for what can't be sent again
+}
+
+// Reply is the head of a server's answer. Close must be called.
+type Reply struct {
+	Status  int
+	Header  http.Header
+	Read    func([]byte) (int, error) // io.EOF only after a clean end
+	Close   func(whole bool)
+	NotRun  bool // the server says that it did not run the request
+	Moved   bool // another server has the address
+	Missing bool // an input is gone
+	Signed  bool
+	Events  bool // the answer is a stream of events
+	Leaving bool // the server may be going away
+}
+
+// Backends are the calls to backend servers.
+type Backends struct {
+	// Send sends a request once. The error is an exchange.NotSent when no byte left.
+	Send func(ctx context.Context, c *Call) (*Reply, error)
+	// RunPieces makes pieces of stages.
+	RunPieces func(ctx context.Context, s catalog.Server, items []batch.Item) (batch.CallOutcome, []batch.ItemResult)
+	// FreePieces gives up results.
+	FreePieces func(ctx context.Context, s catalog.Server, handles []string)
+}
+
+// ErrHistoryGone says that the store does not know the changes since the revision asked for.
+var ErrHistoryGone = errors.New("the store has forgotten its history")
+
+// ServerChange is a server that was written, or the id of one that was removed.
+type ServerChange struct {
+	Server  catalog.Server
+	Removed string
+}
+
+// Store reads what the platform publishes. Each read names the store's revision that it shows.
+type Store struct {
+	Catalog      func(ctx context.Context) (*catalog.Catalog, uint64, error)
+	Servers      func(ctx context.Context) ([]catalog.Server, uint64, error)
+	WatchCatalog func(ctx context.Context, after uint64, wait time.Duration) (*catalog.Catalog, uint64, error)
+	WatchServers func(ctx context.Context, after uint64, wait time.Duration) ([]ServerChange, uint64, error)
+}
--- /dev/null
+++ b/src/gateway/relay.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/stilemast/stilemast/src/balance"
+	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/code"
+)
+
+const (
+	relayBuffer = 4 << 10
+	maxEvent    = 1 << 20 // bytes of one event
+)
+
+// events splits a stream into whole events.
+type events struct {
+	held []byte
+}
+
+// add takes bytes and gives all whole events in them; what is left of the last one is kept.
+func (e *events) add(b []byte) []byte {
+	e.held = append(e.held, b...)
+	end := bytes.LastIndex(e.held, []byte("\n\n"))
+	if crlf := bytes.LastIndex(e.held, []byte("\r\n\r\n")); crlf >= 0 && crlf+4 > end+2 {
+		end = crlf + 2
+	}
+	if end < 0 {
+		return nil
+	}
+	whole := bytes.Clone(e.held[:end+2])
+	e.held = append(e.held[:0], e.held[end+2:]...)
+	return whole
+}
+
+// lastID is the id of the last event in a run of whole events that has one, or "".
+func lastID(whole []byte) string {
+	id := ""
+	for line := range bytes.Lines(whole) {
+		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id = string(bytes.TrimSpace(v))
+		}
+	}
+	return id
+}
+
+// newer drops the events whose ids are not above the last one that the caller has.
+func newer(whole []byte, last string) []byte {
+	after, err := strconv.ParseInt(last, 10, 64)
+	if last == "" || err != nil {
+		return whole
+	}
+	var out []byte
+	for len(whole) > 0 {
+		n := bytes.Index(whole, []byte("\n\n"))
+		if n < 0 {
+			n = len(whole) - 2
+		}
+		event := whole[:n+2]
+		whole = whole[n+2:]
+		if id, err := strconv.ParseInt(lastID(event), 10, 64); err == nil && id <= after {
+			continue
+		}
+		out = append(out, event...)
+	}
+	return out
+}
+
+// relay passes a stream on, event by event.
+func (v *visit) relay(ctx context.Context, e *pool, s catalog.Server, reply *Reply, began time.Time, watch *time.Timer, why string) (verdict, *code.Error, bool) {
+	g := v.gateway
+	var split events
+	buf := make([]byte, relayBuffer)
+	moves := v.repeatable() && v.attempts < v.pipeline.Attempts
+	resumed := v.begun
+	for {
+		n, err := reply.Read(buf)
+		if whole := split.add(buf[:n]); len(whole) > 0 {
+			if resumed {
+				whole = newer(whole, v.lastEvent)
+			}
+			if e := v.pass(whole, reply, e, s, began); e != nil {
+				reply.Close(false)
+				v.settle(g.pools.get(v.pool), s, balance.Dropped, began, "caller gone", why)
+				v.ended("cancelled", "cause", "the caller left within the stream", "server", s.ID)
+				v.caller.Cut()
+				return answered, nil, true
+			}
+			if moves {
+				watch.Reset(gapLimit)
+			}
+		}
+		if err == io.EOF && len(split.held) == 0 && v.begun {
+			reply.Close(true)
+			v.settle(e, s, balance.Good, began, "stream ended", why)
+			v.ended("answered", "status", reply.Status, "server", s.ID, "last_event", v.lastEvent)
+			v.caller.End()
+			return answered, nil, true
+		}
+		if err == nil && len(split.held) > maxEvent {
+			err = code.New(code.MessageTooLarge, "event", "over %d bytes", maxEvent)
+		}
+		if err == nil {
+			continue
+		}
+		reply.Close(false)
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
+			err = cause
+		}
+		v.settle(e, s, v.blame(ctx), began, "stream broke off: "+err.Error(), why)
+		return v.afterBreak(), code.New(code.AnswerInterrupted, "", "the stream of %s broke off after event %q: %v", s.ID, v.lastEvent, err), true
+	}
+}
+
+// pass gives whole events to the caller; the first of them also gives up the results of stages.
+func (v *visit) pass(whole []byte, reply *Reply, e *pool, s catalog.Server, began time.Time) error {
+	if len(whole) == 0 {
+		return nil
+	}
+	g := v.gateway
+	if !v.begun {
+		v.begun = true
+		v.firstOut = g.now()
+		v.caller.Begin(reply.Status, reply.Header)
+		g.estimates.learn(v.pipeline.Name, v.firstOut.Sub(began))
+		e.mu.Lock()
+		e.picker.Read(g.now(), s.ID, &v.wish)
+		e.mu.Unlock()
+	}
+	v.made.freeAll()
+	if id := lastID(whole); id != "" {
+		v.lastEvent = id
+	}
+	return v.caller.Event(whole)
+}
--- /dev/null
+++ b/src/gateway/scheduling.go
@@ -0,0 +1,384 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/stilemast/stilemast/src/batch"
+	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/core"
+)
+
+// Tunables of talking with a scheduler.
+const (
+	ackPatience  = 250 * time.Millisecond // for a scheduler to accept a job
+	askAgain     = 500 * time.Millisecond // pace at which an owner asks for an accepted job
+	silentAsks   = 2                      // unanswered questions after which another box is asked
+	mostPriority = 12                     // priorities told apart in notes on waits
+)
+
+// desk holds the schedulers of the pools that this box forms calls for.
+type desk struct {
+	gateway *Gateway
+
+	mu      sync.Mutex
+	all     map[string]*scheduler
+	servers map[string][]catalog.Server
+}
+
+type scheduler struct {
+	mu         sync.Mutex
+	core       *batch.Scheduler
+	pool       string
+	priorities map[int]time.Time // seen lately
+	usedAt     time.Time
+}
+
+func (d *desk) init(g *Gateway) {
+	d.gateway = g
+	d.all = map[string]*scheduler{}
+}
+
+// get gives the scheduler of a pool, made on the first job; nil when the pool makes no pieces.
+func (d *desk) get(pool string) *scheduler {
+	x := d.gateway.index.Load()
+	if x == nil {
+		return nil
+	}
+	p := x.Pool(pool)
+	if p == nil || p.Batch == nil {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.all[pool]
+	if s == nil {
+		s = &scheduler{core: batch.NewScheduler(d.gateway.ID.Name, *p), pool: pool, priorities: map[int]time.Time{}}
+		s.core.Configure(d.gateway.now(), *p, d.servers[pool])
+		d.all[pool] = s
+		d.gateway.Log.Info("scheduler opened", "pool", pool, "servers", len(d.servers[pool]))
+	}
+	return s
+}
+
+func (d *desk) list() []*scheduler {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]*scheduler, 0, len(d.all))
+	for _, s := range d.all {
+		out = append(out, s)
+	}
+	return out
+}
+
+// configure gives the schedulers their servers and limits.
+func (d *desk) configure(servers map[string][]catalog.Server) {
+	d.mu.Lock()
+	d.servers = servers
+	d.mu.Unlock()
+	x := d.gateway.index.Load()
+	for _, s := range d.list() {
+		limits := catalog.Pool{Name: s.pool}
+		if x != nil && x.Pool(s.pool) != nil {
+			limits = *x.Pool(s.pool)
+		}
+		if limits.Batch == nil {
+			continue
+		}
+		s.mu.Lock()
+		a := s.core.Configure(d.gateway.now(), limits, servers[s.pool])
+		s.mu.Unlock()
+		d.carry(s, a)
+	}
+}
+
+func (d *desk) tick(context.Context) {
+	for _, s := range d.list() {
+		s.mu.Lock()
+		a := s.core.Tick(d.gateway.now())
+		s.mu.Unlock()
+		d.carry(s, a)
+	}
+}
+
+// take serves a message of an owner.
+func (d *desk) take(m batch.Message) {
+	switch {
+	case m.Submit != nil:
+		d.submit(m.Submit)
+	case m.Withdraw != nil:
+		d.withdraw(*m.Withdraw)
+	case m.Free != nil:
+		d.free(*m.Free)
+	}
+}
+
+func (d *desk) submit(j *batch.Submit) {
+	s := d.get(j.Pool)
+	if s == nil {
+		d.reply(batch.Reply{Box: j.ID.Box, Message: batch.Message{Failed: &batch.Failed{ID: j.ID, Reason: batch.NoPool}}})
+		return
+	}
+	now := d.gateway.now()
+	s.mu.Lock()
+	s.usedAt = now
+	s.priorities[min(j.Priority, mostPriority)] = now
+	a := s.core.Submit(now, j.Job(now))
+	s.mu.Unlock()
+	d.carry(s, a)
+}
+
+func (d *desk) withdraw(w batch.Withdraw) {
+	s := d.get(w.Pool)
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	a := s.core.Withdraw(d.gateway.now(), w.ID)
+	s.mu.Unlock()
+	d.carry(s, a)
+}
+
+func (d *desk) free(f batch.Free) {
+	s := d.get(f.Pool)
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	s.core.Free(f.Handles)
+	s.mu.Unlock()
+}
+
+// carry carries a scheduler's actions out.
+func (d *desk) carry(s *scheduler, a batch.Actions) {
+	for _, r := range a.Replies {
+		d.reply(r)
+	}
+	for _, f := range a.Frees {
+		go d.freeAt(f)
+	}
+	for _, c := range a.Calls {
+		go d.call(s, c)
+	}
+}
+
+func (d *desk) freeAt(f batch.FreeCall) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	d.gateway.Backends.FreePieces(ctx, f.Server, f.Handles)
+}
+
+// call runs one call and tells its scheduler how it ended.
+func (d *desk) call(s *scheduler, c batch.Call) {
+	g := d.gateway
+	began := g.now()
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	if len(c.Free) > 0 {
+		g.Backends.FreePieces(ctx, c.Server, c.Free)
+	}
+	outcome, results := batch.CallBroken, []batch.ItemResult(nil)
+	if g.mayUse(c.Server.ID) {
+		outcome, results = g.Backends.RunPieces(ctx, c.Server, c.Items)
+	} else {
+		outcome = batch.CallMoved
+	}
+	cancel()
+	now := g.now()
+	took := now.Sub(began)
+	s.mu.Lock()
+	a := s.core.CallEnded(now, c.N, outcome, results)
+	pending, calls := s.core.Pending()
+	s.mu.Unlock()
+	g.Log.Info("batch ended", "pool", s.pool, "server", c.Server.ID, "pieces", len(c.Items), "outcome", outcome.String(), "took_ms", took.Milliseconds(), "pending", pending, "calls", calls)
+	if g.Watch.Batched != nil {
+		g.Watch.Batched(s.pool, len(c.Items), outcome.String(), took)
+	}
+	d.carry(s, a)
+}
+
+// reply sends an answer to the owner of a job.
+func (d *desk) reply(r batch.Reply) {
+	g := d.gateway
+	m := r.Message
+	m.From, m.Address = g.ID.Name, g.Settings.Address
+	if r.Box == g.ID.Name {
+		g.waiting.take(m)
+		return
+	}
+	if a := g.fleet.addressOf(r.Box); a != "" {
+		g.Peers.Batch(a, m)
+	}
+}
+
+// waits tells how long pieces wait in the pools that this box schedules.
+func (d *desk) waits(now time.Time) []core.WaitNote {
+	var out []core.WaitNote
+	for _, s := range d.list() {
+		s.mu.Lock()
+		if now.Sub(s.usedAt) < waitLife {
+			for p, at := range s.priorities {
+				if now.Sub(at) < waitLife {
+					out = append(out, core.WaitNote{Pool: catalog.Hash(s.pool), Priority: p, Wait: s.core.Wait(now, p)})
+				}
+			}
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
+// foreign counts the calls and waiting pieces of this box's schedulers, for a planned stop.
+func (d *desk) foreign() int {
+	n := 0
+	for _, s := range d.list() {
+		s.mu.Lock()
+		pieces, calls := s.core.Pending()
+		s.mu.Unlock()
+		n += pieces + calls
+	}
+	return n
+}
+
+// waiting holds the jobs of this box that schedulers work on.
+type waiting struct {
+	gateway *Gateway
+	mu      sync.Mutex
+	next    uint64
+	jobs    map[uint64]chan batch.Message
+}
+
+func (w *waiting) init(g *Gateway) {
+	w.gateway = g
+	w.jobs = map[uint64]chan batch.Message{}
+}
+
+// open makes an id and the channel on which answers come.
+func (w *waiting) open() (batch.JobID, chan batch.Message) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.next++
+	c := make(chan batch.Message, 8)
+	w.jobs[w.next] = c
+	id := w.gateway.ID
+	return batch.JobID{Box: id.Name, Life: id.Incarnation, N: w.next}, c
+}
+
+func (w *waiting) close(id batch.JobID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.jobs, id.N)
+}
+
+// take gives an answer to whoever waits for it.
+func (w *waiting) take(m batch.Message) {
+	id := batch.JobID{}
+	switch {
+	case m.Accept != nil:
+		id = *m.Accept
+	case m.Done != nil:
+		id = m.Done.ID
+	case m.Failed != nil:
+		id = m.Failed.ID
+	}
+	if id.Life != w.gateway.ID.Incarnation {
+		return
+	}
+	w.mu.Lock()
+	c := w.jobs[id.N]
+	w.mu.Unlock()
+	if c == nil {
+		return
+	}
+	select {
+	case c <- m:
+	default:
+	}
+}
+
+// schedulerOf is the box that forms the calls of a pool: the first of the living by rendezvous hash.
+func (g *Gateway) schedulerOf(pool string, avoid map[string]bool) string {
+	if !g.Settings.SharedBatches {
+		return g.ID.Name
+	}
+	best, rank := "", uint64(0)
+	for _, b := range g.fleet.usable() {
+		if avoid[b] {
+			continue
+		}
+		if r := catalog.Hash("scheduler", pool, b); best == "" || r > rank {
+			best, rank = b, r
+		}
+	}
+	if best == "" {
+		return g.ID.Name
+	}
+	return best
+}
+
+// tell sends a message on jobs to a box, this one included.
+func (g *Gateway) tell(box string, m batch.Message) {
+	m.From, m.Address = g.ID.Name, g.Settings.Address
+	if box == g.ID.Name {
+		g.desk.take(m)
+		return
+	}
+	if a := g.fleet.addressOf(box); a != "" {
+		g.Peers.Batch(a, m)
+	}
+}
+
+// runJob has a job done by its pool's scheduler and gives its end. When a scheduler stays silent the
+// next box is asked; a piece may then be made twice.
+func (g *Gateway) runJob(ctx context.Context, j *batch.Job) (*batch.Done, batch.Reason) {
+	id, answers := g.waiting.open()
+	defer g.waiting.close(id)
+	j.ID = id
+	avoid := map[string]bool{}
+	box := g.schedulerOf(j.Pool, avoid)
+	g.tell(box, batch.Message{Submit: j.Submission(g.now())})
+	timer := time.NewTimer(ackPatience)
+	defer timer.Stop()
+	accepted, silent := false, 0
+	for {
+		select {
+		case <-ctx.Done():
+			g.tell(box, batch.Message{Withdraw: &batch.Withdraw{ID: id, Pool: j.Pool}})
+			return nil, batch.Stopped
+		case m := <-answers:
+			switch {
+			case m.Done != nil:
+				return m.Done, 0
+			case m.Failed != nil && m.Failed.Reason == batch.NoPool && box != g.ID.Name:
+				avoid[box] = true
+				box, accepted, silent = g.another(j, box, avoid, "no_pool"), false, 0
+				timer.Reset(ackPatience)
+			case m.Failed != nil:
+				return nil, m.Failed.Reason
+			case m.From == box:
+				accepted, silent = true, 0
+				timer.Reset(askAgain)
+			}
+		case <-timer.C:
+			silent++
+			lost := g.fleet.stateOf(box) == core.MemberDead && box != g.ID.Name
+			if !accepted || silent > silentAsks || lost {
+				avoid[box] = true
+				box, accepted, silent = g.another(j, box, avoid, "silent"), false, 0
+				timer.Reset(ackPatience)
+				continue
+			}
+			g.tell(box, batch.Message{Submit: j.Submission(g.now())})
+			timer.Reset(ackPatience)
+		}
+	}
+}
+
+// another moves a job from a scheduler that does not answer to the next.
+func (g *Gateway) another(j *batch.Job, from string, avoid map[string]bool, why string) string {
+	g.tell(from, batch.Message{Withdraw: &batch.Withdraw{ID: j.ID, Pool: j.Pool}})
+	box := g.schedulerOf(j.Pool, avoid)
+	g.Log.Warn("scheduler changed", "request", j.Request, "pool", j.Pool, "from", from, "to", box, "cause", why)
+	g.tell(box, batch.Message{Submit: j.Submission(g.now())})
+	return box
+}
--- /dev/null
+++ b/src/gateway/serve.go
@@ -0,0 +1,203 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/stilemast/stilemast/src/balance"
+	"github.com/stilemast/stilemast/src/batch"
+	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/code"
+)
+
+// visit is one request on its way through the gateway.
+type visit struct {
+	gateway   *Gateway
+	request   *Request
+	caller    *Caller
+	pipeline  *catalog.Pipeline
+	pool      string
+	workspace string
+	priority  int
+	version   uint64
+	began     time.Time
+	objective time.Time
+	deadline  time.Time
+	limitedBy string // what set the deadline: the caller or the pipeline
+	made      *results
+	stages    *stageRun
+	wish      balance.Wish
+	attempts  int
+	remade    bool
+	maybeRan  bool
+
+	// of a stream that has begun
+	begun     bool
+	lastEvent string
+	firstOut  time.Time
+}
+
+// Serve runs one request and gives its answer to the caller.
+func (g *Gateway) Serve(ctx context.Context, r *Request, c *Caller) {
+	g.running.Add(1)
+	defer g.running.Add(-1)
+	v := &visit{gateway: g, request: r, caller: c, began: g.now()}
+	if err := v.route(); err != nil {
+		v.refuse(err)
+		return
+	}
+	g.awaitAwake(ctx)
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(v.deadline.Sub(g.now())))
+	defer cancel()
+	v.run(ctx)
+}
+
+// route finds the pipeline and the workspace of a request. That there is none is said only with a
+// configuration that was confirmed lately; otherwise the caller is asked to come back.
+func (v *visit) route() *code.Error {
+	g, r := v.gateway, v.request
+	x := g.index.Load()
+	if x == nil {
+		return refusal(code.NotReady, "configuration", notReadyAfter, "no configuration is known yet")
+	}
+	v.version = x.Version()
+	unsure := g.published.catalogAge(g.now()) > trustFor
+	p := x.Route(r.Host, r.Path)
+	if p == nil {
+		if unsure {
+			return refusal(code.NotReady, "path", notReadyAfter, "no pipeline there, but the configuration is not confirmed")
+		}
+		return refusal(code.UnknownPipeline, "path", 0, "no pipeline there")
+	}
+	v.pipeline, v.priority = p, p.Priority
+	if !p.Public && x.NeedsTokens() {
+		w := x.Workspace(r.Token)
+		if w == nil {
+			if unsure {
+				return refusal(code.NotReady, "token", notReadyAfter, "the token is not known, but the configuration is not confirmed")
+			}
+			return refusal(code.Unauthenticated, "token", 0, "the token is not known")
+		}
+		v.workspace = w.Name
+		if w.HasPriority {
+			v.priority += 3 * w.Priority
+		}
+	}
+	if limit := x.Catalog().Limits.BodyBytes; limit > 0 && len(r.Body) > limit {
+		return refusal(code.MessageTooLarge, "body", 0, "%d bytes, at most %d", len(r.Body), limit)
+	}
+	v.deadline, v.limitedBy = v.began.Add(p.Timeout), "pipeline"
+	if r.Left > 0 && r.Left < p.Timeout {
+		v.deadline, v.limitedBy = v.began.Add(r.Left), "caller"
+	}
+	v.objective = v.began.Add(p.Objective)
+	v.pool = p.Target(r.ID)
+	return v.checkPieces()
+}
+
+// checkPieces makes the counts of pieces as many as there are stages.
+func (v *visit) checkPieces() *code.Error {
+	r, n := v.request, len(v.pipeline.Stages)
+	for _, c := range r.Pieces {
+		if c < 0 || c > maxPieces {
+			return refusal(code.BadField, "pieces", 0, "%d is not from 0 to %d", c, maxPieces)
+		}
+	}
+	for len(r.Pieces) < n {
+		r.Pieces = append(r.Pieces, 0)
+	}
+	return nil
+}
+
+// maxPieces bounds the pieces of one stage of one request.
+const maxPieces = 4096
+
+// run takes a routed request to its end.
+func (v *visit) run(ctx context.Context) {
+	g, p := v.gateway, v.pipeline
+	e := g.pools.get(v.pool)
+	e.mu.Lock()
+	e.budget.Request(g.now())
+	e.mu.Unlock()
+	v.stages = &stageRun{gateway: g, pipeline: p, request: v.request, priority: v.priority, objective: v.objective, deadline: v.deadline}
+	v.stages.followers = followersOf(p)
+	if err := g.admit(v.stages); err != nil {
+		v.refuse(err)
+		return
+	}
+	v.wish = balance.Wish{Parts: v.request.Parts, Exclude: map[string]bool{}}
+	if err := v.makeStages(ctx); err != nil {
+		v.refuse(err)
+		return
+	}
+	defer func() { v.made.freeAll() }()
+	v.attempt(ctx)
+}
+
+// makeStages has the stages made and notes where their results lie.
+func (v *visit) makeStages(ctx context.Context) *code.Error {
+	if len(v.pipeline.Stages) == 0 {
+		return nil
+	}
+	g := v.gateway
+	for again := range 2 {
+		made, reason := g.runStages(ctx, v.stages)
+		if reason == 0 {
+			v.made = made
+			_, v.wish.Domain, v.wish.InputBytes = made.final()
+			return nil
+		}
+		if reason != batch.Gone || again > 0 {
+			return v.stageError(ctx, reason)
+		}
+	}
+	return nil
+}
+
+// stageError says why the stages were not made. The request itself has not run.
+func (v *visit) stageError(ctx context.Context, r batch.Reason) *code.Error {
+	switch {
+	case ctx.Err() != nil && v.callerLeft(ctx):
+		return refusal(code.Cancelled, "", 0, "the caller left during the stages")
+	case r == batch.Late || ctx.Err() != nil:
+		return refusal(code.CannotFinish, "deadline", leastReturn, "the stages could not be made in time")
+	}
+	return refusal(code.BackendsDown, "stages", leastReturn, "the stages could not be made: %s", r)
+}
+
+// callerLeft tells a caller that went away from a deadline that passed.
+func (v *visit) callerLeft(ctx context.Context) bool {
+	return ctx.Err() == context.Canceled && v.gateway.now().Before(v.deadline)
+}
+
+// refuse ends a request with an error.
+func (v *visit) refuse(err *code.Error) {
+	v.ended(err.Code.String(), "ran", err.DidRun().String(), "field", err.Field, "cause", err.Message, "retry_after_ms", err.RetryAfter.Milliseconds())
+	v.caller.Refuse(err)
+}
+
+// ended writes the line of a request's end and counts it.
+func (v *visit) ended(result string, more ...any) {
+	g := v.gateway
+	now := g.now()
+	name, first := "", time.Duration(0)
+	if v.pipeline != nil {
+		name = v.pipeline.Name
+	}
+	if !v.firstOut.IsZero() {
+		first = v.firstOut.Sub(v.began)
+	}
+	took := now.Sub(v.began)
+	g.Log.Info("request ended", append([]any{"request", v.request.ID, "pipeline", name, "workspace", v.workspace,
+		"result", result, "took_ms", took.Milliseconds(), "first_ms", first.Milliseconds(), "attempts", v.attempts,
+		"version", v.version}, more...)...)
+	if g.Watch.Ended != nil {
+		g.Watch.Ended(name, result, took, first)
+	}
+}
+
+// isSuccess says whether a status is a success.
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
--- /dev/null
+++ b/src/gateway/stages.go
@@ -0,0 +1,234 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/stilemast/stilemast/src/batch"
+	"github.com/stilemast/stilemast/src/catalog"
+)
+
+// stageMargin is what one stage takes beyond its server's own times: messages and waits for ticks.
+const stageMargin = 15 * time.Millisecond
+
+// results are what the stages of one request made.
+type results struct {
+	gateway  *Gateway
+	pipeline *catalog.Pipeline
+
+	mu      sync.Mutex
+	handles [][]string
+	freed   []bool
+	domains []string
+}
+
+// final lists the handles that the request itself needs, the domain where most of their bytes lie
+// and how many bytes they have.
+func (r *results) final() (handles []string, domain string, size float64) {
+	if r == nil {
+		return nil, "", 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	best := 0.0
+	for _, i := range r.pipeline.Final() {
+		handles = append(handles, r.handles[i]...)
+		n := float64(len(r.handles[i]) * r.pipeline.Stages[i].ResultBytes)
+		size += n
+		if n > best {
+			best, domain = n, r.domains[i]
+		}
+	}
+	return handles, domain, size
+}
+
+// free gives up the results of one stage, once.
+func (r *results) free(stage int) {
+	r.mu.Lock()
+	handles := r.handles[stage]
+	if r.freed[stage] || len(handles) == 0 {
+		r.mu.Unlock()
+		return
+	}
+	r.freed[stage] = true
+	r.mu.Unlock()
+	g, pool := r.gateway, r.pipeline.Stages[stage].Pool
+	g.tell(g.schedulerOf(pool, nil), batch.Message{Free: &batch.Free{Pool: pool, Handles: handles}})
+}
+
+// freeAll gives up whatever is still held.
+func (r *results) freeAll() {
+	if r == nil {
+		return
+	}
+	for i := range r.handles {
+		r.free(i)
+	}
+}
+
+// stageRun is the work on the stages of one request.
+type stageRun struct {
+	gateway   *Gateway
+	pipeline  *catalog.Pipeline
+	request   *Request
+	priority  int
+	objective time.Time
+	deadline  time.Time
+	results   *results
+	followers [][]int
+	done      []chan struct{}
+}
+
+// rest is the least time from the end of a stage to the first output.
+func (s *stageRun) rest(stage int) time.Duration {
+	longest := time.Duration(0)
+	for _, f := range s.followers[stage] {
+		longest = max(longest, s.least(f)+s.rest(f))
+	}
+	if longest == 0 {
+		return s.gateway.estimates.get(s.pipeline.Name)
+	}
+	return longest
+}
+
+// least is the time that a stage takes when nothing waits.
+func (s *stageRun) least(stage int) time.Duration {
+	if s.request.Pieces[stage] == 0 {
+		return 0
+	}
+	x := s.gateway.index.Load()
+	p := x.Pool(s.pipeline.Stages[stage].Pool)
+	if p == nil || p.Batch == nil {
+		return 0
+	}
+	n := min(s.request.Pieces[stage], p.Batch.Size)
+	return p.Batch.CallTime + time.Duration(n)*p.Batch.ItemTime + stageMargin
+}
+
+// followersOf lists, for each stage, those that need its results.
+func followersOf(p *catalog.Pipeline) [][]int {
+	out := make([][]int, len(p.Stages))
+	for i, st := range p.Stages {
+		for _, a := range st.After {
+			if a >= 0 && a < i {
+				out[a] = append(out[a], i)
+			}
+		}
+	}
+	return out
+}
+
+// runStages has all stages of a request made. Reason is 0 when the results are whole; otherwise
+// nothing is held any more.
+func (g *Gateway) runStages(ctx context.Context, s *stageRun) (*results, batch.Reason) {
+	n := len(s.pipeline.Stages)
+	s.gateway, s.followers = g, followersOf(s.pipeline)
+	s.results = &results{gateway: g, pipeline: s.pipeline, handles: make([][]string, n), freed: make([]bool, n), domains: make([]string, n)}
+	s.done = make([]chan struct{}, n)
+	for i := range s.done {
+		s.done[i] = make(chan struct{})
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	reasons := make(chan batch.Reason, n)
+	for i := range n {
+		go func() {
+			r := s.runStage(ctx, i)
+			if r == 0 {
+				close(s.done[i])
+			}
+			reasons <- r
+		}()
+	}
+	failed := batch.Reason(0)
+	for range n {
+		if r := <-reasons; r != 0 && failed == 0 {
+			failed = r
+			cancel()
+		}
+	}
+	if failed != 0 {
+		s.results.freeAll()
+		return nil, failed
+	}
+	return s.results, 0
+}
+
+// runStage waits for the stages before one and has it made.
+func (s *stageRun) runStage(ctx context.Context, i int) batch.Reason {
+	st := s.pipeline.Stages[i]
+	for _, a := range st.After {
+		if a < 0 || a >= i {
+			continue
+		}
+		select {
+		case <-s.done[a]:
+		case <-ctx.Done():
+			return batch.Stopped
+		}
+	}
+	if s.request.Pieces[i] == 0 {
+		return 0
+	}
+	g, began := s.gateway, s.gateway.now()
+	rest := s.rest(i)
+	j := &batch.Job{
+		Pool: st.Pool, Request: s.request.ID, Class: s.pipeline.Name + "/" + st.Pool + "/" + string(rune('0'+i%10)),
+		Stage: i, Pieces: s.request.Pieces[i], ResultBytes: float64(st.ResultBytes), Priority: s.priority,
+		Due: s.objective.Add(-rest), Deadline: s.deadline.Add(-rest),
+	}
+	j.Inputs, j.InputDomain = s.inputs(i)
+	if len(j.Inputs) == 0 {
+		j.Key = s.request.PieceKey
+	}
+	done, reason := g.runJob(ctx, j)
+	if done == nil {
+		if reason != batch.Stopped {
+			g.Log.Warn("stage failed", "request", s.request.ID, "stage", i, "pool", st.Pool, "reason", reason.String(), "took_ms", g.now().Sub(began).Milliseconds())
+		}
+		return reason
+	}
+	s.results.mu.Lock()
+	s.results.handles[i], s.results.domains[i] = done.Handles, done.Domain
+	s.results.mu.Unlock()
+	s.freeRead(i)
+	return 0
+}
+
+// inputs lists the handles that a stage's pieces need and the domain where the most of them lie.
+func (s *stageRun) inputs(i int) (handles []string, domain string) {
+	r := s.results
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	best := 0
+	for _, a := range s.pipeline.Stages[i].After {
+		if a < 0 || a >= i {
+			continue
+		}
+		handles = append(handles, r.handles[a]...)
+		if n := len(r.handles[a]) * s.pipeline.Stages[a].ResultBytes; n > best {
+			best, domain = n, r.domains[a]
+		}
+	}
+	return handles, domain
+}
+
+// freeRead gives up the results that a finished stage was the last to read.
+func (s *stageRun) freeRead(i int) {
+	r := s.results
+	for _, a := range s.pipeline.Stages[i].After {
+		if a < 0 || a >= i {
+			continue
+		}
+		all := true
+		r.mu.Lock()
+		for _, f := range s.followers[a] {
+			all = all && (s.request.Pieces[f] == 0 || len(r.handles[f]) > 0)
+		}
+		r.mu.Unlock()
+		if all {
+			r.free(a)
+		}
+	}
+}
--- /dev/null
+++ b/src/metrics/gateway.go
@@ -0,0 +1,86 @@
+package metrics
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/stilemast/stilemast/src/gateway"
+)
+
+// GatewaySet is the metrics of one gateway. Labels are pipelines, pools, results and outcomes.
+type GatewaySet struct {
+	registry  *prometheus.Registry
+	ended     *prometheus.CounterVec
+	took      *prometheus.HistogramVec
+	first     *prometheus.HistogramVec
+	exchanges *prometheus.CounterVec
+	exchanged *prometheus.HistogramVec
+	batches   *prometheus.CounterVec
+	pieces    *prometheus.HistogramVec
+	batched   *prometheus.HistogramVec
+	reads     *prometheus.CounterVec
+	retries   *prometheus.CounterVec
+}
+
+// NewGateway makes an empty set.
+func NewGateway() *GatewaySet {
+	s := &GatewaySet{
+		registry:  prometheus.NewRegistry(),
+		ended:     counters("gateway_requests_ended_total", "Requests that ended, by result.", "pipeline", "result"),
+		took:      histograms("gateway_request_seconds", "Time from arrival to the end of the answer.", "pipeline"),
+		first:     histograms("gateway_first_output_seconds", "Time from arrival to the first output.", "pipeline"),
+		exchanges: counters("gateway_exchanges_total", "Requests sent to servers, by outcome.", "pool", "outcome"),
+		exchanged: histograms("gateway_exchange_seconds", "Time of one exchange with a server.", "pool"),
+		batches:   counters("gateway_batches_total", "Calls that make pieces, by outcome.", "pool", "outcome"),
+		pieces: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "stilemast_gateway_batch_pieces",
+			Help: "Pieces in one call.", Buckets: prometheus.ExponentialBuckets(1, 2, 8)}, []string{"pool"}),
+		batched: histograms("gateway_batch_seconds", "Time of one call that makes pieces.", "pool"),
+		reads:   counters("gateway_store_reads_total", "Reads of the platform's store.", "document", "ok"),
+		retries: counters("gateway_retries_total", "Repeated sends asked of the shared budget.", "pool", "allowed"),
+	}
+	s.registry.MustRegister(s.ended, s.took, s.first, s.exchanges, s.exchanged, s.batches, s.pieces, s.batched, s.reads, s.retries,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return s
+}
+
+// Watcher gives the hooks through which a gateway fills the set.
+func (s *GatewaySet) Watcher() gateway.Watcher {
+	return gateway.Watcher{
+		Ended: func(pipeline, result string, took, first time.Duration) {
+			s.ended.WithLabelValues(pipeline, result).Inc()
+			s.took.WithLabelValues(pipeline).Observe(took.Seconds())
+			if first > 0 {
+				s.first.WithLabelValues(pipeline).Observe(first.Seconds())
+			}
+		},
+		Exchanged: func(pool, outcome string, took time.Duration) {
+			s.exchanges.WithLabelValues(pool, outcome).Inc()
+			s.exchanged.WithLabelValues(pool).Observe(took.Seconds())
+		},
+		Batched: func(pool string, pieces int, outcome string, took time.Duration) {
+			s.batches.WithLabelValues(pool, outcome).Inc()
+			s.pieces.WithLabelValues(pool).Observe(float64(pieces))
+			s.batched.WithLabelValues(pool).Observe(took.Seconds())
+		},
+		StoreRead: func(document string, ok bool) { s.reads.WithLabelValues(document, strconv.FormatBool(ok)).Inc() },
+		Retried:   func(pool string, allowed bool) { s.retries.WithLabelValues(pool, strconv.FormatBool(allowed)).Inc() },
+	}
+}
+
+// Handler serves the metrics with gauges of what a gateway holds, read when scraped.
+func (s *GatewaySet) Handler(g *gateway.Gateway, dials func() int64) http.Handler {
+	gauge := func(name, help string, read func() float64) {
+		s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "stilemast_gateway_" + name, Help: help}, read))
+	}
+	gauge("running", "Requests that run and pieces that wait.", func() float64 { return float64(g.Running()) })
+	gauge("config_version", "Version in force.", func() float64 { return float64(g.Version()) })
+	gauge("config_confirmed_age_seconds", "Age of the last confirmation of the configuration and the list of servers.", func() float64 { return g.ConfirmedAge().Seconds() })
+	gauge("members", "Boxes that take work.", func() float64 { return float64(g.Members()) })
+	gauge("server_connections_opened", "Connections opened to servers since the start.", func() float64 { return float64(dials()) })
+	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/src/node/gateway.go
@@ -0,0 +1,204 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/stilemast/stilemast/src/config"
+	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/gateway"
+	"github.com/stilemast/stilemast/src/metrics"
+	"github.com/stilemast/stilemast/src/peer"
+)
+
+// Tunables of a gateway's process.
+const (
+	callerHeaderTime = 10 * time.Second // a caller may take over its header
+	callerIdleTime   = 2 * time.Minute  // a caller's connection may be unused
+	maxCallerHeader  = 64 << 10
+	leastStop        = 3200 * time.Millisecond // for the balancer to notice that this box is not ready
+	quietStop        = 400 * time.Millisecond  // without a request before a stopping process ends
+	stopMargin       = 500 * time.Millisecond  // kept from the time that a planned stop may take
+	stopLook         = 50 * time.Millisecond
+	sweepConnections = time.Second
+	memoryPart       = 0.7 // of the limit that the runtime's heap aims to stay within
+	collectPercent   = 60
+)
+
+// Adapter connects the product to a platform.
+type Adapter struct {
+	Open    func(*config.GatewaySettings) Ports
+	Callers func(*gateway.Gateway) http.Handler // takes callers' requests
+	Ready   func(*gateway.Gateway) http.Handler // answers whether callers may come
+}
+
+// Ports are what an adapter gives one process.
+type Ports struct {
+	Backends gateway.Backends
+	Store    gateway.Store
+	Sweep    func()       // drops connections whose time is over
+	Dials    func() int64 // connections opened to servers so far
+	Close    func()
+}
+
+// GatewayNode is one process that serves opaque requests. Set the exported fields before Start.
+type GatewayNode struct {
+	Settings *config.GatewaySettings
+	Adapter  Adapter
+	Log      *slog.Logger
+
+	gateway *gateway.Gateway
+	ports   Ports
+	peers   *peer.Client
+	servers []*http.Server
+	beats   net.Listener
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+	served  servedAt
+}
+
+// servedAt remembers when the last request came.
+type servedAt struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+func (s *servedAt) touch() {
+	s.mu.Lock()
+	s.at = time.Now()
+	s.mu.Unlock()
+}
+
+func (s *servedAt) quietFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.at)
+}
+
+// Gateway is the gateway inside, after Start.
+func (n *GatewayNode) Gateway() *gateway.Gateway { return n.gateway }
+
+// Start opens the listeners and begins to serve.
+func (n *GatewayNode) Start() error {
+	s := n.Settings
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryMB) * (1 << 20)))
+		debug.SetGCPercent(collectPercent)
+	}
+	beats, err := net.Listen("tcp", s.Listen.Peers)
+	if err != nil {
+		return eris.Wrap(err, "listen.peers")
+	}
+	n.beats = beats
+	n.peers = peer.NewClient(nil)
+	n.ports = n.Adapter.Open(s)
+	set := metrics.NewGateway()
+	n.gateway = &gateway.Gateway{
+		Settings: gateway.Settings{
+			Address: beats.Addr().String(), FailureDomain: s.FailureDomain, Seeds: s.Fleet.Seeds,
+			RetryRatio: s.Retry.Ratio, RetrySlack: s.Retry.Slack, RetryWindow: time.Duration(s.Retry.Window),
+			Admission: s.Policy.Admission, SharedBatches: s.Policy.SharedBatches,
+		},
+		ID:       core.BoxID{Name: s.Box, Incarnation: uint64(time.Now().UnixNano())},
+		Backends: n.ports.Backends,
+		Store:    n.ports.Store,
+		Peers:    n.peers.Ports(),
+		Log:      n.Log,
+		Watch:    set.Watcher(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.gateway.Init()
+	n.done.Add(2)
+	go func() {
+		defer n.done.Done()
+		n.gateway.Run(ctx)
+	}()
+	go func() {
+		defer n.done.Done()
+		h := peer.Handlers{Beat: n.gateway.TakeBeat, Batch: n.gateway.TakeBatch, Ask: n.gateway.TakeQuestion}
+		(&peer.Server{Handlers: h}).Serve(ctx, beats)
+	}()
+	go n.sweep(ctx)
+	if err := n.serve(s.Listen.Readiness, n.Adapter.Ready(n.gateway)); err != nil {
+		return eris.Wrap(err, "listen.readiness")
+	}
+	callers := n.Adapter.Callers(n.gateway)
+	if err := n.serve(s.Listen.Callers, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.served.touch()
+		callers.ServeHTTP(w, r)
+	})); err != nil {
+		return eris.Wrap(err, "listen.callers")
+	}
+	if s.Listen.Metrics != "" {
+		if err := n.serve(s.Listen.Metrics, set.Handler(n.gateway, n.ports.Dials)); err != nil {
+			return eris.Wrap(err, "listen.metrics")
+		}
+	}
+	return nil
+}
+
+// serve opens a listener for a handler. net/http is used directly: go-zero's router can't pass every
+// path and method on untouched.
+func (n *GatewayNode) serve(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{
+		Handler: h, ReadHeaderTimeout: callerHeaderTime, IdleTimeout: callerIdleTime, MaxHeaderBytes: maxCallerHeader,
+		ErrorLog: slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
+	}
+	n.servers = append(n.servers, srv)
+	go func() { _ = srv.Serve(l) }()
+	return nil
+}
+
+func (n *GatewayNode) sweep(ctx context.Context) {
+	t := time.NewTicker(sweepConnections)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			n.ports.Sweep()
+		}
+	}
+}
+
+// Stop is the planned stop: not ready at once, then every request runs to its end within the time
+// that the settings allow. It gives the requests that were cut.
+func (n *GatewayNode) Stop() int {
+	began := time.Now()
+	limit := time.Duration(n.Settings.StopWithin) - stopMargin
+	n.gateway.Drain()
+	for time.Since(began) < limit {
+		quiet := n.gateway.Running() == 0 && n.served.quietFor() > quietStop
+		if quiet && time.Since(began) > leastStop {
+			break
+		}
+		time.Sleep(stopLook)
+	}
+	cut := n.gateway.Running()
+	n.Kill()
+	return cut
+}
+
+// Kill ends the process's work at once.
+func (n *GatewayNode) Kill() {
+	n.cancel()
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+	_ = n.beats.Close()
+	n.peers.Close()
+	n.ports.Close()
+}
--- a/src/peer/client.go
+++ b/src/peer/client.go
@@ -11,15 +11,17 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/exchange"
 	"github.com/stilemast/stilemast/src/port"
 )
 
 // The client's limits.
 const (
 	dialWait     = time.Second      // for a connection to open
-	beatQueue    = 16               // heartbeats waiting for one box; more are dropped
+	lineQueue    = 256              // messages waiting for one box; more are dropped
 	beatIdle     = 30 * time.Second // a heartbeat connection unused this long closes
 	beatPatience = time.Second      // for one heartbeat to be written
 )
@@ -30,18 +32,18 @@
 	Sent *atomic.Int64
 
 	mu     sync.Mutex
-	lines  map[string]chan core.Beat
+	lines  map[string]chan *Message
 	closed chan struct{}
 }
 
 // NewClient makes a client.
 func NewClient(cfg *tls.Config) *Client {
-	return &Client{TLS: cfg, Sent: &atomic.Int64{}, lines: map[string]chan core.Beat{}, closed: make(chan struct{})}
+	return &Client{TLS: cfg, Sent: &atomic.Int64{}, lines: map[string]chan *Message{}, closed: make(chan struct{})}
 }
 
 // Ports gives the client's messages as the box wants them.
 func (c *Client) Ports() port.Peers {
-	return port.Peers{Beat: c.Beat, Ask: c.Ask, Forward: c.Forward}
+	return port.Peers{Beat: c.Beat, Batch: c.Batch, Ask: c.Ask, Forward: c.Forward}
 }
 
 // Close ends the heartbeat connections.
@@ -53,27 +55,32 @@
 	if c.TLS != nil {
 		return (&tls.Dialer{Config: c.TLS}).DialContext(ctx, "tcp", address)
 	}
-	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	return exchange.Dial(ctx, address)
 }
 
 // Beat queues a heartbeat; it is dropped when the box does not take its earlier ones.
-func (c *Client) Beat(address string, b core.Beat) {
+func (c *Client) Beat(address string, b core.Beat) { c.queue(address, &Message{Beat: &b}) }
+
+// Batch queues a message on jobs; like a heartbeat it may be lost.
+func (c *Client) Batch(address string, m batch.Message) { c.queue(address, &Message{Batch: &m}) }
+
+func (c *Client) queue(address string, m *Message) {
 	c.mu.Lock()
 	line := c.lines[address]
 	if line == nil {
-		line = make(chan core.Beat, beatQueue)
+		line = make(chan *Message, lineQueue)
 		c.lines[address] = line
 		go c.runLine(address, line)
 	}
 	c.mu.Unlock()
 	select {
-	case line <- b:
+	case line <- m:
 	default:
 	}
 }
 
 // runLine writes one box's heartbeats over one connection, opened again as needed.
-func (c *Client) runLine(address string, line chan core.Beat) {
+func (c *Client) runLine(address string, line chan *Message) {
 	var conn net.Conn
 	defer func() {
 		if conn != nil {
@@ -94,14 +101,14 @@
 				return
 			}
 			c.mu.Unlock()
-		case b := <-line:
+		case m := <-line:
 			idle.Stop()
-			conn = c.writeBeat(conn, address, b)
+			conn = c.writeLine(conn, address, m)
 		}
 	}
 }
 
-func (c *Client) writeBeat(conn net.Conn, address string, b core.Beat) net.Conn {
+func (c *Client) writeLine(conn net.Conn, address string, m *Message) net.Conn {
 	for range 2 {
 		if conn == nil {
 			fresh, err := c.dial(context.Background(), address)
@@ -111,7 +118,7 @@
 			conn = fresh
 		}
 		_ = conn.SetWriteDeadline(time.Now().Add(beatPatience))
-		n, err := WriteFrame(conn, &Message{Beat: &b})
+		n, err := WriteFrame(conn, m)
 		c.Sent.Add(int64(n))
 		if err == nil {
 			return conn
--- a/src/peer/frame.go
+++ b/src/peer/frame.go
@@ -8,6 +8,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/port"
@@ -25,6 +26,7 @@
 // Message is one frame between boxes; exactly one field is set.
 type Message struct {
 	Beat     *core.Beat         `msgpack:"b,omitempty"`
+	Batch    *batch.Message     `msgpack:"j,omitempty"`
 	Question *port.Question     `msgpack:"q,omitempty"`
 	Answer   *port.Answer       `msgpack:"a,omitempty"`
 	Forward  *port.Forward      `msgpack:"f,omitempty"`
@@ -87,7 +89,7 @@
 	if err := msgpack.Unmarshal(body, m); err != nil {
 		return nil, code.New(code.FrameInvalid, "frame", "%v", err)
 	}
-	if m.Beat == nil && m.Question == nil && m.Answer == nil && m.Forward == nil && m.Event == nil {
+	if m.Beat == nil && m.Batch == nil && m.Question == nil && m.Answer == nil && m.Forward == nil && m.Event == nil {
 		return nil, code.New(code.FrameInvalid, "frame", "holds no message")
 	}
 	return m, nil
--- a/src/peer/server.go
+++ b/src/peer/server.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/port"
 )
@@ -22,6 +23,7 @@
 // Handlers are what the box does with messages of other boxes.
 type Handlers struct {
 	Beat    func(core.Beat)
+	Batch   func(batch.Message) // nil where no opaque requests are served
 	Ask     func(ctx context.Context, q port.Question) port.Answer
 	Forward func(ctx context.Context, f port.Forward, emit func(port.ForwardEvent) error)
 }
@@ -91,8 +93,8 @@
 		return
 	}
 	switch {
-	case m.Beat != nil:
-		s.beats(c, m)
+	case m.Beat != nil, m.Batch != nil:
+		s.line(c, m)
 	case m.Question != nil:
 		a := s.Handlers.Ask(ctx, *m.Question)
 		_ = c.SetWriteDeadline(time.Now().Add(writePatience))
@@ -102,10 +104,17 @@
 	}
 }
 
-// beats takes heartbeats until the connection ends.
-func (s *Server) beats(c net.Conn, m *Message) {
-	for m.Beat != nil {
-		s.Handlers.Beat(*m.Beat)
+// line takes heartbeats and messages on jobs until the connection ends.
+func (s *Server) line(c net.Conn, m *Message) {
+	for {
+		switch {
+		case m.Beat != nil:
+			s.Handlers.Beat(*m.Beat)
+		case m.Batch != nil && s.Handlers.Batch != nil:
+			s.Handlers.Batch(*m.Batch)
+		default:
+			return
+		}
 		_ = c.SetReadDeadline(time.Now().Add(beatSilence))
 		next, err := ReadFrame(c)
 		if err != nil {
--- a/src/port/port.go
+++ b/src/port/port.go
@@ -6,6 +6,8 @@
 	"context"
 	"time"
 
+	"github.com/stilemast/stilemast/src/batch"
+	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/config"
 	"github.com/stilemast/stilemast/src/core"
@@ -78,6 +80,8 @@
 type Peers struct {
 	// Beat sends a heartbeat and does not wait.
 	Beat func(address string, b core.Beat)
+	// Batch sends a message on jobs of pieces and does not wait; it may be lost.
+	Batch func(address string, m batch.Message)
 	// Ask sends a question and waits for its answer. The error is ErrNotConnected when no byte left.
 	Ask func(ctx context.Context, address string, q Question) (Answer, error)
 	// Forward sends a request to the box that must run it and gives each event of its answer.
@@ -136,11 +140,12 @@
 
 // Question is what boxes ask one another; exactly one field is set.
 type Question struct {
-	Pull     *Pull     `msgpack:"p"`
-	Renounce *Renounce `msgpack:"r"`
-	Cancel   *Cancel   `msgpack:"c"`
-	Handover *Handover `msgpack:"h"`
-	Versions *Versions `msgpack:"v"`
+	Pull     *Pull          `msgpack:"p"`
+	Renounce *Renounce      `msgpack:"r"`
+	Cancel   *Cancel        `msgpack:"c"`
+	Handover *Handover      `msgpack:"h"`
+	Versions *Versions      `msgpack:"v"`
+	Publish  *PullPublished `msgpack:"b"`
 }
 
 // Answer answers a Question; the field of the same name is set, or Err.
@@ -150,6 +155,7 @@
 	Cancelled bool        `msgpack:"c"`
 	Taken     bool        `msgpack:"h"`
 	Versions  *Versions   `msgpack:"v"`
+	Publish   *Published  `msgpack:"b"`
 	Err       *code.Error `msgpack:"e"`
 }
 
@@ -201,3 +207,20 @@
 	Config core.Statement `msgpack:"c"`
 	List   core.Statement `msgpack:"l"`
 }
+
+// PullPublished asks for what the platform publishes for opaque requests: DocumentConfig for the
+// catalog, DocumentServers for the backend servers.
+type PullPublished struct {
+	Document string `msgpack:"o"`
+}
+
+// DocumentServers names the list of backend servers.
+const DocumentServers = "servers"
+
+// Published is a document as of a revision of the platform's store.
+type Published struct {
+	AsOf    uint64           `msgpack:"a"`
+	Digest  string           `msgpack:"d"`
+	Catalog *catalog.Catalog `msgpack:"c"`
+	Servers []catalog.Server `msgpack:"s"`
+}
