--- a/src/cli/plot_test.go
+++ b/src/cli/plot_test.go
@@ -9,6 +9,8 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	pb "github.com/stilemast/stilemast/src/api/stilemast/v1"
+
+	"github.com/stilemast/stilemast/src/node"
 )
 
 func TestPlotBurnWritesAPicture(t *testing.T) {
@@ -40,13 +42,13 @@
 	}
 	stdout := os.Stdout
 	os.Stdout = out
-	code := Main([]string{"stilemast", "example", "pageworks"})
+	code := Main([]string{"stilemast", "example", "pageworks"}, node.Adapter{})
 	os.Stdout = stdout
 	if err := out.Close(); err != nil || code != exitOK {
 		t.Fatalf("example: %d, %v", code, err)
 	}
 	for file, want := range map[string]int{good: exitOK, bad: exitFailed, filepath.Join(dir, "none"): exitFailed} {
-		if got := Main([]string{"stilemast", "validate", file}); got != want {
+		if got := Main([]string{"stilemast", "validate", file}, node.Adapter{}); got != want {
 			t.Errorf("validate %s: exit code %d, want %d", file, got, want)
 		}
 	}
