--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -61,25 +61,38 @@
 	beats   net.Listener
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
-	served  servedAt
+	callers activity
 }
 
-// servedAt remembers when the last request came.
-type servedAt struct {
-	mu sync.Mutex
-	at time.Time
+// activity counts the callers' connections on which a request is being read or answered.
+type activity struct {
+	mu     sync.Mutex
+	active map[net.Conn]bool
+	since  time.Time // when the last of them fell idle
 }
 
-func (s *servedAt) touch() {
-	s.mu.Lock()
-	s.at = time.Now()
-	s.mu.Unlock()
+// note follows a connection's state; it is the ConnState hook of net/http.
+func (a *activity) note(c net.Conn, state http.ConnState) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if state == http.StateActive {
+		a.active[c] = true
+		return
+	}
+	if a.active[c] {
+		delete(a.active, c)
+		a.since = time.Now()
+	}
 }
 
-func (s *servedAt) quietFor() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return time.Since(s.at)
+// quietFor is how long no request has been read or answered, 0 when one is.
+func (a *activity) quietFor() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.active) > 0 {
+		return 0
+	}
+	return time.Since(a.since)
 }
 
 // Gateway is the gateway inside, after Start.
@@ -127,18 +140,15 @@
 		(&peer.Server{Handlers: h}).Serve(ctx, beats)
 	}()
 	go n.sweep(ctx)
-	if err := n.serve(s.Listen.Readiness, n.Adapter.Ready(n.gateway)); err != nil {
+	if err := n.serve(s.Listen.Readiness, n.Adapter.Ready(n.gateway), nil); err != nil {
 		return eris.Wrap(err, "listen.readiness")
 	}
-	callers := n.Adapter.Callers(n.gateway)
-	if err := n.serve(s.Listen.Callers, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.served.touch()
-		callers.ServeHTTP(w, r)
-	})); err != nil {
+	n.callers.active = map[net.Conn]bool{}
+	if err := n.serve(s.Listen.Callers, n.Adapter.Callers(n.gateway), n.callers.note); err != nil {
 		return eris.Wrap(err, "listen.callers")
 	}
 	if s.Listen.Metrics != "" {
-		if err := n.serve(s.Listen.Metrics, set.Handler(n.gateway, n.ports.Dials)); err != nil {
+		if err := n.serve(s.Listen.Metrics, set.Handler(n.gateway, n.ports.Dials), nil); err != nil {
 			return eris.Wrap(err, "listen.metrics")
 		}
 	}
@@ -147,14 +157,15 @@
 
 // serve opens a listener for a handler. net/http is used directly: go-zero's router can't pass every
 // path and method on untouched.
-func (n *GatewayNode) serve(address string, h http.Handler) error {
+func (n *GatewayNode) serve(address string, h http.Handler, states func(net.Conn, http.ConnState)) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
 	srv := &http.Server{
 		Handler: h, ReadHeaderTimeout: callerHeaderTime, IdleTimeout: callerIdleTime, MaxHeaderBytes: maxCallerHeader,
-		ErrorLog: slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
+		ConnState: states,
+		ErrorLog:  slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
 	}
 	n.servers = append(n.servers, srv)
 	go func() { _ = srv.Serve(l) }()
@@ -181,7 +192,7 @@
 	limit := time.Duration(n.Settings.StopWithin) - stopMargin
 	n.gateway.Drain()
 	for time.Since(began) < limit {
-		quiet := n.gateway.Running() == 0 && n.served.quietFor() > quietStop
+		quiet := n.gateway.Running() == 0 && n.callers.quietFor() > quietStop
 		if quiet && time.Since(began) > leastStop {
 			break
 		}
