--- a/src/cli/gateway.go
+++ b/src/cli/gateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/zeromicro/go-zero/core/proc"
 
 	"github.com/stilemast/stilemast/src/config"
 	"github.com/stilemast/stilemast/src/logging"
@@ -36,6 +37,8 @@
 		log.Error("not started", "cause", err.Error())
 		return err
 	}
+	// go-zero, which other parts of the program use, would send a second SIGTERM 5.5 s after the first.
+	proc.SetTimeToForceQuit(neverForced)
 	log.Info("serving")
 	for {
 		select {
