Close idle callers' connections and take no request late in a planned stop

Streams begun before the stop had no 'Connection: close'. After 2.2 s idle connections close (and busy ones when they end); after 3 s a request is refused with a time to come back.

--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -59,6 +59,7 @@
 	estimates estimates
 
 	draining   atomic.Bool
+	drainedAt  atomic.Int64 // unix nanoseconds at which the planned stop began
 	lastTick   atomic.Int64 // unix nanoseconds
 	wokenAt    atomic.Int64 // end of the last pause of this process, 0 for none
 	startedAt  time.Time
@@ -81,7 +82,7 @@
 	scheduleTick = 40 * time.Millisecond
 	pauseLimit   = time.Second            // a longer gap between ticks is a pause of the process
 	wakeWait     = 800 * time.Millisecond // that requests wait for a confirmation after a pause
-	sweepEvery   = 2 * time.Second
+	takesFor     = 3 * time.Second        // that a stopping box still takes requests; the balancer knows by then
 )
 
 // Run works until the context ends. Init must have been called.
@@ -185,10 +186,17 @@
 	if g.draining.Swap(true) {
 		return
 	}
+	g.drainedAt.Store(g.now().UnixNano())
 	g.fleet.leave()
 	g.Log.Info("planned stop begins", "running", g.running.Load())
 }
 
+// closing says whether a planned stop has come so far that no further request is taken: it might not
+// end in the time that is left.
+func (g *Gateway) closing() bool {
+	return g.draining.Load() && g.now().Sub(time.Unix(0, g.drainedAt.Load())) > takesFor
+}
+
 // Draining says whether a planned stop has begun.
 func (g *Gateway) Draining() bool { return g.draining.Load() }
 
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -62,6 +62,9 @@
 		return refusal(code.NotReady, "configuration", notReadyAfter, "no configuration is known yet")
 	}
 	v.version = x.Version()
+	if g.closing() {
+		return refusal(code.Draining, "box", elsewhereAfter, "this box is stopping")
+	}
 	unsure := g.published.catalogAge(g.now()) > trustFor
 	p := x.Route(r.Host, r.Path)
 	if p == nil {
--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -24,6 +24,7 @@
 	callerIdleTime   = 2 * time.Minute  // a caller's connection may be unused
 	maxCallerHeader  = 64 << 10
 	leastStop        = 3200 * time.Millisecond // for the balancer to notice that this box is not ready
+	idleStop         = 2200 * time.Millisecond // after which callers' idle connections are closed
 	quietStop        = 400 * time.Millisecond  // without a request before a stopping process ends
 	stopMargin       = 500 * time.Millisecond  // kept from the time that a planned stop may take
 	stopLook         = 50 * time.Millisecond
@@ -191,6 +192,12 @@
 	began := time.Now()
 	limit := time.Duration(n.Settings.StopWithin) - stopMargin
 	n.gateway.Drain()
+	keepAlive := time.AfterFunc(idleStop, func() {
+		for _, srv := range n.servers {
+			srv.SetKeepAlivesEnabled(false) // also closes the connections that are idle
+		}
+	})
+	defer keepAlive.Stop()
 	for time.Since(began) < limit {
 		quiet := n.gateway.Running() == 0 && n.callers.quietFor() > quietStop
 		if quiet && time.Since(began) > leastStop {
