--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -3,6 +3,8 @@
 package balance
 
 import (
+	"math"
+	"sort"
 	"time"
 
 	"github.com/stilemast/stilemast/src/catalog"
@@ -16,8 +18,10 @@
 	tokensPerMs     = 50.0                    // prompt tokens that an engine reads in a millisecond, about
 	runningPenalty  = 3.0                     // ms that each running request adds
 	farPenalty      = 8.0                     // ms for a server in another failure domain than the box
-	rendezvousBonus = 0.35                    // part of a shared prompt's reading that its first-ranked server saves in expectation
-	bytesPerMs      = 7000.0                  // bytes of results from another domain that weigh as much as a ms
+	againPerToken   = 0.12                    // ms that reading a shared token again weighs, beside the time that it takes
+	bytesPerMs      = 27000.0                 // bytes of results from another domain that weigh as much as a ms
+	popularitySpare = 2.0                     // servers for a popular prompt part, over its share of all tokens
+	popularityLife  = 5 * time.Second         // over which that share is measured
 	failurePause    = 600 * time.Millisecond  // after repeated failures; doubled with each further one
 	maxDoublings    = 4
 	hardFailures    = 2    // broken exchanges in a row before a server rests
@@ -82,13 +86,16 @@
 
 	servers map[string]*server
 	kept    map[string]map[string]time.Time // prompt part to servers that read it, and when
-	share   float64                         // of failures in the whole pool, moving
-	typical float64                         // time of an answer for its size, moving, ms
+	popular map[string]float64              // tokens asked under a first prompt part, decaying
+	asked   float64                         // tokens asked in all, decaying
+	decayed time.Time
+	share   float64 // of failures in the whole pool, moving
+	typical float64 // time of an answer for its size, moving, ms
 }
 
 // NewPool knows no server yet.
 func NewPool(box, domain string) *Pool {
-	return &Pool{Box: box, Domain: domain, servers: map[string]*server{}, kept: map[string]map[string]time.Time{}}
+	return &Pool{Box: box, Domain: domain, servers: map[string]*server{}, kept: map[string]map[string]time.Time{}, popular: map[string]float64{}}
 }
 
 // Configure takes the servers that are listed and take new work.
@@ -157,12 +164,14 @@
 func (p *Pool) Pick(now time.Time, w *Wish) (catalog.Server, string, bool) {
 	var best *server
 	bestCost, why := 0.0, ""
+	p.ask(now, w)
+	home := p.home(w)
 	for pass := range 2 {
 		for _, v := range p.servers {
 			if w.Exclude[v.ID] || pass == 0 && !v.usable(now) {
 				continue
 			}
-			c := p.cost(now, v, w)
+			c := p.cost(now, v, w, home)
 			if best == nil || c < bestCost || c == bestCost && v.ID < best.ID {
 				best, bestCost = v, c
 			}
@@ -175,14 +184,19 @@
 	if best == nil {
 		return catalog.Server{}, "no server", false
 	}
-	if why == "" {
+	switch {
+	case why != "":
+	case best.ID == home:
+		why = "home of the prompt"
+	default:
 		why = "least cost"
 	}
 	if best.rests > 0 {
 		best.probing = true
 	}
 	best.own.Requests++
-	best.own.Tokens += p.unread(now, best, w)
+	unread, _ := p.unread(now, best, w, home)
+	best.own.Tokens += unread
 	return best.Server, why, true
 }
 
@@ -194,7 +208,7 @@
 }
 
 // cost estimates in milliseconds how much later the request would be answered at a server.
-func (p *Pool) cost(now time.Time, v *server, w *Wish) float64 {
+func (p *Pool) cost(now time.Time, v *server, w *Wish, home string) float64 {
 	l := v.load(now)
 	slots := float64(max(1, v.Slots))
 	cost := runningPenalty * float64(l.Requests) * 64 / slots
@@ -205,7 +219,8 @@
 		cost += 50 * (over + 1)
 	}
 	if len(w.Parts) > 0 {
-		cost += float64(l.Tokens+p.unread(now, v, w)) / tokensPerMs
+		all, shared := p.unread(now, v, w, home)
+		cost += float64(l.Tokens+all)/tokensPerMs + againPerToken*float64(shared)
 	}
 	if w.Domain != "" && v.Domain != w.Domain {
 		cost += w.InputBytes / bytesPerMs
@@ -216,44 +231,77 @@
 	return cost * max(1, v.pace)
 }
 
-// unread estimates the tokens of a prompt that a server does not keep. Servers that nobody is known
-// to have read the prompt at are ranked by rendezvous hash, on which all boxes agree.
-func (p *Pool) unread(now time.Time, v *server, w *Wish) int {
+// unread estimates the tokens of a prompt that a server does not keep, and how many of them are
+// shared with other requests. home is the server that the prompt's shared parts belong to.
+func (p *Pool) unread(now time.Time, v *server, w *Wish, home string) (all, shared int) {
 	if len(w.Parts) == 0 {
-		return 0
+		return 0, 0
 	}
-	total, kept := 0, 0
-	whole := true
-	for _, part := range w.Parts {
-		total += part.Tokens
+	last := len(w.Parts) - 1
+	keeps := true
+	for i, part := range w.Parts {
 		at, ok := p.kept[part.ID][v.ID]
-		if whole = whole && ok && now.Sub(at) < keptLife; whole {
-			kept += part.Tokens
+		keeps = keeps && (v.ID == home && i < last || ok && now.Sub(at) < keptLife)
+		if keeps {
+			continue
 		}
-	}
-	if kept == 0 && len(w.Parts) > 1 {
-		shared := w.Parts[len(w.Parts)-2]
-		if p.first(shared.ID, v.Domain) == v.ID {
-			kept = int(rendezvousBonus * float64(total-w.Parts[len(w.Parts)-1].Tokens))
+		all += part.Tokens
+		if i < last {
+			shared += part.Tokens
 		}
 	}
-	return total - kept
+	return all, shared
 }
 
-// first is the server of a domain that ranks first for a prompt part.
-func (p *Pool) first(part, domain string) string {
+// home is the server where the shared parts of a prompt are best read, on which all boxes agree
+// without a message: the prompt's first part picks a few servers by rendezvous hash, as many as its
+// share of all tokens asks for, and the last shared part picks one of them.
+func (p *Pool) home(w *Wish) string {
+	if len(w.Parts) < 2 || len(p.servers) == 0 {
+		return ""
+	}
+	first, deepest := w.Parts[0].ID, w.Parts[len(w.Parts)-2].ID
+	ranked := make([]string, 0, len(p.servers))
+	for id := range p.servers {
+		ranked = append(ranked, id)
+	}
+	sort.Slice(ranked, func(i, j int) bool { return catalog.Hash(first, ranked[i]) > catalog.Hash(first, ranked[j]) })
+	share := 0.0
+	if p.asked > 0 {
+		share = p.popular[first] / p.asked
+	}
+	n := min(len(ranked), int(math.Ceil(popularitySpare*share*float64(len(ranked)))))
 	best, rank := "", uint64(0)
-	for id, v := range p.servers {
-		if v.Domain != domain {
-			continue
-		}
-		if r := catalog.Hash(part, id); best == "" || r > rank {
+	for _, id := range ranked[:max(1, n)] {
+		if r := catalog.Hash(deepest, id); best == "" || r > rank {
 			best, rank = id, r
 		}
 	}
 	return best
 }
 
+// ask counts the tokens of a request under its first prompt part.
+func (p *Pool) ask(now time.Time, w *Wish) {
+	if len(w.Parts) == 0 {
+		return
+	}
+	if since := now.Sub(p.decayed); since > popularityLife/10 {
+		f := math.Exp(-float64(since) / float64(popularityLife))
+		p.asked *= f
+		for id, n := range p.popular {
+			if n *= f; n < 1 {
+				delete(p.popular, id)
+			} else {
+				p.popular[id] = n
+			}
+		}
+		p.decayed = now
+	}
+	tokens := float64(w.Tokens())
+	p.asked += tokens
+	p.popular[w.Parts[0].ID] += tokens
+}
+
 // Read notes that a server has read a prompt: its load shrinks and its parts are kept there.
 func (p *Pool) Read(now time.Time, id string, w *Wish) {
 	v := p.servers[id]
