--- a/src/batch/message.go
+++ b/src/batch/message.go
@@ -3,7 +3,7 @@
 // call's fixed time is long: pieces of many requests must share it.
 //
 // Flow. An owner sends Submit to the pool's scheduler, the first living box by rendezvous hash; the
-// scheduler answers Accept, forms calls whenever a server is free, and answers Done with the handles
+// scheduler answers Accept, says Reading when the last piece went out, forms calls whenever a server is free, and answers Done with the handles
 // of the results, or Failed. The owner repeats Submit while it waits, which the scheduler answers from
 // memory, so that a lost message or a scheduler that is gone costs a moment and no request. Two
 // schedulers in a partition are harmless: a full server says so, and a piece may be made again.
@@ -71,6 +71,7 @@
 	Address  string    `msgpack:"a"`
 	Submit   *Submit   `msgpack:"s,omitempty"`
 	Accept   *JobID    `msgpack:"c,omitempty"`
+	Reading  *JobID    `msgpack:"g,omitempty"` // every piece is in a call, which reads its inputs as it begins
 	Done     *Done     `msgpack:"d,omitempty"`
 	Failed   *Failed   `msgpack:"x,omitempty"`
 	Withdraw *Withdraw `msgpack:"w,omitempty"`
--- a/src/batch/scheduler.go
+++ b/src/batch/scheduler.go
@@ -364,7 +364,7 @@
 		if v.ratio > slowRatio && !s.worthSlow(now, v) {
 			continue
 		}
-		if c, ok := s.form(now, v, queue); ok {
+		if c, ok := s.form(now, v, queue, &out); ok {
 			out.Calls = append(out.Calls, c)
 		}
 	}
@@ -394,7 +394,7 @@
 }
 
 // form makes a call of the most urgent pieces that fit a server.
-func (s *Scheduler) form(now time.Time, v *serverState, queue []*job) (Call, bool) {
+func (s *Scheduler) form(now time.Time, v *serverState, queue []*job, out *Actions) (Call, bool) {
 	limit := s.pool.Batch.Size
 	room := s.pool.Batch.RoomBytes*roomPart - v.used
 	c := Call{Server: v.Server}
@@ -420,6 +420,10 @@
 		}
 		t.pending = t.pending[n:]
 		t.running += n
+		if len(t.pending) == 0 && len(t.Inputs) > 0 {
+			id := t.ID
+			out.Replies = append(out.Replies, Reply{Box: id.Box, Message: Message{Reading: &id}})
+		}
 		room -= float64(n) * t.ResultBytes
 		rc.bytes += float64(n) * t.ResultBytes
 	}
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -276,6 +276,8 @@
 	switch {
 	case m.Accept != nil:
 		id = *m.Accept
+	case m.Reading != nil:
+		id = *m.Reading
 	case m.Done != nil:
 		id = m.Done.ID
 	case m.Failed != nil:
@@ -329,8 +331,8 @@
 }
 
 // runJob has a job done by its pool's scheduler and gives its end. When a scheduler stays silent the
-// next box is asked; a piece may then be made twice.
-func (g *Gateway) runJob(ctx context.Context, j *batch.Job) (*batch.Done, batch.Reason) {
+// next box is asked; a piece may then be made twice. reading is called when every piece is in a call.
+func (g *Gateway) runJob(ctx context.Context, j *batch.Job, reading func()) (*batch.Done, batch.Reason) {
 	id, answers := g.waiting.open()
 	defer g.waiting.close(id)
 	j.ID = id
@@ -355,6 +357,8 @@
 				timer.Reset(ackPatience)
 			case m.Failed != nil:
 				return nil, m.Failed.Reason
+			case m.Reading != nil:
+				reading()
 			case m.From == box:
 				accepted, silent = true, 0
 				timer.Reset(askAgain)
--- a/src/gateway/stages.go
+++ b/src/gateway/stages.go
@@ -12,6 +12,11 @@
 // stageMargin is what one stage takes beyond its server's own times: messages and waits for ticks.
 const stageMargin = 15 * time.Millisecond
 
+// readTime is how long a call may take to read its inputs once it has begun. Their room is given up
+// then and not at the call's end: room is what bounds a pool of makers. A call that fails after that
+// finds its inputs gone, and the stages are made again.
+const readTime = 90 * time.Millisecond
+
 // results are what the stages of one request made.
 type results struct {
 	gateway  *Gateway
@@ -20,6 +25,7 @@
 	mu      sync.Mutex
 	handles [][]string
 	freed   []bool
+	read    []bool // stages that have read their inputs
 	domains []string
 }
 
@@ -124,7 +130,7 @@
 func (g *Gateway) runStages(ctx context.Context, s *stageRun) (*results, batch.Reason) {
 	n := len(s.pipeline.Stages)
 	s.gateway, s.followers = g, followersOf(s.pipeline)
-	s.results = &results{gateway: g, pipeline: s.pipeline, handles: make([][]string, n), freed: make([]bool, n), domains: make([]string, n)}
+	s.results = &results{gateway: g, pipeline: s.pipeline, handles: make([][]string, n), freed: make([]bool, n), read: make([]bool, n), domains: make([]string, n)}
 	s.done = make([]chan struct{}, n)
 	for i := range s.done {
 		s.done[i] = make(chan struct{})
@@ -182,7 +188,7 @@
 	if len(j.Inputs) == 0 {
 		j.Key = s.request.PieceKey
 	}
-	done, reason := g.runJob(ctx, j)
+	done, reason := g.runJob(ctx, j, func() { time.AfterFunc(readTime, func() { s.freeRead(i) }) })
 	if done == nil {
 		if reason != batch.Stopped {
 			g.Log.Warn("stage failed", "request", s.request.ID, "stage", i, "pool", st.Pool, "reason", reason.String(), "took_ms", g.now().Sub(began).Milliseconds())
@@ -214,9 +220,12 @@
 	return handles, domain
 }
 
-// freeRead gives up the results that a finished stage was the last to read.
+// freeRead gives up the results that a stage was the last to read.
 func (s *stageRun) freeRead(i int) {
 	r := s.results
+	r.mu.Lock()
+	r.read[i] = true
+	r.mu.Unlock()
 	for _, a := range s.pipeline.Stages[i].After {
 		if a < 0 || a >= i {
 			continue
@@ -224,7 +233,7 @@
 		all := true
 		r.mu.Lock()
 		for _, f := range s.followers[a] {
-			all = all && (s.request.Pieces[f] == 0 || len(r.handles[f]) > 0)
+			all = all && (s.request.Pieces[f] == 0 || r.read[f])
 		}
 		r.mu.Unlock()
 		if all {
