--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -113,6 +113,10 @@
 	return nil
 }
 
+// stagePart is the part of a request's time by whose end its stages must be made. What is not through
+// them by then is given up while its caller still has time to come back.
+const stagePart = 0.45
+
 // maxPieces bounds the pieces of one stage of one request.
 const maxPieces = 4096
 
@@ -123,7 +127,8 @@
 	e.mu.Lock()
 	e.budget.Request(g.now())
 	e.mu.Unlock()
-	v.stages = &stageRun{gateway: g, pipeline: p, request: v.request, priority: v.priority, objective: v.objective, deadline: v.deadline}
+	giveUp := v.began.Add(time.Duration(stagePart * float64(v.deadline.Sub(v.began))))
+	v.stages = &stageRun{gateway: g, pipeline: p, request: v.request, priority: v.priority, objective: v.objective, deadline: giveUp}
 	v.stages.followers = followersOf(p)
 	if err := g.admit(v.stages); err != nil {
 		v.refuse(err)
