--- a/src/batch/message.go
+++ b/src/batch/message.go
@@ -45,6 +45,7 @@
 	Errors                    // its pieces failed too often
 	NoPool                    // the scheduler knows no such pool
 	Stopped                   // the owner withdrew it
+	Moved                     // another box schedules the pool now; ask there
 )
 
 // String names the reason for logs.
@@ -60,6 +61,8 @@
 		return "no_pool"
 	case Stopped:
 		return "withdrawn"
+	case Moved:
+		return "moved"
 	}
 	return "unknown"
 }
@@ -76,6 +79,7 @@
 	Failed   *Failed   `msgpack:"x,omitempty"`
 	Withdraw *Withdraw `msgpack:"w,omitempty"`
 	Free     *Free     `msgpack:"r,omitempty"`
+	Handover *Handover `msgpack:"h,omitempty"`
 }
 
 // Submit asks for a job; its times are durations from the sending.
@@ -120,6 +124,28 @@
 	Handles []string `msgpack:"h"`
 }
 
+// Handover gives the next scheduler of a pool what it can't see: results that take up room and calls
+// that are still at work. Without it two schedulers would fill the same servers.
+type Handover struct {
+	Pool string       `msgpack:"p"`
+	Held []HeldResult `msgpack:"h,omitempty"`
+	Busy []BusyServer `msgpack:"b,omitempty"`
+}
+
+// HeldResult is a result that lies at a server.
+type HeldResult struct {
+	Server string        `msgpack:"s"`
+	Handle string        `msgpack:"h"`
+	Bytes  float64       `msgpack:"b"`
+	Left   time.Duration `msgpack:"l"`
+}
+
+// BusyServer has a call at work.
+type BusyServer struct {
+	Server string        `msgpack:"s"`
+	Left   time.Duration `msgpack:"l"`
+}
+
 // Submission makes the message of a job at a moment.
 func (j *Job) Submission(now time.Time) *Submit {
 	return &Submit{
--- a/src/batch/scheduler.go
+++ b/src/batch/scheduler.go
@@ -117,6 +117,7 @@
 	domains  []string
 	failures int
 	ended    bool
+	insisted bool // stays here whoever else schedules the pool
 }
 
 type serverState struct {
@@ -127,6 +128,7 @@
 	failures int
 	ratio    float64 // measured time over expected time
 	probed   time.Time
+	handed   bool    // the call at work was told to the next scheduler
 	used     float64 // bytes of results that lie there
 	listed   bool
 }
@@ -162,8 +164,9 @@
 	servers map[string]*serverState
 	calls   map[uint64]*runningCall
 	handles map[string]held
-	freeing map[string][]string // by server
-	pieces  map[string]float64  // learned factor on the time of a class's piece
+	freeing map[string][]string  // by server
+	early   map[string]time.Time // handles given up before this scheduler heard of them
+	pieces  map[string]float64   // learned factor on the time of a class's piece
 	next    uint64
 }
 
@@ -171,7 +174,7 @@
 func NewScheduler(self string, pool catalog.Pool) *Scheduler {
 	return &Scheduler{
 		Self: self, pool: pool, jobs: map[JobID]*job{}, ended: map[JobID]ending{}, servers: map[string]*serverState{},
-		calls: map[uint64]*runningCall{}, handles: map[string]held{}, freeing: map[string][]string{}, pieces: map[string]float64{},
+		calls: map[uint64]*runningCall{}, handles: map[string]held{}, freeing: map[string][]string{}, early: map[string]time.Time{}, pieces: map[string]float64{},
 	}
 }
 
@@ -199,7 +202,11 @@
 
 // Submit takes a job, or answers again for one that it knows.
 func (s *Scheduler) Submit(now time.Time, j *Job) Actions {
-	if e, ok := s.ended[j.ID]; ok {
+	insisted := false
+	if e, ok := s.ended[j.ID]; ok && e.message.Failed != nil && e.message.Failed.Reason == Moved {
+		delete(s.ended, j.ID) // its owner sees no other scheduler
+		insisted = true
+	} else if ok {
 		return Actions{Replies: []Reply{{Box: j.ID.Box, Message: e.message}}}
 	}
 	id := j.ID
@@ -207,7 +214,7 @@
 	if s.jobs[id] != nil {
 		return Actions{Replies: []Reply{accept}}
 	}
-	t := &job{Job: j, since: now, handles: make([]string, j.Pieces), domains: make([]string, j.Pieces)}
+	t := &job{Job: j, since: now, insisted: insisted, handles: make([]string, j.Pieces), domains: make([]string, j.Pieces)}
 	for i := range j.Pieces {
 		t.pending = append(t.pending, i)
 	}
@@ -226,20 +233,23 @@
 		return out
 	}
 	if e, ok := s.ended[id]; ok && e.message.Done != nil {
-		s.release(e.message.Done.Handles)
+		s.release(now, e.message.Done.Handles)
 	}
 	return out
 }
 
 // Free gives up results that have been read.
-func (s *Scheduler) Free(handles []string) { s.release(handles) }
+func (s *Scheduler) Free(now time.Time, handles []string) { s.release(now, handles) }
 
 // release notes handles to be given up; their room counts as free at once, since the server is told
 // before it gets its next call.
-func (s *Scheduler) release(handles []string) {
+func (s *Scheduler) release(now time.Time, handles []string) {
 	for _, h := range handles {
 		r, ok := s.handles[h]
 		if !ok {
+			if h != "" {
+				s.early[h] = now
+			}
 			continue
 		}
 		delete(s.handles, h)
@@ -266,6 +276,11 @@
 			}
 		}
 	}
+	for h, at := range s.early {
+		if now.Sub(at) > memory {
+			delete(s.early, h)
+		}
+	}
 	for _, t := range s.sorted(now) {
 		if now.After(t.Deadline) {
 			s.end(now, t, Message{Failed: &Failed{ID: t.ID, Reason: Late}}, &out)
@@ -296,7 +311,7 @@
 	s.ended[t.ID] = ending{message: m, at: now}
 	out.Replies = append(out.Replies, Reply{Box: t.ID.Box, Message: m})
 	if m.Done == nil {
-		s.release(t.handles)
+		s.release(now, t.handles)
 	}
 }
 
@@ -478,7 +493,7 @@
 	delete(s.calls, n)
 	v := s.servers[rc.server]
 	if v != nil {
-		v.call = 0
+		v.call, v.handed = 0, false
 	}
 	if outcome == CallDone && len(results) != len(rc.jobs) {
 		outcome = CallBroken
@@ -533,7 +548,7 @@
 		if r.Handle != "" {
 			s.handles[r.Handle] = held{server: rc.server, bytes: t.ResultBytes, until: now.Add(s.pool.Batch.ResultTTL)}
 			if t.ended {
-				s.release([]string{r.Handle})
+				s.release(now, []string{r.Handle})
 				continue
 			}
 			t.handles[rc.pieces[i]] = r.Handle
@@ -630,6 +645,56 @@
 	return soonest + time.Duration(float64(calls)/float64(sound)*float64(full))
 }
 
+// HandOver empties a scheduler whose pool another box schedules now: jobs of which nothing is in a
+// call go back to their owners, and the next scheduler is told of the rest.
+func (s *Scheduler) HandOver(now time.Time) (Handover, Actions) {
+	h := Handover{Pool: s.pool.Name}
+	var out Actions
+	for _, t := range s.sorted(now) {
+		if t.running == 0 && len(t.pending) == t.Pieces && !t.insisted {
+			s.end(now, t, Message{Failed: &Failed{ID: t.ID, Reason: Moved}}, &out)
+		}
+	}
+	for handle, r := range s.handles {
+		h.Held = append(h.Held, HeldResult{Server: r.server, Handle: handle, Bytes: r.bytes, Left: r.until.Sub(now)})
+		delete(s.handles, handle)
+		if v := s.servers[r.server]; v != nil {
+			v.used = max(0, v.used-r.bytes)
+		}
+	}
+	for id, v := range s.servers {
+		if v.call != 0 && !v.handed {
+			v.handed = true
+			h.Busy = append(h.Busy, BusyServer{Server: id, Left: max(0, v.until.Sub(now))})
+		}
+	}
+	return h, out
+}
+
+// TakeOver takes what the scheduler before knew.
+func (s *Scheduler) TakeOver(now time.Time, h Handover) {
+	for _, r := range h.Held {
+		v := s.servers[r.Server]
+		if v == nil {
+			continue
+		}
+		s.handles[r.Handle] = held{server: r.Server, bytes: r.Bytes, until: now.Add(r.Left)}
+		v.used += r.Bytes
+		if _, ok := s.early[r.Handle]; ok {
+			delete(s.early, r.Handle)
+			s.release(now, []string{r.Handle})
+		}
+	}
+	for _, b := range h.Busy {
+		if v := s.servers[b.Server]; v != nil && v.call == 0 {
+			v.pause = now.Add(b.Left)
+		}
+	}
+}
+
+// Empty says whether a handover would tell nothing.
+func (h Handover) Empty() bool { return len(h.Held) == 0 && len(h.Busy) == 0 }
+
 // Pending counts the pieces that wait and the calls at work.
 func (s *Scheduler) Pending() (pieces, calls int) {
 	for _, t := range s.jobs {
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -95,6 +95,7 @@
 
 func (d *desk) tick(context.Context) {
 	for _, s := range d.list() {
+		d.handOver(s)
 		s.mu.Lock()
 		a := s.core.Tick(d.gateway.now())
 		s.mu.Unlock()
@@ -102,6 +103,34 @@
 	}
 }
 
+// handOver passes a pool on that another box schedules now.
+func (d *desk) handOver(s *scheduler) {
+	g := d.gateway
+	next := g.schedulerOf(s.pool, nil)
+	if next == g.ID.Name {
+		return
+	}
+	now := g.now()
+	s.mu.Lock()
+	h, a := s.core.HandOver(now)
+	s.mu.Unlock()
+	d.carry(s, a)
+	if !h.Empty() {
+		g.Log.Info("scheduler handed over", "pool", s.pool, "to", next, "results", len(h.Held), "calls", len(h.Busy), "jobs", len(a.Replies))
+		g.tell(next, batch.Message{Handover: &h})
+	}
+}
+
+func (d *desk) takeOver(h batch.Handover) {
+	s := d.get(h.Pool)
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	s.core.TakeOver(d.gateway.now(), h)
+	s.mu.Unlock()
+}
+
 // take serves a message of an owner.
 func (d *desk) take(m batch.Message) {
 	switch {
@@ -111,6 +140,8 @@
 		d.withdraw(*m.Withdraw)
 	case m.Free != nil:
 		d.free(*m.Free)
+	case m.Handover != nil:
+		d.takeOver(*m.Handover)
 	}
 }
 
@@ -146,7 +177,7 @@
 		return
 	}
 	s.mu.Lock()
-	s.core.Free(f.Handles)
+	s.core.Free(d.gateway.now(), f.Handles)
 	s.mu.Unlock()
 }
 
@@ -355,6 +386,10 @@
 				avoid[box] = true
 				box, accepted, silent = g.another(j, box, avoid, "no_pool"), false, 0
 				timer.Reset(ackPatience)
+			case m.Failed != nil && m.Failed.Reason == batch.Moved:
+				box, accepted, silent = g.schedulerOf(j.Pool, avoid), false, 0
+				g.tell(box, batch.Message{Submit: j.Submission(g.now())})
+				timer.Reset(ackPatience)
 			case m.Failed != nil:
 				return nil, m.Failed.Reason
 			case m.Reading != nil:
