Estimate waits from the measured pace, and end jobs before their inputs do

Cause: admission trusted full calls (470 pieces/s) where room allows 335, so that it refused nothing while 700 pieces waited; and jobs waited past the 4 s that their inputs last, were called and failed.

--- a/src/batch/message.go
+++ b/src/batch/message.go
@@ -144,6 +144,7 @@
 type BusyServer struct {
 	Server string        `msgpack:"s"`
 	Left   time.Duration `msgpack:"l"`
+	Bytes  float64       `msgpack:"b"` // that its results will take up
 }
 
 // Submission makes the message of a job at a moment.
--- a/src/batch/scheduler.go
+++ b/src/batch/scheduler.go
@@ -21,10 +21,12 @@
 	timeoutFactor  = 3.0                    // of a call's expected time
 	timeoutFloor   = 500 * time.Millisecond // added to it
 	serverLearning = 0.3                    // weight of a new measurement of a server's pace
+	paceLearning   = 0.1                    // of the pieces a second of one server while work waits
 	classLearning  = 0.1                    // of a class's time for a piece
 	slowRatio      = 1.8                    // a server this much slower than expected is used last
 	slowProbe      = 1500 * time.Millisecond
-	memory         = 5 * time.Second // for which the end of a job is remembered
+	handoverSlack  = 80 * time.Millisecond // from the end of a call that was handed over to news of its results
+	memory         = 5 * time.Second       // for which the end of a job is remembered
 )
 
 // Item is one piece in a call.
@@ -43,6 +45,24 @@
 	Reason ItemReason
 }
 
+// CountReasons counts the items that were not made, by reason.
+func CountReasons(results []ItemResult) (late, gone, noRoom, failed int) {
+	for _, r := range results {
+		switch {
+		case r.Handle != "":
+		case r.Reason == ItemLate:
+			late++
+		case r.Reason == ItemGone:
+			gone++
+		case r.Reason == ItemNoRoom:
+			noRoom++
+		default:
+			failed++
+		}
+	}
+	return late, gone, noRoom, failed
+}
+
 // ItemReason says why a server did not make a piece.
 type ItemReason uint8
 
@@ -167,6 +187,7 @@
 	freeing map[string][]string  // by server
 	early   map[string]time.Time // handles given up before this scheduler heard of them
 	pieces  map[string]float64   // learned factor on the time of a class's piece
+	pace    float64              // pieces a second of one server while work waits, moving; 0 when never measured
 	next    uint64
 }
 
@@ -322,8 +343,7 @@
 	for _, t := range s.jobs {
 		list = append(list, t)
 	}
-	least := s.pool.Batch.CallTime
-	hopeless := func(t *job) bool { return now.Add(least).After(t.Due) && t.running == 0 }
+	hopeless := func(t *job) bool { return s.hopeless(now, t) }
 	rank := func(t *job) time.Time {
 		if hopeless(t) {
 			return t.Deadline
@@ -610,10 +630,18 @@
 		}
 	}
 	v.ratio += serverLearning * (r - v.ratio)
+	if waiting, _ := s.Pending(); waiting >= s.pool.Batch.Size {
+		measured := float64(len(rc.jobs)) / took.Seconds()
+		if s.pace == 0 {
+			s.pace = measured
+		}
+		s.pace += paceLearning * (measured - s.pace)
+	}
 }
 
-// Wait estimates how long a new piece of a priority waits before its call begins.
-func (s *Scheduler) Wait(now time.Time, priority int) time.Duration {
+// Wait estimates how long a new piece waits before its call begins. Jobs that can't be in time any
+// more go last and are not ahead of it.
+func (s *Scheduler) Wait(now time.Time) time.Duration {
 	if s.pool.Batch == nil {
 		return 0
 	}
@@ -636,13 +664,26 @@
 	}
 	ahead := 0
 	for _, t := range s.jobs {
-		if t.Priority <= priority {
+		if !s.hopeless(now, t) {
 			ahead += len(t.pending)
 		}
 	}
-	full := s.pool.Batch.CallTime + time.Duration(s.pool.Batch.Size)*s.pool.Batch.ItemTime
-	calls := ahead / max(1, s.pool.Batch.Size)
-	return soonest + time.Duration(float64(calls)/float64(sound)*float64(full))
+	rate := s.fullRate()
+	if s.pace > 0 {
+		rate = min(rate, s.pace)
+	}
+	return soonest + time.Duration(float64(ahead)/(rate*float64(sound))*float64(time.Second))
+}
+
+// fullRate is the pieces a second of one server whose calls are full.
+func (s *Scheduler) fullRate() float64 {
+	b := s.pool.Batch
+	return float64(b.Size) / (b.CallTime + time.Duration(b.Size)*b.ItemTime).Seconds()
+}
+
+// hopeless says whether a job can't be in time any more.
+func (s *Scheduler) hopeless(now time.Time, t *job) bool {
+	return t.running == 0 && now.Add(s.pool.Batch.CallTime).After(t.Due)
 }
 
 // HandOver empties a scheduler whose pool another box schedules now: jobs of which nothing is in a
@@ -665,7 +706,7 @@
 	for id, v := range s.servers {
 		if v.call != 0 && !v.handed {
 			v.handed = true
-			h.Busy = append(h.Busy, BusyServer{Server: id, Left: max(0, v.until.Sub(now))})
+			h.Busy = append(h.Busy, BusyServer{Server: id, Left: max(0, v.until.Sub(now)), Bytes: s.calls[v.call].bytes})
 		}
 	}
 	return h, out
@@ -686,9 +727,13 @@
 		}
 	}
 	for _, b := range h.Busy {
-		if v := s.servers[b.Server]; v != nil && v.call == 0 {
-			v.pause = now.Add(b.Left)
+		v := s.servers[b.Server]
+		if v == nil || v.call != 0 {
+			continue
 		}
+		v.pause = now.Add(b.Left)
+		v.used += b.Bytes // until the results themselves are told of
+		s.handles["call at "+b.Server] = held{server: b.Server, bytes: b.Bytes, until: now.Add(b.Left + handoverSlack)}
 	}
 }
 
--- a/src/core/rumour.go
+++ b/src/core/rumour.go
@@ -36,11 +36,10 @@
 	Resting  bool   `msgpack:"r"` // it failed there lately
 }
 
-// WaitNote says how long a piece of a priority waits in a pool, as its scheduler expects.
+// WaitNote says how long a piece waits in a pool, as its scheduler expects.
 type WaitNote struct {
-	Pool     uint64        `msgpack:"p"`
-	Priority int           `msgpack:"y"`
-	Wait     time.Duration `msgpack:"w"`
+	Pool uint64        `msgpack:"p"`
+	Wait time.Duration `msgpack:"w"`
 }
 
 // Beat is a heartbeat, its answer, or an indirect question. All three carry the same news.
--- a/src/gateway/admission.go
+++ b/src/gateway/admission.go
@@ -30,7 +30,7 @@
 			}
 		}
 		if s.request.Pieces[i] > 0 {
-			w := g.fleet.waitAt(now, st.Pool, s.priority)
+			w := g.waitIn(now, st.Pool)
 			end[i] += w + s.least(i)
 			waited[i] += w
 		}
@@ -67,3 +67,18 @@
 	err.RetryAfter = after
 	return err
 }
+
+// waitIn is how long a piece waits in a pool: asked of the scheduler when it is in this box, or as it
+// told lately.
+func (g *Gateway) waitIn(now time.Time, pool string) time.Duration {
+	if g.schedulerOf(pool, nil) != g.ID.Name {
+		return g.fleet.waitAt(now, pool)
+	}
+	s := g.desk.get(pool)
+	if s == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Wait(now)
+}
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -28,15 +28,10 @@
 	core      *core.Members
 	addresses map[string]string    // of boxes that sent messages, by name
 	seen      map[string]time.Time // boxes heard of, and when last
-	waits     map[waitKey]waitNote
+	waits     map[uint64]waitNote  // by the hash of a pool
 	usableNow []string
 }
 
-type waitKey struct {
-	pool     uint64
-	priority int
-}
-
 type waitNote struct {
 	wait time.Duration
 	at   time.Time
@@ -47,7 +42,7 @@
 	self := core.Rumour{ID: g.ID, Address: g.Settings.Address, Domain: g.Settings.FailureDomain}
 	f.core = core.NewMembers(self, g.Rand)
 	f.addresses, f.seen = map[string]string{}, map[string]time.Time{}
-	f.waits = map[waitKey]waitNote{}
+	f.waits = map[uint64]waitNote{}
 	f.usableNow = []string{g.ID.Name}
 }
 
@@ -149,7 +144,7 @@
 	changed := f.core.Changed()
 	if len(m.Waits) > 0 {
 		for _, w := range m.Waits {
-			f.waits[waitKey{w.Pool, w.Priority}] = waitNote{wait: w.Wait, at: now}
+			f.waits[w.Pool] = waitNote{wait: w.Wait, at: now}
 		}
 	}
 	f.mu.Unlock()
@@ -258,17 +253,14 @@
 	return core.MemberDead
 }
 
-// waitAt is how long a piece of a priority waits in a pool, as its scheduler told lately.
-func (f *fleet) waitAt(now time.Time, pool string, priority int) time.Duration {
+// waitAt is how long a piece waits in a pool, as its scheduler told lately.
+func (f *fleet) waitAt(now time.Time, pool string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	hash, best, at := catalog.Hash(pool), time.Duration(0), -1
-	for k, n := range f.waits {
-		if k.pool == hash && k.priority <= priority && k.priority > at && now.Sub(n.at) < waitLife {
-			best, at = n.wait, k.priority
-		}
+	if n := f.waits[catalog.Hash(pool)]; now.Sub(n.at) < waitLife {
+		return n.wait
 	}
-	return best
+	return 0
 }
 
 // TakeQuestion answers another box.
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -12,10 +12,9 @@
 
 // Tunables of talking with a scheduler.
 const (
-	ackPatience  = 250 * time.Millisecond // for a scheduler to accept a job
-	askAgain     = 500 * time.Millisecond // pace at which an owner asks for an accepted job
-	silentAsks   = 2                      // unanswered questions after which another box is asked
-	mostPriority = 12                     // priorities told apart in notes on waits
+	ackPatience = 250 * time.Millisecond // for a scheduler to accept a job
+	askAgain    = 500 * time.Millisecond // pace at which an owner asks for an accepted job
+	silentAsks  = 2                      // unanswered questions after which another box is asked
 )
 
 // desk holds the schedulers of the pools that this box forms calls for.
@@ -28,11 +27,10 @@
 }
 
 type scheduler struct {
-	mu         sync.Mutex
-	core       *batch.Scheduler
-	pool       string
-	priorities map[int]time.Time // seen lately
-	usedAt     time.Time
+	mu     sync.Mutex
+	core   *batch.Scheduler
+	pool   string
+	usedAt time.Time
 }
 
 func (d *desk) init(g *Gateway) {
@@ -54,7 +52,7 @@
 	defer d.mu.Unlock()
 	s := d.all[pool]
 	if s == nil {
-		s = &scheduler{core: batch.NewScheduler(d.gateway.ID.Name, *p), pool: pool, priorities: map[int]time.Time{}}
+		s = &scheduler{core: batch.NewScheduler(d.gateway.ID.Name, *p), pool: pool}
 		s.core.Configure(d.gateway.now(), *p, d.servers[pool])
 		d.all[pool] = s
 		d.gateway.Log.Info("scheduler opened", "pool", pool, "servers", len(d.servers[pool]))
@@ -154,7 +152,6 @@
 	now := d.gateway.now()
 	s.mu.Lock()
 	s.usedAt = now
-	s.priorities[min(j.Priority, mostPriority)] = now
 	a := s.core.Submit(now, j.Job(now))
 	s.mu.Unlock()
 	d.carry(s, a)
@@ -221,7 +218,8 @@
 	a := s.core.CallEnded(now, c.N, outcome, results)
 	pending, calls := s.core.Pending()
 	s.mu.Unlock()
-	g.Log.Info("batch ended", "pool", s.pool, "server", c.Server.ID, "pieces", len(c.Items), "outcome", outcome.String(), "took_ms", took.Milliseconds(), "pending", pending, "calls", calls)
+	late, gone, noRoom, failed := batch.CountReasons(results)
+	g.Log.Info("batch ended", "pool", s.pool, "server", c.Server.ID, "pieces", len(c.Items), "outcome", outcome.String(), "took_ms", took.Milliseconds(), "pending", pending, "calls", calls, "late", late, "gone", gone, "no_room", noRoom, "failed", failed)
 	if g.Watch.Batched != nil {
 		g.Watch.Batched(s.pool, len(c.Items), outcome.String(), took)
 	}
@@ -248,11 +246,7 @@
 	for _, s := range d.list() {
 		s.mu.Lock()
 		if now.Sub(s.usedAt) < waitLife {
-			for p, at := range s.priorities {
-				if now.Sub(at) < waitLife {
-					out = append(out, core.WaitNote{Pool: catalog.Hash(s.pool), Priority: p, Wait: s.core.Wait(now, p)})
-				}
-			}
+			out = append(out, core.WaitNote{Pool: catalog.Hash(s.pool), Wait: s.core.Wait(now)})
 		}
 		s.mu.Unlock()
 	}
--- a/src/gateway/stages.go
+++ b/src/gateway/stages.go
@@ -27,6 +27,7 @@
 	freed   []bool
 	read    []bool // stages that have read their inputs
 	domains []string
+	expires []time.Time // when they are lost by age
 }
 
 // final lists the handles that the request itself needs, the domain where most of their bytes lie
@@ -130,7 +131,7 @@
 func (g *Gateway) runStages(ctx context.Context, s *stageRun) (*results, batch.Reason) {
 	n := len(s.pipeline.Stages)
 	s.gateway, s.followers = g, followersOf(s.pipeline)
-	s.results = &results{gateway: g, pipeline: s.pipeline, handles: make([][]string, n), freed: make([]bool, n), read: make([]bool, n), domains: make([]string, n)}
+	s.results = &results{gateway: g, pipeline: s.pipeline, handles: make([][]string, n), freed: make([]bool, n), read: make([]bool, n), domains: make([]string, n), expires: make([]time.Time, n)}
 	s.done = make([]chan struct{}, n)
 	for i := range s.done {
 		s.done[i] = make(chan struct{})
@@ -184,7 +185,11 @@
 		Stage: i, Pieces: s.request.Pieces[i], ResultBytes: float64(st.ResultBytes), Priority: s.priority,
 		Due: s.objective.Add(-rest), Deadline: s.deadline.Add(-rest),
 	}
-	j.Inputs, j.InputDomain = s.inputs(i)
+	var expires time.Time
+	j.Inputs, j.InputDomain, expires = s.inputs(i)
+	if !expires.IsZero() && expires.Before(j.Deadline) {
+		j.Deadline = expires
+	}
 	if len(j.Inputs) == 0 {
 		j.Key = s.request.PieceKey
 	}
@@ -197,13 +202,15 @@
 	}
 	s.results.mu.Lock()
 	s.results.handles[i], s.results.domains[i] = done.Handles, done.Domain
+	s.results.expires[i] = g.now().Add(s.lifeOf(i))
 	s.results.mu.Unlock()
 	s.freeRead(i)
 	return 0
 }
 
-// inputs lists the handles that a stage's pieces need and the domain where the most of them lie.
-func (s *stageRun) inputs(i int) (handles []string, domain string) {
+// inputs lists the handles that a stage's pieces need, the domain where the most of them lie and when
+// the first of them is lost by age, less what a call may take to come to its turn.
+func (s *stageRun) inputs(i int) (handles []string, domain string, expires time.Time) {
 	r := s.results
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -216,8 +223,11 @@
 		if n := len(r.handles[a]) * s.pipeline.Stages[a].ResultBytes; n > best {
 			best, domain = n, r.domains[a]
 		}
+		if len(r.handles[a]) > 0 && (expires.IsZero() || r.expires[a].Before(expires)) {
+			expires = r.expires[a]
+		}
 	}
-	return handles, domain
+	return handles, domain, expires
 }
 
 // freeRead gives up the results that a stage was the last to read.
@@ -241,3 +251,12 @@
 		}
 	}
 }
+
+// lifeOf is how long the results of a stage last from now, less a margin for messages and turns.
+func (s *stageRun) lifeOf(i int) time.Duration {
+	p := s.gateway.index.Load().Pool(s.pipeline.Stages[i].Pool)
+	if p == nil || p.Batch == nil || p.Batch.ResultTTL == 0 {
+		return time.Hour
+	}
+	return p.Batch.ResultTTL - readTime
+}
