--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"sort"
+	"strconv"
 	"time"
 
 	"github.com/stilemast/stilemast/src/catalog"
@@ -17,6 +18,7 @@
 	keptMost        = 4096                    // prompt parts remembered of one pool
 	tokensPerMs     = 50.0                    // prompt tokens that an engine reads in a millisecond, about
 	runningPenalty  = 3.0                     // ms that each running request adds
+	jitterMs        = 1.0                     // by which servers of the same cost are told apart
 	farPenalty      = 8.0                     // ms for a server in another failure domain than the box
 	againPerToken   = 0.12                    // ms that reading a shared token again weighs, beside the time that it takes
 	bytesPerMs      = 27000.0                 // bytes of results from another domain that weigh as much as a ms
@@ -86,8 +88,9 @@
 
 	servers map[string]*server
 	kept    map[string]map[string]time.Time // prompt part to servers that read it, and when
-	popular map[string]float64              // tokens asked under a first prompt part, decaying
-	asked   float64                         // tokens asked in all, decaying
+	picks   uint64
+	popular map[string]float64 // tokens asked under a first prompt part, decaying
+	asked   float64            // tokens asked in all, decaying
 	decayed time.Time
 	share   float64 // of failures in the whole pool, moving
 	typical float64 // time of an answer for its size, moving, ms
@@ -165,13 +168,14 @@
 	var best *server
 	bestCost, why := 0.0, ""
 	p.ask(now, w)
+	p.picks++
 	home := p.home(w)
 	for pass := range 2 {
 		for _, v := range p.servers {
 			if w.Exclude[v.ID] || pass == 0 && !v.usable(now) {
 				continue
 			}
-			c := p.cost(now, v, w, home)
+			c := p.cost(now, v, w, home) + p.jitter(v.ID)
 			if best == nil || c < bestCost || c == bestCost && v.ID < best.ID {
 				best, bestCost = v, c
 			}
@@ -200,6 +204,11 @@
 	return best.Server, why, true
 }
 
+// jitter spreads requests over servers that cost the same.
+func (p *Pool) jitter(id string) float64 {
+	return jitterMs * float64(catalog.Hash(p.Box, id, strconv.FormatUint(p.picks, 36))%1024) / 1024
+}
+
 func (v *server) usable(now time.Time) bool {
 	if now.Before(v.until) {
 		return false
--- /dev/null
+++ b/src/balance/balance_test.go
@@ -0,0 +1,176 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stilemast/stilemast/src/catalog"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func testPool(box string, servers int) *Pool {
+	p := NewPool(box, "d0")
+	var list []catalog.Server
+	for i := range servers {
+		list = append(list, catalog.Server{ID: fmt.Sprintf("s%d", i), Pool: "model", Domain: fmt.Sprintf("d%d", i%3), Slots: 64})
+	}
+	p.Configure(list)
+	return p
+}
+
+func prompt(first, shared, own string) []Part {
+	return []Part{{ID: first, Tokens: 300}, {ID: shared, Tokens: 4000}, {ID: own, Tokens: 1000}}
+}
+
+func pick(t *testing.T, p *Pool, w *Wish) string {
+	t.Helper()
+	s, _, ok := p.Pick(start, w)
+	if !ok {
+		t.Fatal("no server was picked")
+	}
+	return s.ID
+}
+
+func TestBoxesAgreeWhereASharedPromptBelongs(t *testing.T) {
+	a, b := testPool("a", 9), testPool("b", 9)
+	b.Domain = "d2"
+	for i := range 30 {
+		shared := fmt.Sprintf("book%d", i)
+		x := pick(t, a, &Wish{Parts: prompt("common", shared, "1")})
+		y := pick(t, b, &Wish{Parts: prompt("common", shared, "2")})
+		a.Ended(start, x, &Wish{}, Good)
+		b.Ended(start, y, &Wish{}, Good)
+		if x != y {
+			t.Errorf("%s goes to %s from one box and to %s from the other", shared, x, y)
+		}
+	}
+}
+
+func TestAPopularFirstPartIsSpreadAndARareOneIsNot(t *testing.T) {
+	p := testPool("a", 9)
+	popular, rare := map[string]bool{}, map[string]bool{}
+	for i := range 200 {
+		w := &Wish{Parts: prompt("everyone", fmt.Sprint("book", i), fmt.Sprint("own", i))}
+		s := pick(t, p, w)
+		popular[s] = true
+		p.Ended(start, s, w, Good)
+		if i%20 == 0 {
+			r := &Wish{Parts: prompt("rare", fmt.Sprint("page", i), fmt.Sprint("mine", i))}
+			s := pick(t, p, r)
+			if i >= 100 { // by then it is known how rare the part is
+				rare[s] = true
+			}
+			p.Ended(start, s, r, Good)
+		}
+	}
+	if len(popular) < 7 || len(rare) > 2 {
+		t.Errorf("a popular part lies at %d of 9 servers, a rare one at %d", len(popular), len(rare))
+	}
+}
+
+func TestALoadedHomeIsPassedOver(t *testing.T) {
+	p := testPool("a", 9)
+	w := &Wish{Parts: prompt("x", "y", "z")}
+	home := pick(t, p, w)
+	p.PeerLoad(start, "other", home, Load{Requests: 64, Tokens: 500_000})
+	if s := pick(t, p, w); s == home {
+		t.Errorf("%s got the request though ten seconds of reading wait there", home)
+	}
+	later := start.Add(2 * noteLife)
+	if s, _, _ := p.Pick(later, w); s.ID != home {
+		t.Errorf("a peer's old note kept the request from %s", home)
+	}
+}
+
+func TestBrokenServersRestAndAreTriedAgainGently(t *testing.T) {
+	p := testPool("a", 2)
+	for range hardFailures {
+		p.Pick(start, &Wish{Exclude: map[string]bool{"s1": true}})
+		p.Ended(start, "s0", &Wish{}, Broken)
+	}
+	for range 20 {
+		if s := pick(t, p, &Wish{}); s == "s0" {
+			t.Fatal("a resting server got a request")
+		}
+	}
+	later := start.Add(2 * failurePause)
+	tries := 0
+	for range 40 {
+		if s, _, _ := p.Pick(later, &Wish{}); s.ID == "s0" {
+			tries++
+		}
+	}
+	if tries != 1 {
+		t.Fatalf("%d requests went to a server that rested, want 1 until it answers", tries)
+	}
+	p.Ended(later, "s0", &Wish{}, Good)
+	if s, _, _ := p.Pick(later, &Wish{}); s.ID != "s0" {
+		t.Error("a server that answered again gets no work")
+	}
+}
+
+func TestWhenAllRestTheLeastBadIsTried(t *testing.T) {
+	p := testPool("a", 2)
+	p.Rest(start, "s0")
+	p.Rest(start, "s1")
+	if _, why, ok := p.Pick(start, &Wish{}); !ok || why != "all servers rest" {
+		t.Errorf("nothing was tried: %s", why)
+	}
+}
+
+func TestFailuresThatAllServersShareRestNone(t *testing.T) {
+	p := testPool("a", 3)
+	p.Domain = "elsewhere"
+	for i := range 300 {
+		id := pick(t, p, &Wish{})
+		o := Good
+		if i%7 == 0 {
+			o = Failed // one in seven, wherever it runs
+		}
+		p.Ended(start, id, &Wish{}, o)
+	}
+	if r := p.Resting(start); len(r) > 0 {
+		t.Errorf("%v rest for failures that all have", r)
+	}
+}
+
+func TestAGreyServerRests(t *testing.T) {
+	p := testPool("a", 3)
+	p.Domain = "elsewhere" // so that no server is nearer than another
+	for i := range 300 {
+		id := pick(t, p, &Wish{})
+		o := Good
+		if id == "s1" && i%2 == 0 {
+			o = Failed
+		}
+		if p.Ended(start, id, &Wish{}, o) && id != "s1" {
+			t.Fatalf("%s rests", id)
+		}
+	}
+	if r := p.Resting(start); len(r) != 1 || r[0] != "s1" {
+		t.Errorf("resting: %v, want s1", r)
+	}
+}
+
+func TestExcludedServersAreNotPicked(t *testing.T) {
+	p := testPool("a", 2)
+	if _, _, ok := p.Pick(start, &Wish{Exclude: map[string]bool{"s0": true, "s1": true}}); ok {
+		t.Error("an excluded server was picked")
+	}
+}
+
+func TestDroppedExchangesSayNothingOfAServer(t *testing.T) {
+	p := testPool("a", 1)
+	for range 20 {
+		pick(t, p, &Wish{})
+		p.Ended(start, "s0", &Wish{}, Dropped)
+	}
+	if len(p.Resting(start)) > 0 {
+		t.Error("a server rests because callers left")
+	}
+	if n, _ := p.Busy(start); n != 0 {
+		t.Errorf("%d requests are still counted", n)
+	}
+}
--- /dev/null
+++ b/src/batch/scheduler_test.go
@@ -0,0 +1,387 @@
+package batch
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/stilemast/stilemast/src/catalog"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func testPool() catalog.Pool {
+	return catalog.Pool{Name: "rerank", Batch: &catalog.BatchLimits{
+		Slots: 1, Queue: 2, Size: 8, CallTime: 240 * time.Millisecond, ItemTime: 20 * time.Millisecond,
+		RoomBytes: 1000, ResultTTL: 4 * time.Second,
+	}}
+}
+
+func testServers(n int) []catalog.Server {
+	var out []catalog.Server
+	for i := range n {
+		out = append(out, catalog.Server{ID: fmt.Sprintf("s%d", i), Pool: "rerank", Domain: fmt.Sprintf("d%d", i%2), Slots: 1})
+	}
+	return out
+}
+
+func testScheduler(servers int) *Scheduler {
+	s := NewScheduler("box", testPool())
+	s.Configure(start, testPool(), testServers(servers))
+	return s
+}
+
+func testJob(box string, n uint64, pieces int) *Job {
+	return &Job{
+		ID: JobID{Box: box, Life: 1, N: n}, Pool: "rerank", Request: fmt.Sprintf("%s-%d", box, n), Class: "c", Pieces: pieces,
+		ResultBytes: 10, Due: start.Add(2 * time.Second), Deadline: start.Add(5 * time.Second),
+	}
+}
+
+func made(c Call) []ItemResult {
+	out := make([]ItemResult, len(c.Items))
+	for i, it := range c.Items {
+		out[i] = ItemResult{Handle: fmt.Sprintf("%s/%s/%d", c.Server.ID, it.Request, it.Piece)}
+	}
+	return out
+}
+
+func doneOf(a Actions, box string) *Done {
+	for _, r := range a.Replies {
+		if r.Box == box && r.Message.Done != nil {
+			return r.Message.Done
+		}
+	}
+	return nil
+}
+
+func failedOf(a Actions) *Failed {
+	for _, r := range a.Replies {
+		if r.Message.Failed != nil {
+			return r.Message.Failed
+		}
+	}
+	return nil
+}
+
+func TestOneCallHoldsPiecesOfManyBoxes(t *testing.T) {
+	s := testScheduler(1)
+	first := s.Submit(start, testJob("a", 1, 1))
+	if len(first.Calls) != 1 {
+		t.Fatalf("a free server got %d calls, want 1", len(first.Calls))
+	}
+	s.Submit(start, testJob("b", 1, 2))
+	s.Submit(start, testJob("c", 1, 3))
+	next := s.CallEnded(start.Add(260*time.Millisecond), first.Calls[0].N, CallDone, made(first.Calls[0]))
+	if doneOf(next, "a") == nil {
+		t.Fatal("the first job's owner heard nothing")
+	}
+	if len(next.Calls) != 1 || len(next.Calls[0].Items) != 5 {
+		t.Fatalf("the pieces of two boxes did not share the next call: %+v", next.Calls)
+	}
+	last := s.CallEnded(start.Add(600*time.Millisecond), next.Calls[0].N, CallDone, made(next.Calls[0]))
+	if d := doneOf(last, "c"); d == nil || len(d.Handles) != 3 || d.Handles[2] != "s0/c-1/2" {
+		t.Fatalf("wrong results for box c: %+v", d)
+	}
+}
+
+func TestAskedAgainAnEndedJobIsAnsweredFromMemory(t *testing.T) {
+	s := testScheduler(1)
+	j := testJob("a", 1, 1)
+	c := s.Submit(start, j).Calls[0]
+	s.CallEnded(start.Add(time.Second), c.N, CallDone, made(c))
+	again := s.Submit(start.Add(time.Second), j)
+	if doneOf(again, "a") == nil || len(again.Calls) != 0 {
+		t.Fatalf("an ended job was not answered from memory: %+v", again)
+	}
+}
+
+func TestRoomBoundsWhatIsMadeUntilResultsAreGivenUp(t *testing.T) {
+	s := testScheduler(1)
+	big := testJob("a", 1, 4)
+	big.ResultBytes = 200 // 4 of them leave no room for a fifth of 1000 x roomPart
+	c := s.Submit(start, big).Calls[0]
+	other := testJob("b", 1, 1)
+	other.ResultBytes = 200
+	s.Submit(start, other)
+	a := s.CallEnded(start.Add(300*time.Millisecond), c.N, CallDone, made(c))
+	if len(a.Calls) != 0 {
+		t.Fatal("a call was made without room for its results")
+	}
+	s.Free(start.Add(310*time.Millisecond), doneOf(a, "a").Handles)
+	b := s.Tick(start.Add(320 * time.Millisecond))
+	if len(b.Calls) != 1 || len(b.Calls[0].Free) != 4 {
+		t.Fatalf("room that was given up was not used, or the server not told first: %+v", b)
+	}
+}
+
+func TestResultsNobodyGivesUpStopCountingWhenTheyAreOld(t *testing.T) {
+	s := testScheduler(1)
+	big := testJob("a", 1, 4)
+	big.ResultBytes = 240
+	c := s.Submit(start, big).Calls[0]
+	s.CallEnded(start.Add(300*time.Millisecond), c.N, CallDone, made(c))
+	late := testJob("b", 1, 1)
+	late.ResultBytes, late.Deadline = 240, start.Add(time.Minute)
+	if a := s.Submit(start.Add(time.Second), late); len(a.Calls) != 0 {
+		t.Fatal("a call was made without room")
+	}
+	if a := s.Tick(start.Add(4400 * time.Millisecond)); len(a.Calls) != 1 {
+		t.Fatal("the room of results that are lost by age was not used")
+	}
+}
+
+func TestABrokenCallGoesToAnotherServerAndNotForEver(t *testing.T) {
+	s := testScheduler(2)
+	now := start
+	a := s.Submit(now, testJob("a", 1, 1))
+	seen := map[string]bool{}
+	for range pieceFailures {
+		for len(a.Calls) == 0 {
+			now = now.Add(50 * time.Millisecond)
+			a = s.Tick(now)
+			if now.Sub(start) > 4*time.Second {
+				t.Fatal("no further call was made")
+			}
+		}
+		c := a.Calls[0]
+		seen[c.Server.ID] = true
+		now = now.Add(10 * time.Millisecond)
+		a = s.CallEnded(now, c.N, CallBroken, nil)
+	}
+	if len(seen) != 2 {
+		t.Errorf("only %v was tried", seen)
+	}
+	if f := failedOf(a); f == nil || f.Reason != Errors {
+		t.Errorf("the job did not end after %d failures: %+v", pieceFailures, a.Replies)
+	}
+}
+
+func TestAFullServerCountsAsNoFailure(t *testing.T) {
+	s := testScheduler(1)
+	now := start
+	a := s.Submit(now, testJob("a", 1, 1))
+	for range 2 * pieceFailures {
+		a = s.CallEnded(now, a.Calls[0].N, CallFull, nil)
+		if f := failedOf(a); f != nil {
+			t.Fatalf("failed with %s", f.Reason)
+		}
+		for len(a.Calls) == 0 {
+			now = now.Add(20 * time.Millisecond)
+			a = s.Tick(now)
+		}
+	}
+}
+
+func TestAGoneInputIsTold(t *testing.T) {
+	s := testScheduler(1)
+	j := testJob("a", 1, 1)
+	j.Inputs = []string{"x"}
+	c := s.Submit(start, j).Calls[0]
+	a := s.CallEnded(start.Add(time.Second), c.N, CallDone, []ItemResult{{Reason: ItemGone}})
+	if f := failedOf(a); f == nil || f.Reason != Gone {
+		t.Fatalf("the owner was not told to make the inputs again: %+v", a.Replies)
+	}
+}
+
+func TestReadingIsSaidWhenTheLastPieceIsInACall(t *testing.T) {
+	s := testScheduler(1)
+	j := testJob("a", 1, 1)
+	j.Inputs = []string{"x"}
+	a := s.Submit(start, j)
+	said := false
+	for _, r := range a.Replies {
+		said = said || r.Message.Reading != nil && *r.Message.Reading == j.ID
+	}
+	if !said {
+		t.Fatal("the owner was not told that its inputs are being read")
+	}
+}
+
+func TestUrgentFirstAndHopelessLast(t *testing.T) {
+	s := testScheduler(1)
+	busy := s.Submit(start, testJob("x", 1, 8)).Calls[0]
+	hopeless, later, soon := testJob("h", 1, 4), testJob("l", 1, 4), testJob("s", 1, 4)
+	hopeless.Due = start.Add(100 * time.Millisecond)
+	soon.Due = start.Add(1500 * time.Millisecond)
+	for _, j := range []*Job{hopeless, later, soon} {
+		s.Submit(start, j)
+	}
+	c := s.CallEnded(start.Add(400*time.Millisecond), busy.N, CallDone, made(busy)).Calls[0]
+	if len(c.Items) != 8 || c.Items[0].Request != "s-1" || c.Items[4].Request != "l-1" {
+		t.Fatalf("wrong order: %+v", c.Items)
+	}
+}
+
+func TestWorkStaysNearItsInputsForAWhile(t *testing.T) {
+	s := testScheduler(2)
+	s.Submit(start, testJob("x", 1, 1)) // takes s0, of d0
+	near := testJob("a", 1, 1)
+	near.InputDomain = "d0"
+	if a := s.Submit(start, near); len(a.Calls) != 0 {
+		t.Fatal("work left the domain of its inputs at once")
+	}
+	if a := s.Tick(start.Add(foreignAfter)); len(a.Calls) != 1 || a.Calls[0].Server.Domain != "d1" {
+		t.Fatal("work waited for its domain for ever")
+	}
+}
+
+func TestLateWorkIsDropped(t *testing.T) {
+	s := testScheduler(0)
+	s.Submit(start, testJob("a", 1, 1))
+	if f := failedOf(s.Tick(start.Add(5001 * time.Millisecond))); f == nil || f.Reason != Late {
+		t.Fatal("a job outlived its deadline")
+	}
+}
+
+func TestWithdrawnWorkFreesWhatWasMade(t *testing.T) {
+	s := testScheduler(1)
+	j := testJob("a", 1, 1)
+	c := s.Submit(start, j).Calls[0]
+	s.Withdraw(start, j.ID)
+	s.CallEnded(start.Add(time.Second), c.N, CallDone, made(c))
+	a := s.Tick(start.Add(time.Second))
+	if len(a.Frees) != 1 || len(a.Frees[0].Handles) != 1 {
+		t.Fatalf("the result of withdrawn work was kept: %+v", a.Frees)
+	}
+}
+
+func TestHandoverMovesWaitingJobsAndTellsOfRoomAndCalls(t *testing.T) {
+	s, next := testScheduler(1), testScheduler(1)
+	first := testJob("a", 1, 4)
+	first.ResultBytes = 240
+	c := s.Submit(start, first).Calls[0]
+	a := s.CallEnded(start.Add(300*time.Millisecond), c.N, CallDone, made(c))
+	handles := doneOf(a, "a").Handles
+	s.Submit(start.Add(300*time.Millisecond), &Job{ID: JobID{Box: "b", N: 1}, Pool: "rerank", Pieces: 1, Deadline: start.Add(time.Minute), Due: start.Add(time.Second)})
+	waiting := testJob("w", 1, 1)
+	s.Submit(start.Add(300*time.Millisecond), waiting)
+	h, out := s.HandOver(start.Add(310 * time.Millisecond))
+	if f := failedOf(out); f == nil || f.Reason != Moved || f.ID != waiting.ID {
+		t.Fatalf("the waiting job was not given back: %+v", out.Replies)
+	}
+	if len(h.Held) != 4 || len(h.Busy) != 1 {
+		t.Fatalf("handed over %d results and %d calls, want 4 and 1", len(h.Held), len(h.Busy))
+	}
+	next.Free(start.Add(310*time.Millisecond), handles[:1]) // overtakes the handover
+	next.TakeOver(start.Add(311*time.Millisecond), h)
+	big := testJob("n", 1, 1)
+	big.ResultBytes, big.Deadline = 240, start.Add(time.Minute)
+	if a := next.Submit(start.Add(320*time.Millisecond), big); len(a.Calls) != 0 {
+		t.Fatal("the next scheduler called a server that is at work")
+	}
+	if a := next.Tick(start.Add(2 * time.Second)); len(a.Calls) != 1 {
+		t.Fatal("room that was given up before the handover came is not used")
+	}
+	if a := s.Submit(start.Add(330*time.Millisecond), waiting); len(a.Replies) == 0 || a.Replies[0].Message.Accept == nil {
+		t.Fatal("a job whose owner sees no other scheduler was sent away again")
+	}
+}
+
+func TestWaitGrowsWithTheBacklog(t *testing.T) {
+	s := testScheduler(2)
+	idle := s.Wait(start)
+	for n := range uint64(20) {
+		s.Submit(start, testJob("a", n, 4))
+	}
+	if w := s.Wait(start); w <= idle+500*time.Millisecond {
+		t.Fatalf("80 pieces before two servers wait %s", w)
+	}
+}
+
+// Whatever happens in whatever order: a server has one call at a time, no call is larger than allowed,
+// room is kept to, every job ends once, and a job's results are its own, whole and in order.
+func TestRandomHistories(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := testScheduler(3)
+		now := start
+		open := map[uint64]Call{}
+		busy := map[string]bool{}
+		lying := map[string]float64{} // bytes at servers, as a server counts them
+		handles := map[string]string{}
+		ends := map[JobID]int{}
+		jobs := map[JobID]*Job{}
+		next := uint64(0)
+		give := func(server string, hs []string) {
+			for _, h := range hs {
+				if handles[h] == server {
+					lying[server] -= 100
+					delete(handles, h)
+				}
+			}
+		}
+		take := func(a Actions) {
+			for _, f := range a.Frees {
+				give(f.Server.ID, f.Handles)
+			}
+			for _, c := range a.Calls {
+				give(c.Server.ID, c.Free)
+				if busy[c.Server.ID] {
+					rt.Fatalf("%s has two calls", c.Server.ID)
+				}
+				busy[c.Server.ID] = true
+				lying[c.Server.ID] += 100 * float64(len(c.Items))
+				if lying[c.Server.ID] > 1000 {
+					rt.Fatalf("%s holds %g bytes", c.Server.ID, lying[c.Server.ID])
+				}
+				if len(c.Items) == 0 || len(c.Items) > 8 {
+					rt.Fatalf("a call of %d items", len(c.Items))
+				}
+				open[c.N] = c
+			}
+			for _, r := range a.Replies {
+				if d := r.Message.Done; d != nil {
+					ends[d.ID]++
+					for i, h := range d.Handles {
+						if want := fmt.Sprintf("%s/%d", jobs[d.ID].Request, i); len(h) < len(want) || h[3:] != want {
+							rt.Fatalf("job %v got %q as piece %d", d.ID, h, i)
+						}
+					}
+					s.Free(now, d.Handles)
+				}
+				if f := r.Message.Failed; f != nil {
+					ends[f.ID]++
+				}
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(rt, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(rt, "what") {
+			case 0, 1:
+				next++
+				j := testJob("a", next, rapid.IntRange(1, 10).Draw(rt, "pieces"))
+				j.ResultBytes, j.Due, j.Deadline = 100, now.Add(time.Second), now.Add(3*time.Second)
+				jobs[j.ID] = j
+				take(s.Submit(now, j))
+			case 2, 3:
+				for _, n := range slices.Sorted(maps.Keys(open)) {
+					c := open[n]
+					delete(open, n)
+					delete(busy, c.Server.ID)
+					outcome := CallOutcome(rapid.IntRange(1, 3).Draw(rt, "outcome"))
+					results := made(c)
+					if outcome != CallDone {
+						results = nil
+						lying[c.Server.ID] -= 100 * float64(len(c.Items))
+					}
+					for _, r := range results {
+						handles[r.Handle] = c.Server.ID
+					}
+					take(s.CallEnded(now, n, outcome, results))
+					break
+				}
+			default:
+				take(s.Tick(now))
+			}
+		}
+		for id, n := range ends {
+			if n > 1 {
+				rt.Fatalf("job %v ended %d times", id, n)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/src/catalog/catalog_test.go
@@ -0,0 +1,120 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stilemast/stilemast/src/core"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func TestTheLongestPrefixIsTaken(t *testing.T) {
+	x := NewIndex(&Catalog{Pipelines: []Pipeline{
+		{Name: "short", Host: "Edit.example", Prefix: "/a/"}, {Name: "long", Host: "edit.example", Prefix: "/a/b/"}, {Name: "other", Host: "x.example", Prefix: "/a/b/c/"},
+	}})
+	for path, want := range map[string]string{"/a/b/c/d": "long", "/a/c": "short", "/b/": "", "/a": ""} {
+		got := ""
+		if p := x.Route("EDIT.example", path); p != nil {
+			got = p.Name
+		}
+		if got != want {
+			t.Errorf("%s goes to %q, want %q", path, got, want)
+		}
+	}
+}
+
+func TestTargetsGetTheirShares(t *testing.T) {
+	p := Pipeline{Name: "p", Targets: []Target{{Pool: "a", Weight: 90}, {Pool: "b", Weight: 10}}}
+	n := map[string]int{}
+	for i := range 10_000 {
+		id := fmt.Sprint(i)
+		if p.Target(id) != p.Target(id) {
+			t.Fatal("one request has two targets")
+		}
+		n[p.Target(id)]++
+	}
+	if n["b"] < 900 || n["b"] > 1100 {
+		t.Errorf("a tenth of the weight got %d of 10,000", n["b"])
+	}
+}
+
+func TestFinalStagesAreThoseThatNoneFollows(t *testing.T) {
+	p := Pipeline{Stages: []Stage{{}, {}, {After: []int{1}}, {After: []int{2}}}}
+	if got := fmt.Sprint(p.Final()); got != "[0 3]" {
+		t.Errorf("final stages %s, want [0 3]", got)
+	}
+}
+
+func TestAFeedNeverGoesBack(t *testing.T) {
+	f := NewFeed("a")
+	if !f.Read(start, 10, "x") {
+		t.Fatal("the first content was not taken")
+	}
+	if f.Read(start, 9, "old") || f.Pulled(10, "other") {
+		t.Error("an older state was taken")
+	}
+	if f.AsOf() != 10 {
+		t.Errorf("as of %d, want 10", f.AsOf())
+	}
+	if !f.Pulled(11, "y") || !f.Confirmed().Equal(start) {
+		t.Error("a newer state from a peer was not taken, or counted as confirmed")
+	}
+}
+
+func TestAPeerConfirmsTheSameContentOnlyAsOfItsOwnReading(t *testing.T) {
+	f := NewFeed("a")
+	f.Read(start, 10, "x")
+	asked := start.Add(3 * time.Second)
+	f.Hear("b", core.Statement{Version: 12, Digest: "x", Age: time.Second}, asked)
+	if want := asked.Add(-time.Second); !f.Confirmed().Equal(want) || f.AsOf() != 12 {
+		t.Errorf("confirmed %v as of %d, want %v as of 12", f.Confirmed(), f.AsOf(), want)
+	}
+	f.Hear("b", core.Statement{Version: 12, Digest: "x"}, time.Time{})
+	f.Hear("c", core.Statement{Version: 13, Digest: "z"}, asked.Add(time.Hour))
+	if !f.Confirmed().Equal(asked.Add(-time.Second)) {
+		t.Error("an unasked statement, or one of other content, confirmed")
+	}
+	if from := f.Pull(asked); from != "c" {
+		t.Errorf("newer content is pulled from %q, want c", from)
+	}
+}
+
+func TestAPullThatFailsMovesOn(t *testing.T) {
+	f := NewFeed("a")
+	f.Hear("b", core.Statement{Version: 5, Digest: "n"}, time.Time{})
+	f.Hear("c", core.Statement{Version: 5, Digest: "n"}, time.Time{})
+	first := f.Pull(start)
+	if f.Pull(start) != "" {
+		t.Error("two pulls at once")
+	}
+	f.PullFailed(first)
+	if second := f.Pull(start); second == first || second == "" {
+		t.Errorf("after %s failed %q is asked", first, second)
+	}
+}
+
+func TestFewReadAndTheUnconfirmedReadThemselves(t *testing.T) {
+	var boxes []string
+	for i := range 300 {
+		boxes = append(boxes, fmt.Sprint("box", i))
+	}
+	reading := 0
+	for _, b := range boxes {
+		f := NewFeed(b)
+		f.Read(start, 1, "x")
+		if f.Reads(start.Add(time.Second), boxes) {
+			reading++
+		}
+		if !f.Reads(start.Add(selfReadAfter+selfReadSpread+time.Millisecond), boxes) {
+			t.Errorf("%s does not read though nobody confirms", b)
+		}
+	}
+	if reading != readers {
+		t.Errorf("%d of 300 boxes read, want %d", reading, readers)
+	}
+	if !NewFeed("box7").Reads(start, boxes) {
+		t.Error("a box that holds nothing does not read")
+	}
+}
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -82,6 +82,7 @@
 	scheduleTick = 40 * time.Millisecond
 	pauseLimit   = time.Second            // a longer gap between ticks is a pause of the process
 	wakeWait     = 800 * time.Millisecond // that requests wait for a confirmation after a pause
+	writeTime    = 10 * time.Second       // that a caller may leave a piece of its answer unread
 	takesFor     = 3 * time.Second        // that a stopping box still takes requests; the balancer knows by then
 )
 
@@ -211,6 +212,9 @@
 	return 0
 }
 
+// WriteBy is until when a caller must have taken a piece of its answer that is written now.
+func (g *Gateway) WriteBy() time.Time { return g.now().Add(writeTime) }
+
 // Limits are what callers may send, as far as they are known.
 func (g *Gateway) Limits() catalog.Limits {
 	if x := g.index.Load(); x != nil {
--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -63,6 +63,7 @@
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 	callers activity
+	killed  sync.Once
 }
 
 // activity counts the callers' connections on which a request is being read or answered.
@@ -211,7 +212,9 @@
 }
 
 // Kill ends the process's work at once.
-func (n *GatewayNode) Kill() {
+func (n *GatewayNode) Kill() { n.killed.Do(n.kill) }
+
+func (n *GatewayNode) kill() {
 	n.cancel()
 	for _, s := range n.servers {
 		_ = s.Close()
--- /dev/null
+++ b/src/retry/budget_test.go
@@ -0,0 +1,77 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func newBudget() *Budget { return &Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second} }
+
+func TestRepeatsFollowRequests(t *testing.T) {
+	b := newBudget()
+	quiet := b.Left(start, 7)
+	for range 100 {
+		b.Request(start)
+	}
+	if got := b.Left(start, 7) - quiet; got != 17 {
+		t.Errorf("100 requests allow %d more repeats, want 17", got)
+	}
+	if b.Left(start.Add(11*time.Second), 7) != quiet {
+		t.Error("old requests still allow repeats")
+	}
+}
+
+func TestFewerPartsTheMoreBoxesThereMayBe(t *testing.T) {
+	b := newBudget()
+	if one, many := b.Left(start, 1), b.Left(start, 50); one <= many {
+		t.Errorf("one box may repeat %d times, one of 50 %d", one, many)
+	}
+}
+
+// Boxes that know how many there are stay within the whole in every window, however requests fall on them.
+func TestBoxesTogetherStayWithinTheWhole(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(rt, "boxes")
+		boxes := make([]*Budget, n)
+		for i := range boxes {
+			boxes[i] = newBudget()
+		}
+		type event struct {
+			at     time.Time
+			repeat bool
+		}
+		var log []event
+		now := start
+		for range rapid.IntRange(1, 400).Draw(rt, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 150).Draw(rt, "ms")) * time.Millisecond)
+			b := boxes[rapid.IntRange(0, n-1).Draw(rt, "box")]
+			if rapid.Bool().Draw(rt, "request") {
+				b.Request(now)
+				log = append(log, event{now, false})
+			} else if b.Take(now, n) {
+				log = append(log, event{now, true})
+			}
+		}
+		for i := range log {
+			requests, before, repeats := 0, 0, 0
+			for _, e := range log {
+				since := e.at.Sub(log[i].at)
+				switch {
+				case since >= 0 && since < 10*time.Second && e.repeat:
+					repeats++
+				case since >= 0 && since < 10*time.Second:
+					requests++
+				case since < 0 && since >= -10*time.Second && !e.repeat:
+					before++
+				}
+			}
+			if allowed := 0.2*float64(max(requests, before)) + 50; float64(repeats) > allowed {
+				rt.Fatalf("%d repeats in a window that allows %g", repeats, allowed)
+			}
+		}
+	})
+}
