--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -70,15 +70,14 @@
 
 type server struct {
 	catalog.Server
-	own      Load
-	peers    map[string]note
-	broken   int     // broken exchanges in a row
-	share    float64 // of failures, moving
-	rests    int     // times it was rested without a success between
-	until    time.Time
-	probing  bool
-	pace     float64 // measured time over the pool's, moving
-	reported time.Time
+	own     Load
+	peers   map[string]note
+	broken  int     // broken exchanges in a row
+	share   float64 // of failures, moving
+	rests   int     // times it was rested without a success between
+	until   time.Time
+	probing bool
+	pace    float64 // measured time over the pool's, moving
 }
 
 // Pool picks among the servers of one pool. It is pure: time comes in. Not safe for concurrent use.
@@ -93,7 +92,6 @@
 	asked   float64            // tokens asked in all, decaying
 	decayed time.Time
 	share   float64 // of failures in the whole pool, moving
-	typical float64 // time of an answer for its size, moving, ms
 }
 
 // NewPool knows no server yet.
--- a/src/catalog/catalog_test.go
+++ b/src/catalog/catalog_test.go
@@ -30,10 +30,11 @@
 	n := map[string]int{}
 	for i := range 10_000 {
 		id := fmt.Sprint(i)
-		if p.Target(id) != p.Target(id) {
+		first := p.Target(id)
+		if again := p.Target(id); again != first {
 			t.Fatal("one request has two targets")
 		}
-		n[p.Target(id)]++
+		n[first]++
 	}
 	if n["b"] < 900 || n["b"] > 1100 {
 		t.Errorf("a tenth of the weight got %d of 10,000", n["b"])
