Read an engine's answer while a long body is still being written

A paused box now waits for confirmation before it routes, and a box that has just started counts on many others in the shared retry budget.

--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -30,6 +30,7 @@
 	keepAliveProbes = 3
 	tcpUserTimeout  = 0x12 // TCP_USER_TIMEOUT of Linux
 	readBuffer      = 4 << 10
+	inlineWrite     = 4 << 10 // bytes that any connection takes at once
 	staleBodyLimit  = 1 << 20 // of an answer that belongs to an earlier request
 	maxStale        = 2       // earlier answers skipped before a connection is given up
 )
@@ -99,21 +100,54 @@
 		return nil, &NotSent{Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { cn.drop() })
-	if n, err := cn.Write(r.bytes()); err != nil {
+	resp, sent, err := cn.converse(r)
+	if err != nil {
 		stop()
 		cn.drop()
-		if n == 0 {
+		if !sent {
 			return nil, &NotSent{Cause: err}
 		}
 		return nil, err
 	}
-	resp, err := cn.read(r)
+	return &Answer{Response: resp, conn: cn, stop: stop}, nil
+}
+
+// written is the end of writing a request.
+type written struct {
+	n   int
+	err error
+}
+
+// converse writes a request and reads the head of its answer at the same time: a server may answer
+// before it has read a long body. A connection whose request was not written whole is not used again,
+// since the server may still wait for the rest of it. sent says whether any byte left.
+func (cn *conn) converse(r *Request) (resp *http.Response, sent bool, err error) {
+	b := r.bytes()
+	if len(b) <= inlineWrite {
+		if n, err := cn.Write(b); err != nil {
+			return nil, n > 0, err
+		}
+		resp, err = cn.read(r)
+		return resp, true, err
+	}
+	end := make(chan written, 1)
+	go func() {
+		n, err := cn.Write(b)
+		end <- written{n, err}
+	}()
+	resp, err = cn.read(r)
 	if err != nil {
-		stop()
-		cn.drop()
-		return nil, err
+		cn.drop() // ends the writing
+		w := <-end
+		return nil, w.n > 0, err
 	}
-	return &Answer{Response: resp, conn: cn, stop: stop}, nil
+	select {
+	case w := <-end:
+		resp.Close = resp.Close || w.err != nil
+	default:
+		resp.Close = true
+	}
+	return resp, true, nil
 }
 
 // bytes is the request as it goes onto the wire, in one piece.
--- a/src/exchange/exchange_test.go
+++ b/src/exchange/exchange_test.go
@@ -255,3 +255,43 @@
 		t.Error(err)
 	}
 }
+
+// A server may answer a long request before it has read it, and read on later. The answer must come
+// through, and nothing else may be sent where the rest of the body is due.
+func TestAnEarlyAnswerToALongBody(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	const body = 32 << 20 // more than the buffers of a connection hold
+	read, answered := make(chan int64, 1), make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		br := bufio.NewReader(c)
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		say(c, "HTTP/1.1 503 Busy\nId: a\nContent-Length: 4\n\nbusy")
+		<-answered
+		n, _ := io.Copy(io.Discard, br)
+		read <- n
+	}()
+	r := get("a")
+	r.Method, r.Body = http.MethodPost, make([]byte, body)
+	c := &Client{}
+	if b, err := do(t, c, l.Addr().String(), r); b != "busy" || err != nil {
+		t.Fatalf("the early answer did not come through: %q, %v", b, err)
+	}
+	close(answered)
+	if n := <-read; n >= body {
+		t.Errorf("%d bytes were read, so that the test pressed nothing", n)
+	}
+	if cn := c.pop(l.Addr().String()); cn != nil {
+		t.Error("a connection whose request was not written whole was kept")
+	}
+}
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -18,6 +18,8 @@
 	waitLife     = 1500 * time.Millisecond // a scheduler's note on its wait counts this long
 	seenLately   = 60 * time.Second        // a box heard of this lately may be alive, for the shared budget
 	notesPerBeat = 64
+	unsureFor    = 5 * time.Second // after its start a box does not know how many there are
+	unsureBoxes  = 40              // and counts on so many
 )
 
 // fleet is the membership and what the boxes tell one another of their loads.
@@ -225,6 +227,9 @@
 		}
 		n++
 	}
+	if now.Sub(f.gateway.startedAt) < unsureFor {
+		n = max(n, unsureBoxes)
+	}
 	return max(n, len(f.gateway.Settings.Seeds))
 }
 
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -43,11 +43,11 @@
 	g.running.Add(1)
 	defer g.running.Add(-1)
 	v := &visit{gateway: g, request: r, caller: c, began: g.now()}
+	g.awaitAwake(ctx)
 	if err := v.route(); err != nil {
 		v.refuse(err)
 		return
 	}
-	g.awaitAwake(ctx)
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(v.deadline.Sub(g.now())))
 	defer cancel()
 	v.run(ctx)
