--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -58,6 +58,8 @@
 	waiting   waiting
 	estimates estimates
 
+	stages     context.Context // ends when no more stages are waited for
+	endStages  context.CancelFunc
 	draining   atomic.Bool
 	drainedAt  atomic.Int64 // unix nanoseconds at which the planned stop began
 	lastTick   atomic.Int64 // unix nanoseconds
@@ -113,6 +115,7 @@
 		g.Rand = rand.New(rand.NewPCG(g.ID.Incarnation, 1))
 	}
 	g.startedAt = g.now()
+	g.stages, g.endStages = context.WithCancel(context.Background())
 	g.lastTick.Store(g.now().UnixNano())
 	g.published.init(g)
 	g.fleet.init(g)
@@ -192,6 +195,10 @@
 	g.Log.Info("planned stop begins", "running", g.running.Load())
 }
 
+// EndStages refuses the requests whose stages are not made yet: late in a planned stop there is no
+// time left to run them, and their callers may come back elsewhere.
+func (g *Gateway) EndStages() { g.endStages() }
+
 // closing says whether a planned stop has come so far that no further request is taken: it might not
 // end in the time that is left.
 func (g *Gateway) closing() bool {
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -149,6 +149,9 @@
 		return nil
 	}
 	g := v.gateway
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(g.stages, cancel)()
 	for again := range 2 {
 		made, reason := g.runStages(ctx, v.stages)
 		if reason == 0 {
@@ -166,6 +169,8 @@
 // stageError says why the stages were not made. The request itself has not run.
 func (v *visit) stageError(ctx context.Context, r batch.Reason) *code.Error {
 	switch {
+	case v.gateway.stages.Err() != nil:
+		return refusal(code.Draining, "box", elsewhereAfter, "this box is stopping and the stages are not made")
 	case ctx.Err() != nil && v.callerLeft(ctx):
 		return refusal(code.Cancelled, "", 0, "the caller left during the stages")
 	case r == batch.Late || ctx.Err() != nil:
--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -25,6 +25,7 @@
 	maxCallerHeader  = 64 << 10
 	leastStop        = 3200 * time.Millisecond // for the balancer to notice that this box is not ready
 	idleStop         = 2200 * time.Millisecond // after which callers' idle connections are closed
+	lastAnswers      = 2500 * time.Millisecond // kept for answers that have begun; stages are not waited for
 	quietStop        = 400 * time.Millisecond  // without a request before a stopping process ends
 	stopMargin       = 500 * time.Millisecond  // kept from the time that a planned stop may take
 	stopLook         = 50 * time.Millisecond
@@ -199,6 +200,8 @@
 		}
 	})
 	defer keepAlive.Stop()
+	stages := time.AfterFunc(limit-lastAnswers, n.gateway.EndStages)
+	defer stages.Stop()
 	for time.Since(began) < limit {
 		quiet := n.gateway.Running() == 0 && n.callers.quietFor() > quietStop
 		if quiet && time.Since(began) > leastStop {
