--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -24,7 +24,6 @@
 	callerIdleTime   = 2 * time.Minute  // a caller's connection may be unused
 	maxCallerHeader  = 64 << 10
 	leastStop        = 3200 * time.Millisecond // for the balancer to notice that this box is not ready
-	idleStop         = 2200 * time.Millisecond // after which callers' idle connections are closed
 	lastAnswers      = 2500 * time.Millisecond // kept for answers that have begun; stages are not waited for
 	quietStop        = 400 * time.Millisecond  // without a request before a stopping process ends
 	stopMargin       = 500 * time.Millisecond  // kept from the time that a planned stop may take
@@ -189,17 +188,12 @@
 }
 
 // Stop is the planned stop: not ready at once, then every request runs to its end within the time
-// that the settings allow. It gives the requests that were cut.
+// that the settings allow. It gives the requests that were cut. Idle connections of callers are not
+// closed before the end: a request may be arriving on one, and net/http would cut it under its handler.
 func (n *GatewayNode) Stop() int {
 	began := time.Now()
 	limit := time.Duration(n.Settings.StopWithin) - stopMargin
 	n.gateway.Drain()
-	keepAlive := time.AfterFunc(idleStop, func() {
-		for _, srv := range n.servers {
-			srv.SetKeepAlivesEnabled(false) // also closes the connections that are idle
-		}
-	})
-	defer keepAlive.Stop()
 	stages := time.AfterFunc(limit-lastAnswers, n.gateway.EndStages)
 	defer stages.Stop()
 	for time.Since(began) < limit {
