--- a/src/batch/scheduler.go
+++ b/src/batch/scheduler.go
@@ -25,6 +25,7 @@
 	classLearning  = 0.1                    // of a class's time for a piece
 	slowRatio      = 1.8                    // a server this much slower than expected is used last
 	slowProbe      = 1500 * time.Millisecond
+	hopelessFill   = 0.4                   // how full the call is in which a job could just be in time
 	handoverSlack  = 80 * time.Millisecond // from the end of a call that was handed over to news of its results
 	memory         = 5 * time.Second       // for which the end of a job is remembered
 )
@@ -683,7 +684,9 @@
 
 // hopeless says whether a job can't be in time any more.
 func (s *Scheduler) hopeless(now time.Time, t *job) bool {
-	return t.running == 0 && now.Add(s.pool.Batch.CallTime).After(t.Due)
+	b := s.pool.Batch
+	call := b.CallTime + time.Duration(hopelessFill*float64(b.Size))*b.ItemTime
+	return t.running == 0 && now.Add(call).After(t.Due)
 }
 
 // HandOver empties a scheduler whose pool another box schedules now: jobs of which nothing is in a
--- a/src/gateway/admission.go
+++ b/src/gateway/admission.go
@@ -31,7 +31,7 @@
 		}
 		if s.request.Pieces[i] > 0 {
 			w := g.waitIn(now, st.Pool)
-			end[i] += w + s.least(i)
+			end[i] += w + s.typical(i)
 			waited[i] += w
 		}
 		if end[i] > total {
--- a/src/gateway/stages.go
+++ b/src/gateway/stages.go
@@ -12,6 +12,9 @@
 // stageMargin is what one stage takes beyond its server's own times: messages and waits for ticks.
 const stageMargin = 15 * time.Millisecond
 
+// typicalFill is how full calls are when it matters whether a request is in time.
+const typicalFill = 0.5
+
 // readTime is how long a call may take to read its inputs once it has begun. Their room is given up
 // then and not at the call's end: room is what bounds a pool of makers. A call that fails after that
 // finds its inputs gone, and the stages are made again.
@@ -87,11 +90,13 @@
 	done      []chan struct{}
 }
 
-// rest is the least time from the end of a stage to the first output.
+// rest is the time from the end of a stage to the first output, as pools wait and work now.
 func (s *stageRun) rest(stage int) time.Duration {
 	longest := time.Duration(0)
 	for _, f := range s.followers[stage] {
-		longest = max(longest, s.least(f)+s.rest(f))
+		if s.request.Pieces[f] > 0 {
+			longest = max(longest, s.gateway.waitIn(s.gateway.now(), s.pipeline.Stages[f].Pool)+s.typical(f)+s.rest(f))
+		}
 	}
 	if longest == 0 {
 		return s.gateway.estimates.get(s.pipeline.Name)
@@ -99,17 +104,14 @@
 	return longest
 }
 
-// least is the time that a stage takes when nothing waits.
-func (s *stageRun) least(stage int) time.Duration {
-	if s.request.Pieces[stage] == 0 {
-		return 0
-	}
-	x := s.gateway.index.Load()
-	p := x.Pool(s.pipeline.Stages[stage].Pool)
-	if p == nil || p.Batch == nil {
+// typical is the time that a stage's calls take, which hold pieces of other requests too.
+func (s *stageRun) typical(stage int) time.Duration {
+	n := s.request.Pieces[stage]
+	p := s.gateway.index.Load().Pool(s.pipeline.Stages[stage].Pool)
+	if n == 0 || p == nil || p.Batch == nil {
 		return 0
 	}
-	n := min(s.request.Pieces[stage], p.Batch.Size)
+	n = max(min(n, p.Batch.Size), int(typicalFill*float64(p.Batch.Size)))
 	return p.Batch.CallTime + time.Duration(n)*p.Batch.ItemTime + stageMargin
 }
 
