--- a/src/batch/scheduler.go
+++ b/src/batch/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/stilemast/stilemast/src/catalog"
@@ -110,6 +111,19 @@
 	Timeout time.Duration
 }
 
+// Requests names the requests whose pieces are in the call, each once, for logs.
+func (c *Call) Requests() string {
+	var b strings.Builder
+	last := ""
+	for _, i := range c.Items {
+		if i.Request != last {
+			last = i.Request
+			b.WriteString(last + " ")
+		}
+	}
+	return strings.TrimSpace(b.String())
+}
+
 // FreeCall gives up results at a server.
 type FreeCall struct {
 	Server  catalog.Server
--- a/src/cli/cli.go
+++ b/src/cli/cli.go
@@ -43,7 +43,7 @@
 		Commands: []*cli.Command{
 			serveCommand(adapter), demoCommand(), runCommand(), loadCommand(), experimentCommand(),
 			validateCommand(), planCommand(), statusCommand(), drainCommand(), explainCommand(),
-			costCommand(), burnCommand(), exampleCommand(), standinCommand(),
+			costCommand(), burnCommand(), exampleCommand(), standinCommand(), traceCommand(), whyCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- /dev/null
+++ b/src/cli/trace.go
@@ -0,0 +1,184 @@
+package cli
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/stilemast/stilemast/src/code"
+)
+
+// maxLogLine is the longest line of a log that is read.
+const maxLogLine = 1 << 20
+
+// logLine is one line of a process's log.
+type logLine struct {
+	at     time.Time
+	fields map[string]any
+}
+
+func (l *logLine) text(key string) string {
+	if v, ok := l.fields[key]; ok {
+		return fmt.Sprint(v)
+	}
+	return ""
+}
+
+// readLog reads the JSON lines of logs; what stands before the first brace of a line is passed over,
+// as are lines that are no JSON. keep says which lines are wanted.
+func readLog(r io.Reader, keep func(*logLine) bool) ([]*logLine, error) {
+	var out []*logLine
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, maxLogLine)
+	for sc.Scan() {
+		start := bytes.IndexByte(sc.Bytes(), '{')
+		if start < 0 {
+			continue
+		}
+		l := &logLine{}
+		if json.Unmarshal(sc.Bytes()[start:], &l.fields) != nil {
+			continue
+		}
+		at, err := time.Parse(time.RFC3339Nano, l.text("time"))
+		if err != nil {
+			continue
+		}
+		l.at = at
+		if keep(l) {
+			out = append(out, l)
+		}
+	}
+	return out, eris.Wrap(sc.Err(), "log can't be read")
+}
+
+// readLogs reads several files, in the order of time.
+func readLogs(paths []string, keep func(*logLine) bool) ([]*logLine, error) {
+	var out []*logLine
+	for _, p := range paths {
+		f, err := os.Open(p)
+		if err != nil {
+			return nil, code.New(code.BadField, "log", "%v", err)
+		}
+		lines, err := readLog(f, keep)
+		_ = f.Close()
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, lines...)
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].at.Before(out[j].at) })
+	return out, nil
+}
+
+// about says whether a line tells of a request.
+func about(l *logLine, id string) bool {
+	return l.text("request") == id || strings.Contains(l.text("requests"), id)
+}
+
+// story writes lines for a reader: the time since the first, the box, what happened and the rest.
+func story(w io.Writer, lines []*logLine) {
+	known := []string{"time", "level", "msg", "box", "request"}
+	for _, l := range lines {
+		fmt.Fprintf(w, "%+9.3fs %-16s %s", l.at.Sub(lines[0].at).Seconds(), l.text("box"), l.text("msg"))
+		keys := make([]string, 0, len(l.fields))
+		for k := range l.fields {
+			if !slices.Contains(known, k) {
+				keys = append(keys, k)
+			}
+		}
+		sort.Strings(keys)
+		for _, k := range keys {
+			fmt.Fprintf(w, " %s=%s", k, l.text(k))
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+func traceCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "trace",
+		Usage:     "tell one request's story from the logs of any number of boxes",
+		ArgsUsage: "ID",
+		Flags:     []cli.Flag{&cli.StringSliceFlag{Name: "log", Usage: "log `FILE`; may be given again", Required: true}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			id := c.Args().First()
+			if id == "" {
+				return code.New(code.BadField, "ID", "is missing")
+			}
+			lines, err := readLogs(c.StringSlice("log"), func(l *logLine) bool { return about(l, id) })
+			if err != nil {
+				return err
+			}
+			if len(lines) == 0 {
+				return code.New(code.NotFound, "ID", "no line tells of %s", id)
+			}
+			story(os.Stdout, lines)
+			return nil
+		},
+	}
+}
+
+func whyCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "why",
+		Usage: "count the requests that were not answered by result, pipeline and cause, from logs",
+		Flags: []cli.Flag{&cli.StringSliceFlag{Name: "log", Usage: "log `FILE`; may be given again", Required: true}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			lines, err := readLogs(c.StringSlice("log"), func(l *logLine) bool {
+				return l.text("msg") == "request ended" && l.text("result") != "answered"
+			})
+			if err != nil {
+				return err
+			}
+			causes(os.Stdout, lines)
+			return nil
+		},
+	}
+}
+
+// causes counts lines by result, pipeline and cause, most first, with the first request of each.
+func causes(w io.Writer, lines []*logLine) {
+	count, first := map[string]int{}, map[string]string{}
+	for _, l := range lines {
+		key := fmt.Sprintf("%-18s %-12s %s", l.text("result"), l.text("pipeline"), withoutNumbers(l.text("cause")))
+		if count[key]++; count[key] == 1 {
+			first[key] = l.text("request")
+		}
+	}
+	keys := make([]string, 0, len(count))
+	for k := range count {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		if count[keys[i]] != count[keys[j]] {
+			return count[keys[i]] > count[keys[j]]
+		}
+		return keys[i] < keys[j]
+	})
+	for _, k := range keys {
+		fmt.Fprintf(w, "%6d  %s  (first: %s)\n", count[k], k, first[k])
+	}
+}
+
+// withoutNumbers makes causes alike that differ in names and figures only: each word with a digit
+// becomes a mark.
+func withoutNumbers(text string) string {
+	words := strings.Fields(text)
+	for i, word := range words {
+		if strings.ContainsAny(word, "0123456789") {
+			words[i] = "#"
+		}
+	}
+	return strings.Join(words, " ")
+}
--- a/src/gateway/admission.go
+++ b/src/gateway/admission.go
@@ -44,14 +44,12 @@
 // admit refuses a request that can't be in time any more: served late it is worth little and makes
 // others late, while its caller may come back when the backlog is gone.
 func (g *Gateway) admit(s *stageRun) *code.Error {
-	if !g.Settings.Admission || len(s.pipeline.Stages) == 0 {
-		return nil
-	}
 	now := g.now()
 	total, waits := s.expected(now)
 	left := s.objective.Sub(now)
 	limit := time.Duration(lateFactor * float64(left))
-	if total <= limit || waits <= 0 {
+	if !g.Settings.Admission || len(s.pipeline.Stages) == 0 || total <= limit || waits <= 0 {
+		g.Log.Info("admitted", "request", s.request.ID, "pipeline", s.pipeline.Name, "priority", s.priority, "expected_ms", total.Milliseconds(), "waits_ms", waits.Milliseconds(), "left_ms", left.Milliseconds(), "config_age_ms", g.published.catalogAge(now).Milliseconds())
 		return nil
 	}
 	err := code.New(code.CannotFinish, "deadline", "expected in %s, of which %s are waits; %s are left to be in time", total.Round(time.Millisecond), waits.Round(time.Millisecond), left.Round(time.Millisecond))
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -219,7 +219,7 @@
 	pending, calls := s.core.Pending()
 	s.mu.Unlock()
 	late, gone, noRoom, failed := batch.CountReasons(results)
-	g.Log.Info("batch ended", "pool", s.pool, "server", c.Server.ID, "pieces", len(c.Items), "outcome", outcome.String(), "took_ms", took.Milliseconds(), "pending", pending, "calls", calls, "late", late, "gone", gone, "no_room", noRoom, "failed", failed)
+	g.Log.Info("batch ended", "pool", s.pool, "server", c.Server.ID, "pieces", len(c.Items), "outcome", outcome.String(), "took_ms", took.Milliseconds(), "pending", pending, "calls", calls, "late", late, "gone", gone, "no_room", noRoom, "failed", failed, "requests", c.Requests())
 	if g.Watch.Batched != nil {
 		g.Watch.Batched(s.pool, len(c.Items), outcome.String(), took)
 	}
--- a/src/gateway/stages.go
+++ b/src/gateway/stages.go
@@ -207,6 +207,7 @@
 	s.results.expires[i] = g.now().Add(s.lifeOf(i))
 	s.results.mu.Unlock()
 	s.freeRead(i)
+	g.Log.Info("stage made", "request", s.request.ID, "stage", i, "pool", st.Pool, "pieces", j.Pieces, "domain", done.Domain, "took_ms", g.now().Sub(began).Milliseconds(), "slack_ms", j.Due.Sub(g.now()).Milliseconds())
 	return 0
 }
 
