Hand pools over without overlap; read the store by news; leave a silent server only when a retry is left

Findings of the new gateway tests in virtual time, each red before: 6 of 9 boxes read the store (their confirmations by question came too seldom; words that nobody asked for now show that somebody reads); a repeatable request was given up after its objective though the budget allowed no retry; a new scheduler called servers at which the leaving one's calls were at work.

--- a/src/batch/message.go
+++ b/src/batch/message.go
@@ -130,6 +130,7 @@
 	Pool string       `msgpack:"p"`
 	Held []HeldResult `msgpack:"h,omitempty"`
 	Busy []BusyServer `msgpack:"b,omitempty"`
+	Idle []string     `msgpack:"i,omitempty"` // servers whose calls, told of before, have ended
 }
 
 // HeldResult is a result that lies at a server.
--- a/src/batch/scheduler.go
+++ b/src/batch/scheduler.go
@@ -26,9 +26,9 @@
 	classLearning  = 0.1                    // of a class's time for a piece
 	slowRatio      = 1.8                    // a server this much slower than expected is used last
 	slowProbe      = 1500 * time.Millisecond
-	hopelessFill   = 0.4                   // how full the call is in which a job could just be in time
-	handoverSlack  = 80 * time.Millisecond // from the end of a call that was handed over to news of its results
-	memory         = 5 * time.Second       // for which the end of a job is remembered
+	hopelessFill   = 0.4                    // how full the call is in which a job could just be in time
+	handoverSlack  = 300 * time.Millisecond // over twice the expected time of a call that was handed over
+	memory         = 5 * time.Second        // for which the end of a job is remembered
 )
 
 // Item is one piece in a call.
@@ -200,6 +200,8 @@
 	calls   map[uint64]*runningCall
 	handles map[string]held
 	freeing map[string][]string  // by server
+	holds   time.Time            // no call before: a handover may be on its way
+	idle    []string             // servers whose calls were handed over and have ended since
 	early   map[string]time.Time // handles given up before this scheduler heard of them
 	pieces  map[string]float64   // learned factor on the time of a class's piece
 	pace    float64              // pieces a second of one server while work waits, moving; 0 when never measured
@@ -402,7 +404,7 @@
 // dispatch gives every free server a call, as long as there is work that fits it.
 func (s *Scheduler) dispatch(now time.Time) Actions {
 	var out Actions
-	if s.pool.Batch == nil || len(s.jobs) == 0 {
+	if s.pool.Batch == nil || len(s.jobs) == 0 || now.Before(s.holds) {
 		return out
 	}
 	free := s.free(now)
@@ -528,6 +530,9 @@
 	delete(s.calls, n)
 	v := s.servers[rc.server]
 	if v != nil {
+		if v.handed {
+			s.idle = append(s.idle, rc.server)
+		}
 		v.call, v.handed = 0, false
 	}
 	if outcome == CallDone && len(results) != len(rc.jobs) {
@@ -706,7 +711,8 @@
 // HandOver empties a scheduler whose pool another box schedules now: jobs of which nothing is in a
 // call go back to their owners, and the next scheduler is told of the rest.
 func (s *Scheduler) HandOver(now time.Time) (Handover, Actions) {
-	h := Handover{Pool: s.pool.Name}
+	h := Handover{Pool: s.pool.Name, Idle: s.idle}
+	s.idle = nil
 	var out Actions
 	for _, t := range s.sorted(now) {
 		if t.running == 0 && len(t.pending) == t.Pieces && !t.insisted {
@@ -731,6 +737,7 @@
 
 // TakeOver takes what the scheduler before knew.
 func (s *Scheduler) TakeOver(now time.Time, h Handover) {
+	s.holds = time.Time{}
 	for _, r := range h.Held {
 		v := s.servers[r.Server]
 		if v == nil {
@@ -748,14 +755,31 @@
 		if v == nil || v.call != 0 {
 			continue
 		}
-		v.pause = now.Add(b.Left)
-		v.used += b.Bytes // until the results themselves are told of
-		s.handles["call at "+b.Server] = held{server: b.Server, bytes: b.Bytes, until: now.Add(b.Left + handoverSlack)}
+		v.pause = now.Add(2*b.Left + handoverSlack) // or until it is told that the call has ended
+		v.used += b.Bytes                           // until the results themselves are told of
+		s.handles[callAt(b.Server)] = held{server: b.Server, bytes: b.Bytes, until: v.pause}
+	}
+	for _, id := range h.Idle {
+		v := s.servers[id]
+		r, ok := s.handles[callAt(id)]
+		if v == nil || !ok {
+			continue
+		}
+		delete(s.handles, callAt(id))
+		v.used = max(0, v.used-r.bytes)
+		v.pause = now
 	}
 }
 
+// callAt stands for the results of a call that another scheduler has at work.
+func callAt(server string) string { return "call at " + server }
+
+// HoldUntil puts calls off: a scheduler that has just got a pool waits for the handover of the one
+// before it.
+func (s *Scheduler) HoldUntil(t time.Time) { s.holds = t }
+
 // Empty says whether a handover would tell nothing.
-func (h Handover) Empty() bool { return len(h.Held) == 0 && len(h.Busy) == 0 }
+func (h Handover) Empty() bool { return len(h.Held) == 0 && len(h.Busy) == 0 && len(h.Idle) == 0 }
 
 // Pending counts the pieces that wait and the calls at work.
 func (s *Scheduler) Pending() (pieces, calls int) {
--- a/src/catalog/feed.go
+++ b/src/catalog/feed.go
@@ -9,8 +9,10 @@
 // Tunables of the spread of published documents.
 const (
 	readers        = 3                       // boxes that read the platform, however large the fleet
-	selfReadAfter  = 1200 * time.Millisecond // unconfirmed this long, a box reads by itself
-	selfReadSpread = 800 * time.Millisecond  // spread of that time over the boxes of a large fleet
+	selfReadAfter  = 1400 * time.Millisecond // with no news this long, a box reads by itself
+	selfReadStep   = 600 * time.Millisecond  // more for each doubling of the fleet beyond smallFleet
+	smallFleet     = 16                      // boxes that tell one another all the time
+	selfReadSpread = 400 * time.Millisecond  // spread of that time over the boxes
 	pullPatience   = 600 * time.Millisecond  // for a peer to hand over a document
 )
 
@@ -29,6 +31,7 @@
 	asOf      uint64
 	digest    string
 	confirmed time.Time
+	news      time.Time // when the held content was the newest, by the word of peers; proves nothing
 	told      map[string]core.Statement
 	pulling   string
 	pullSince time.Time
@@ -81,13 +84,17 @@
 	return st
 }
 
-// Hear takes a peer's statement. askedAt is when the question it answers was sent, or zero.
-func (f *Feed) Hear(from string, st core.Statement, askedAt time.Time) {
+// Hear takes a peer's statement. askedAt is when the question it answers was sent, or zero: a word that
+// nobody asked for may have been long on its way and confirms nothing, but shows that somebody reads.
+func (f *Feed) Hear(now time.Time, from string, st core.Statement, askedAt time.Time) {
 	f.told[from] = st
 	if st.Version == 0 || st.Digest != f.digest {
 		return
 	}
 	f.asOf = max(f.asOf, st.Version)
+	if at := now.Add(-st.Age); st.Age >= 0 && at.After(f.news) {
+		f.news = at
+	}
 	if !askedAt.IsZero() && st.Age >= 0 {
 		f.confirm(askedAt.Add(-st.Age))
 	}
@@ -135,5 +142,12 @@
 		return true
 	}
 	patience := selfReadAfter + time.Duration(own%uint64(selfReadSpread))
-	return now.Sub(f.confirmed) > patience
+	for n := len(living); n > smallFleet; n /= 2 {
+		patience += selfReadStep
+	}
+	last := f.confirmed
+	if f.news.After(last) {
+		last = f.news
+	}
+	return now.Sub(last) > patience
 }
--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -188,7 +188,23 @@
 			limit = max(silentFloor, time.Duration(silentFactor*float64(v.gateway.estimates.get(p.Name))))
 		}
 	}
-	return time.AfterFunc(limit, func() { cancel(errSilent) })
+	return time.AfterFunc(limit, func() {
+		if v.retryLeft() {
+			cancel(errSilent)
+		}
+	})
+}
+
+// retryLeft says whether the request could be sent again; where it could not, a silent server is
+// better than none.
+func (v *visit) retryLeft() bool {
+	g := v.gateway
+	now := g.now()
+	boxes := g.fleet.boxes(now)
+	e := g.pools.get(v.pool)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.budget.Left(now, boxes) > 0
 }
 
 // take judges the head of an answer and passes the answer on.
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -198,14 +198,15 @@
 			g.published.forget(b)
 		}
 	}
+	g.desk.handOverAll()
 }
 
 func (f *fleet) leave() {
 	f.mu.Lock()
 	f.core.Leave("")
 	f.mu.Unlock()
+	f.gateway.announce() // first, so that no job comes back here
 	f.gateway.membersChanged()
-	f.gateway.announce()
 }
 
 // usable lists the boxes that take work, this one among them unless it is leaving.
--- /dev/null
+++ b/src/gateway/fleet_test.go
@@ -0,0 +1,309 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stilemast/stilemast/src/batch"
+	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/port"
+)
+
+// testFleet is some gateways in one process in virtual time, with messages that take a millisecond,
+// a store and servers that are functions.
+type testFleet struct {
+	t       *testing.T
+	ctx     context.Context
+	mu      sync.Mutex
+	boxes   map[string]*Gateway // by address
+	lost    map[string]bool     // addresses that neither send nor get messages
+	stop    map[string]context.CancelFunc
+	storeOK bool
+	rev     uint64
+	catalog *catalog.Catalog
+	servers []catalog.Server
+	reads   map[string]int // store calls by box
+
+	runPieces func(ctx context.Context, box string, s catalog.Server, items []batch.Item) (batch.CallOutcome, []batch.ItemResult)
+	send      func(ctx context.Context, box string, c *Call) (*Reply, error)
+}
+
+func newTestFleet(t *testing.T, boxes int) *testFleet {
+	ctx, cancel := context.WithCancel(t.Context())
+	f := &testFleet{
+		t: t, ctx: ctx, boxes: map[string]*Gateway{}, lost: map[string]bool{}, stop: map[string]context.CancelFunc{},
+		storeOK: true, rev: 1, catalog: testCatalog(1), reads: map[string]int{},
+	}
+	for i := range 3 {
+		f.servers = append(f.servers,
+			catalog.Server{ID: fmt.Sprint("piece", i), Pool: "encode", Domain: "d", Slots: 1},
+			catalog.Server{ID: fmt.Sprint("model", i), Pool: "model", Domain: "d", Slots: 64})
+	}
+	f.runPieces = func(ctx context.Context, _ string, s catalog.Server, items []batch.Item) (batch.CallOutcome, []batch.ItemResult) {
+		if !wait(ctx, 300*time.Millisecond) {
+			return batch.CallBroken, nil
+		}
+		return batch.CallDone, piecesOf(s, items)
+	}
+	f.send = func(_ context.Context, _ string, c *Call) (*Reply, error) { return textReply(http.StatusOK, "ok"), nil }
+	for i := range boxes {
+		f.start(fmt.Sprint("box", i))
+	}
+	t.Cleanup(func() {
+		cancel()
+		synctest.Wait()
+	})
+	return f
+}
+
+func testCatalog(version uint64) *catalog.Catalog {
+	return &catalog.Catalog{
+		Version: version,
+		Pipelines: []catalog.Pipeline{
+			{Name: "draft", Host: "h", Prefix: "/draft/", Kind: catalog.Stream, Timeout: 10 * time.Second, Objective: 3 * time.Second, Attempts: 2, Resumable: true,
+				Targets: []catalog.Target{{Pool: "model", Weight: 1}}, Stages: []catalog.Stage{{Pool: "encode", ResultBytes: 10}}},
+			{Name: "look", Host: "h", Prefix: "/look/", Kind: catalog.Repeatable, Timeout: 5 * time.Second, Objective: 200 * time.Millisecond, Attempts: 2, Targets: []catalog.Target{{Pool: "model", Weight: 1}}},
+		},
+		Pools: []catalog.Pool{{Name: "model"}, {Name: "encode", Batch: &catalog.BatchLimits{
+			Slots: 1, Queue: 2, Size: 4, CallTime: 240 * time.Millisecond, ItemTime: 15 * time.Millisecond, RoomBytes: 1e6, ResultTTL: 4 * time.Second}}},
+		Workspaces: []catalog.Workspace{{Name: "school", Tokens: []string{"token"}}},
+	}
+}
+
+func piecesOf(s catalog.Server, items []batch.Item) []batch.ItemResult {
+	out := make([]batch.ItemResult, len(items))
+	for i, it := range items {
+		out[i] = batch.ItemResult{Handle: fmt.Sprintf("%s/%s/%d", s.ID, it.Request, it.Piece)}
+	}
+	return out
+}
+
+// wait sleeps and gives false when the context ended first.
+func wait(ctx context.Context, d time.Duration) bool {
+	sleep(ctx, d)
+	return ctx.Err() == nil
+}
+
+func textReply(status int, body string) *Reply {
+	r := strings.NewReader(body)
+	return &Reply{Status: status, Header: http.Header{}, Read: r.Read, Close: func(bool) {}, Signed: true}
+}
+
+func addressOf(name string) string { return name + ":1" }
+
+// start begins a life of a box.
+func (f *testFleet) start(name string) *Gateway {
+	f.t.Helper()
+	address := addressOf(name)
+	g := &Gateway{
+		Settings: Settings{Address: address, FailureDomain: "d", Seeds: []string{addressOf("box0"), addressOf("box1")}, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Admission: true, SharedBatches: true},
+		ID:       core.BoxID{Name: name, Incarnation: uint64(time.Now().UnixNano())},
+		Rand:     rand.New(rand.NewPCG(catalog.Hash(name), 1)),
+		Backends: Backends{
+			Send: func(ctx context.Context, c *Call) (*Reply, error) { return f.send(ctx, name, c) },
+			RunPieces: func(ctx context.Context, s catalog.Server, items []batch.Item) (batch.CallOutcome, []batch.ItemResult) {
+				return f.runPieces(ctx, name, s, items)
+			},
+			FreePieces: func(context.Context, catalog.Server, []string) {},
+		},
+		Store: f.store(name),
+		Peers: f.peers(address),
+	}
+	g.Init()
+	ctx, cancel := context.WithCancel(f.ctx)
+	f.mu.Lock()
+	f.boxes[address], f.stop[address] = g, cancel
+	f.lost[address] = false
+	f.mu.Unlock()
+	go g.Run(ctx)
+	return g
+}
+
+// kill ends a box without a word.
+func (f *testFleet) kill(name string) {
+	f.mu.Lock()
+	f.lost[addressOf(name)] = true
+	stop := f.stop[addressOf(name)]
+	f.mu.Unlock()
+	stop()
+}
+
+func (f *testFleet) setLost(name string, lost bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lost[addressOf(name)] = lost
+}
+
+// reach gives the box at an address unless a message can't get there.
+func (f *testFleet) reach(from, to string) *Gateway {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost[from] || f.lost[to] {
+		return nil
+	}
+	return f.boxes[to]
+}
+
+func (f *testFleet) peers(from string) port.Peers {
+	later := func(to string, deliver func(*Gateway)) {
+		go func() {
+			if g := f.reach(from, to); g != nil && wait(f.ctx, time.Millisecond) {
+				deliver(g)
+			}
+		}()
+	}
+	return port.Peers{
+		Beat:  func(to string, b core.Beat) { later(to, func(g *Gateway) { g.TakeBeat(b) }) },
+		Batch: func(to string, m batch.Message) { later(to, func(g *Gateway) { g.TakeBatch(m) }) },
+		Ask: func(ctx context.Context, to string, q port.Question) (port.Answer, error) {
+			g := f.reach(from, to)
+			if g == nil || !wait(ctx, 2*time.Millisecond) {
+				return port.Answer{}, errors.New("no way there")
+			}
+			return g.TakeQuestion(ctx, q), nil
+		},
+	}
+}
+
+var errStore = errors.New("the store is down")
+
+func (f *testFleet) store(box string) Store {
+	begin := func(ctx context.Context) error {
+		f.mu.Lock()
+		f.reads[box]++
+		ok := f.storeOK
+		f.mu.Unlock()
+		if !wait(ctx, 4*time.Millisecond) || !ok {
+			return errStore
+		}
+		return nil
+	}
+	state := func() (*catalog.Catalog, []catalog.Server, uint64) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.catalog, append([]catalog.Server(nil), f.servers...), f.rev
+	}
+	changed := func(ctx context.Context, after uint64, d time.Duration) bool {
+		for end := time.Now().Add(d); time.Now().Before(end) && ctx.Err() == nil; {
+			if _, _, rev := state(); rev > after {
+				return true
+			}
+			sleep(ctx, 10*time.Millisecond)
+		}
+		return false
+	}
+	return Store{
+		Catalog: func(ctx context.Context) (*catalog.Catalog, uint64, error) {
+			if err := begin(ctx); err != nil {
+				return nil, 0, err
+			}
+			c, _, rev := state()
+			return c, rev, nil
+		},
+		Servers: func(ctx context.Context) ([]catalog.Server, uint64, error) {
+			if err := begin(ctx); err != nil {
+				return nil, 0, err
+			}
+			_, s, rev := state()
+			return s, rev, nil
+		},
+		WatchCatalog: func(ctx context.Context, after uint64, d time.Duration) (*catalog.Catalog, uint64, error) {
+			if err := begin(ctx); err != nil {
+				return nil, 0, err
+			}
+			if !changed(ctx, after, d) {
+				return nil, after, nil
+			}
+			c, _, rev := state()
+			return c, rev, nil
+		},
+		WatchServers: func(ctx context.Context, after uint64, d time.Duration) ([]ServerChange, uint64, error) {
+			if err := begin(ctx); err != nil {
+				return nil, 0, err
+			}
+			if !changed(ctx, after, d) {
+				return nil, after, nil
+			}
+			_, list, rev := state()
+			var out []ServerChange
+			for _, s := range list {
+				out = append(out, ServerChange{Server: s})
+			}
+			return out, rev, nil
+		},
+	}
+}
+
+// publish puts a new configuration into the store.
+func (f *testFleet) publish(c *catalog.Catalog) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.catalog = c
+	f.rev++
+}
+
+// answerOf is what a caller got.
+type answerOf struct {
+	refused *code.Error
+	status  int
+	body    string
+	ended   bool
+	cut     bool
+	took    time.Duration
+}
+
+func (f *testFleet) box(name string) *Gateway {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.boxes[addressOf(name)]
+}
+
+// ask serves one request at a box.
+func (f *testFleet) ask(name, path, id string, change func(*Request)) answerOf {
+	r := &Request{ID: id, Method: http.MethodPost, Target: path, Host: "h", Path: path, Header: http.Header{}, Token: "token", Left: 10 * time.Second, Pieces: []int{2}, PieceKey: "k"}
+	if change != nil {
+		change(r)
+	}
+	var a answerOf
+	began := time.Now()
+	f.box(name).Serve(f.ctx, r, &Caller{
+		Refuse: func(e *code.Error) { a.refused = e },
+		Whole:  func(status int, _ http.Header, b []byte) { a.status, a.body, a.ended = status, string(b), true },
+		Begin:  func(status int, _ http.Header) { a.status = status },
+		Event:  func(b []byte) error { a.body += string(b); return nil },
+		End:    func() { a.ended = true },
+		Cut:    func() { a.cut = true },
+	})
+	a.took = time.Since(began)
+	return a
+}
+
+// events replies with a stream that gives its events with pauses, then its end or an error.
+func events(ctx context.Context, from, to int, pause time.Duration, end error) *Reply {
+	next := from
+	return &Reply{Status: http.StatusOK, Header: http.Header{}, Events: true, Signed: true, Close: func(bool) {},
+		Read: func(b []byte) (int, error) {
+			if !wait(ctx, pause) {
+				return 0, ctx.Err()
+			}
+			if next > to {
+				return 0, end
+			}
+			n := copy(b, fmt.Sprintf("id: %d\ndata: x\n\n", next))
+			next++
+			return n, nil
+		}}
+}
+
+var errBroken = io.ErrUnexpectedEOF
--- a/src/gateway/published.go
+++ b/src/gateway/published.go
@@ -78,8 +78,9 @@
 func (p *published) hear(b core.Beat, askedAt time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.catalogs.Hear(b.From.ID.Name, b.Config, askedAt)
-	p.lists.Hear(b.From.ID.Name, b.List, askedAt)
+	now := p.gateway.now()
+	p.catalogs.Hear(now, b.From.ID.Name, b.Config, askedAt)
+	p.lists.Hear(now, b.From.ID.Name, b.List, askedAt)
 }
 
 func (p *published) forget(box string) {
--- a/src/gateway/relay.go
+++ b/src/gateway/relay.go
@@ -18,13 +18,13 @@
 	maxEvent    = 1 << 20 // bytes of one event
 )
 
-// events splits a stream into whole events.
-type events struct {
+// eventSplitter splits a stream into whole events.
+type eventSplitter struct {
 	held []byte
 }
 
 // add takes bytes and gives all whole events in them; what is left of the last one is kept.
-func (e *events) add(b []byte) []byte {
+func (e *eventSplitter) add(b []byte) []byte {
 	e.held = append(e.held, b...)
 	end := bytes.LastIndex(e.held, []byte("\n\n"))
 	if crlf := bytes.LastIndex(e.held, []byte("\r\n\r\n")); crlf >= 0 && crlf+4 > end+2 {
@@ -74,7 +74,7 @@
 // relay passes a stream on, event by event.
 func (v *visit) relay(ctx context.Context, e *pool, s catalog.Server, reply *Reply, began time.Time, watch *time.Timer, why string) (verdict, *code.Error, bool) {
 	g := v.gateway
-	var split events
+	var split eventSplitter
 	buf := make([]byte, relayBuffer)
 	moves := v.repeatable() && v.attempts < v.pipeline.Attempts
 	resumed := v.begun
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -12,9 +12,10 @@
 
 // Tunables of talking with a scheduler.
 const (
-	ackPatience = 250 * time.Millisecond // for a scheduler to accept a job
-	askAgain    = 500 * time.Millisecond // pace at which an owner asks for an accepted job
-	silentAsks  = 2                      // unanswered questions after which another box is asked
+	ackPatience  = 250 * time.Millisecond // for a scheduler to accept a job
+	askAgain     = 500 * time.Millisecond // pace at which an owner asks for an accepted job
+	handoverWait = 60 * time.Millisecond  // that a scheduler which has just got a pool waits for news of it
+	silentAsks   = 2                      // unanswered questions after which another box is asked
 )
 
 // desk holds the schedulers of the pools that this box forms calls for.
@@ -27,10 +28,11 @@
 }
 
 type scheduler struct {
-	mu     sync.Mutex
-	core   *batch.Scheduler
-	pool   string
-	usedAt time.Time
+	mu      sync.Mutex
+	core    *batch.Scheduler
+	pool    string
+	usedAt  time.Time
+	foreign bool // another box had the pool when this one last looked
 }
 
 func (d *desk) init(g *Gateway) {
@@ -54,6 +56,7 @@
 	if s == nil {
 		s = &scheduler{core: batch.NewScheduler(d.gateway.ID.Name, *p), pool: pool}
 		s.core.Configure(d.gateway.now(), *p, d.servers[pool])
+		s.foreign = true
 		d.all[pool] = s
 		d.gateway.Log.Info("scheduler opened", "pool", pool, "servers", len(d.servers[pool]))
 	}
@@ -91,9 +94,16 @@
 	}
 }
 
-func (d *desk) tick(context.Context) {
+// handOverAll passes on the pools that other boxes schedule now.
+func (d *desk) handOverAll() {
 	for _, s := range d.list() {
 		d.handOver(s)
+	}
+}
+
+func (d *desk) tick(context.Context) {
+	d.handOverAll()
+	for _, s := range d.list() {
 		s.mu.Lock()
 		a := s.core.Tick(d.gateway.now())
 		s.mu.Unlock()
@@ -110,6 +120,7 @@
 	}
 	now := g.now()
 	s.mu.Lock()
+	s.foreign = true
 	h, a := s.core.HandOver(now)
 	s.mu.Unlock()
 	d.carry(s, a)
@@ -150,8 +161,13 @@
 		return
 	}
 	now := d.gateway.now()
+	mine := d.gateway.schedulerOf(j.Pool, nil) == d.gateway.ID.Name
 	s.mu.Lock()
 	s.usedAt = now
+	if s.foreign && mine {
+		s.foreign = false
+		s.core.HoldUntil(now.Add(handoverWait))
+	}
 	a := s.core.Submit(now, j.Job(now))
 	s.mu.Unlock()
 	d.carry(s, a)
