Wait for a handover on any first job; confirm after waking and not at it

Two flaky tests traced: a box got a moved job a millisecond before the news that it schedules the pool, so it did not wait for the handover; a confirmation of the very instant of waking counted. 36 runs under -race after.

--- a/src/batch/message.go
+++ b/src/batch/message.go
@@ -110,6 +110,7 @@
 type Failed struct {
 	ID     JobID  `msgpack:"i"`
 	Reason Reason `msgpack:"r"`
+	To     string `msgpack:"t,omitempty"` // the box that schedules the pool now, with Moved
 }
 
 // Withdraw ends a job that its owner needs no more; results made of it are freed.
--- a/src/batch/scheduler.go
+++ b/src/batch/scheduler.go
@@ -710,13 +710,13 @@
 
 // HandOver empties a scheduler whose pool another box schedules now: jobs of which nothing is in a
 // call go back to their owners, and the next scheduler is told of the rest.
-func (s *Scheduler) HandOver(now time.Time) (Handover, Actions) {
+func (s *Scheduler) HandOver(now time.Time, next string) (Handover, Actions) {
 	h := Handover{Pool: s.pool.Name, Idle: s.idle}
 	s.idle = nil
 	var out Actions
 	for _, t := range s.sorted(now) {
 		if t.running == 0 && len(t.pending) == t.Pieces && !t.insisted {
-			s.end(now, t, Message{Failed: &Failed{ID: t.ID, Reason: Moved}}, &out)
+			s.end(now, t, Message{Failed: &Failed{ID: t.ID, Reason: Moved, To: next}}, &out)
 		}
 	}
 	for handle, r := range s.handles {
--- a/src/batch/scheduler_test.go
+++ b/src/batch/scheduler_test.go
@@ -260,8 +260,8 @@
 	s.Submit(start.Add(300*time.Millisecond), &Job{ID: JobID{Box: "b", N: 1}, Pool: "rerank", Pieces: 1, Deadline: start.Add(time.Minute), Due: start.Add(time.Second)})
 	waiting := testJob("w", 1, 1)
 	s.Submit(start.Add(300*time.Millisecond), waiting)
-	h, out := s.HandOver(start.Add(310 * time.Millisecond))
-	if f := failedOf(out); f == nil || f.Reason != Moved || f.ID != waiting.ID {
+	h, out := s.HandOver(start.Add(310*time.Millisecond), "next")
+	if f := failedOf(out); f == nil || f.Reason != Moved || f.To != "next" || f.ID != waiting.ID {
 		t.Fatalf("the waiting job was not given back: %+v", out.Replies)
 	}
 	if len(h.Held) != 4 || len(h.Busy) != 1 {
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -166,7 +166,7 @@
 	if woken == 0 {
 		return true
 	}
-	if g.published.confirmedAt().UnixNano() >= woken || now.Sub(time.Unix(0, woken)) > wakeWait {
+	if g.published.confirmedAt().UnixNano() > woken || now.Sub(time.Unix(0, woken)) > wakeWait {
 		g.wokenAt.CompareAndSwap(woken, 0)
 		return true
 	}
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -12,10 +12,11 @@
 
 // Tunables of talking with a scheduler.
 const (
-	ackPatience  = 250 * time.Millisecond // for a scheduler to accept a job
-	askAgain     = 500 * time.Millisecond // pace at which an owner asks for an accepted job
-	handoverWait = 60 * time.Millisecond  // that a scheduler which has just got a pool waits for news of it
-	silentAsks   = 2                      // unanswered questions after which another box is asked
+	ackPatience   = 250 * time.Millisecond // for a scheduler to accept a job
+	askAgain      = 500 * time.Millisecond // pace at which an owner asks for an accepted job
+	handoverWait  = 60 * time.Millisecond  // that a scheduler which has just got a pool waits for news of it
+	handoverAgain = time.Second            // before it waits so again
+	silentAsks    = 2                      // unanswered questions after which another box is asked
 )
 
 // desk holds the schedulers of the pools that this box forms calls for.
@@ -32,7 +33,8 @@
 	core    *batch.Scheduler
 	pool    string
 	usedAt  time.Time
-	foreign bool // another box had the pool when this one last looked
+	heldAt  time.Time // when calls were last put off for a handover
+	foreign bool      // another box had the pool when this one last looked
 }
 
 func (d *desk) init(g *Gateway) {
@@ -121,7 +123,7 @@
 	now := g.now()
 	s.mu.Lock()
 	s.foreign = true
-	h, a := s.core.HandOver(now)
+	h, a := s.core.HandOver(now, next)
 	s.mu.Unlock()
 	d.carry(s, a)
 	if !h.Empty() {
@@ -161,13 +163,13 @@
 		return
 	}
 	now := d.gateway.now()
-	mine := d.gateway.schedulerOf(j.Pool, nil) == d.gateway.ID.Name
 	s.mu.Lock()
 	s.usedAt = now
-	if s.foreign && mine {
-		s.foreign = false
+	if s.foreign && now.Sub(s.heldAt) > handoverAgain {
+		s.heldAt = now
 		s.core.HoldUntil(now.Add(handoverWait))
 	}
+	s.foreign = false
 	a := s.core.Submit(now, j.Job(now))
 	s.mu.Unlock()
 	d.carry(s, a)
@@ -397,7 +399,10 @@
 				box, accepted, silent = g.another(j, box, avoid, "no_pool"), false, 0
 				timer.Reset(ackPatience)
 			case m.Failed != nil && m.Failed.Reason == batch.Moved:
-				box, accepted, silent = g.schedulerOf(j.Pool, avoid), false, 0
+				box, accepted, silent = m.Failed.To, false, 0
+				if box != g.ID.Name && g.fleet.addressOf(box) == "" {
+					box = g.schedulerOf(j.Pool, avoid)
+				}
 				g.tell(box, batch.Message{Submit: j.Submission(g.now())})
 				timer.Reset(ackPatience)
 			case m.Failed != nil:
