--- a/src/platform/client.go
+++ b/src/configservice/client.go
@@ -1,6 +1,6 @@
-// Package platform reads the platform's configuration service and box list over HTTP. It never
+// Package configservice reads the platform's configuration service and box list over HTTP. It never
 // writes: the platform's service takes no writes from the system.
-package platform
+package configservice
 
 import (
 	"context"
--- a/src/gateway/fleet_test.go
+++ b/src/gateway/fleet_test.go
@@ -73,6 +73,7 @@
 		Pipelines: []catalog.Pipeline{
 			{Name: "draft", Host: "h", Prefix: "/draft/", Kind: catalog.Stream, Timeout: 10 * time.Second, Objective: 3 * time.Second, Attempts: 2, Resumable: true,
 				Targets: []catalog.Target{{Pool: "model", Weight: 1}}, Stages: []catalog.Stage{{Pool: "encode", ResultBytes: 10}}},
+			{Name: "stamp", Host: "h", Prefix: "/stamp/", Kind: catalog.Once, Timeout: 5 * time.Second, Objective: 200 * time.Millisecond, Attempts: 2, Targets: []catalog.Target{{Pool: "model", Weight: 1}}},
 			{Name: "look", Host: "h", Prefix: "/look/", Kind: catalog.Repeatable, Timeout: 5 * time.Second, Objective: 200 * time.Millisecond, Attempts: 2, Targets: []catalog.Target{{Pool: "model", Weight: 1}}},
 		},
 		Pools: []catalog.Pool{{Name: "model"}, {Name: "encode", Batch: &catalog.BatchLimits{
--- a/src/gateway/gateway_test.go
+++ b/src/gateway/gateway_test.go
@@ -404,6 +404,22 @@
 	})
 }
 
+func TestOnceIsSentOnceThoughMoreAttemptsAreAllowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1)
+		sent := 0
+		f.send = func(context.Context, string, *Call) (*Reply, error) {
+			sent++
+			return nil, errBroken
+		}
+		settle()
+		a := f.ask("box0", "/stamp/x", "r", nil)
+		if sent != 1 || a.refused == nil || a.refused.DidRun() != code.RanUnknown || a.refused.RetryAfter != 0 {
+			t.Errorf("sent %d times: %+v", sent, a.refused)
+		}
+	})
+}
+
 func TestWholeEventsOnly(t *testing.T) {
 	var e eventSplitter
 	got := ""
--- a/src/local/local_test.go
+++ b/src/local/local_test.go
@@ -27,9 +27,9 @@
 	pb "github.com/stilemast/stilemast/src/api/stilemast/v1"
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/config"
+	"github.com/stilemast/stilemast/src/configservice"
 	"github.com/stilemast/stilemast/src/load"
 	"github.com/stilemast/stilemast/src/peer"
-	"github.com/stilemast/stilemast/src/platform"
 	"github.com/stilemast/stilemast/src/port"
 	"github.com/stilemast/stilemast/src/rpc"
 )
@@ -292,7 +292,7 @@
 	if err := s.Start(); err != nil {
 		t.Fatal(err)
 	}
-	c := platform.NewClient([]string{s.PlatformAddress()}, 20*time.Second)
+	c := configservice.NewClient([]string{s.PlatformAddress()}, 20*time.Second)
 	ctx := context.Background()
 	first, err := c.Config(ctx)
 	if err != nil {
--- a/src/node/node.go
+++ b/src/node/node.go
@@ -24,10 +24,10 @@
 	"github.com/stilemast/stilemast/src/backend"
 	"github.com/stilemast/stilemast/src/box"
 	"github.com/stilemast/stilemast/src/config"
+	"github.com/stilemast/stilemast/src/configservice"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/metrics"
 	"github.com/stilemast/stilemast/src/peer"
-	"github.com/stilemast/stilemast/src/platform"
 	"github.com/stilemast/stilemast/src/rpc"
 	"github.com/stilemast/stilemast/src/web"
 )
@@ -88,7 +88,7 @@
 	}
 	n.Settings.Listen.Peers = n.beats.Addr().String()
 	n.peers = peer.NewClient(clientTLS)
-	reads := platform.NewClient(n.Settings.Platform.Addresses, time.Duration(n.Settings.Platform.CallTimeout))
+	reads := configservice.NewClient(n.Settings.Platform.Addresses, time.Duration(n.Settings.Platform.CallTimeout))
 	reads.Watch = time.Duration(n.Settings.Platform.Watch)
 	n.box = &box.Box{
 		Settings: n.Settings,
--- a/src/standin/http.go
+++ b/src/standin/http.go
@@ -12,8 +12,8 @@
 
 	"github.com/stilemast/stilemast/src/backend"
 	"github.com/stilemast/stilemast/src/config"
+	"github.com/stilemast/stilemast/src/configservice"
 	"github.com/stilemast/stilemast/src/core"
-	"github.com/stilemast/stilemast/src/platform"
 	"github.com/stilemast/stilemast/src/port"
 	"github.com/stilemast/stilemast/src/web"
 )
@@ -87,8 +87,8 @@
 // Handler serves the platform's published interface.
 func (p *Platform) Handler() (http.Handler, error) {
 	return web.Handler([]rest.Route{
-		{Method: http.MethodGet, Path: platform.PathConfig, Handler: p.serveConfig},
-		{Method: http.MethodGet, Path: platform.PathBoxes, Handler: p.serveBoxes},
+		{Method: http.MethodGet, Path: configservice.PathConfig, Handler: p.serveConfig},
+		{Method: http.MethodGet, Path: configservice.PathBoxes, Handler: p.serveBoxes},
 	})
 }
 
@@ -98,7 +98,7 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	wait, _ := strconv.Atoi(r.URL.Query().Get(platform.WaitQuery))
+	wait, _ := strconv.Atoi(r.URL.Query().Get(configservice.WaitQuery))
 	raw = p.changed(r.Context(), raw, r.Header.Get("If-None-Match"), time.Duration(min(wait, maxWatch))*time.Millisecond)
 	writeTagged(w, r, raw)
 }
