Give inputs up only when the call that reads them has begun

The scheduler now says Reading 70 ms into the call, and a piece that fails after that fails its job at once.

--- a/src/batch/scheduler.go
+++ b/src/batch/scheduler.go
@@ -26,6 +26,7 @@
 	classLearning  = 0.1                    // of a class's time for a piece
 	slowRatio      = 1.8                    // a server this much slower than expected is used last
 	slowProbe      = 1500 * time.Millisecond
+	readTime       = 70 * time.Millisecond  // that a call which has begun may take to read its inputs
 	hopelessFill   = 0.4                    // how full the call is in which a job could just be in time
 	handoverSlack  = 300 * time.Millisecond // over twice the expected time of a call that was handed over
 	memory         = 5 * time.Second        // for which the end of a job is remembered
@@ -152,7 +153,9 @@
 	domains  []string
 	failures int
 	ended    bool
-	insisted bool // stays here whoever else schedules the pool
+	insisted bool      // stays here whoever else schedules the pool
+	sent     time.Time // when its last piece so far went into a call
+	read     bool      // its owner was told that the inputs have been read
 }
 
 type serverState struct {
@@ -322,6 +325,10 @@
 	for _, t := range s.sorted(now) {
 		if now.After(t.Deadline) {
 			s.end(now, t, Message{Failed: &Failed{ID: t.ID, Reason: Late}}, &out)
+		} else if t.hasRead(now) {
+			t.read = true
+			id := t.ID
+			out.Replies = append(out.Replies, Reply{Box: id.Box, Message: Message{Reading: &id}})
 		}
 	}
 	more := s.dispatch(now)
@@ -331,6 +338,13 @@
 	return out
 }
 
+// hasRead says whether every piece of a job is in a call that must have read its inputs by now, and
+// its owner does not know yet. Their room is given up then and not at the call's end: room is what
+// bounds a pool of makers.
+func (t *job) hasRead(now time.Time) bool {
+	return !t.read && len(t.Inputs) > 0 && len(t.pending) == 0 && now.Sub(t.sent) >= readTime
+}
+
 func (s *Scheduler) frees() []FreeCall {
 	var out []FreeCall
 	for id, hs := range s.freeing {
@@ -416,7 +430,7 @@
 		if v.ratio > slowRatio && !s.worthSlow(now, v) {
 			continue
 		}
-		if c, ok := s.form(now, v, queue, &out); ok {
+		if c, ok := s.form(now, v, queue); ok {
 			out.Calls = append(out.Calls, c)
 		}
 	}
@@ -446,7 +460,7 @@
 }
 
 // form makes a call of the most urgent pieces that fit a server.
-func (s *Scheduler) form(now time.Time, v *serverState, queue []*job, out *Actions) (Call, bool) {
+func (s *Scheduler) form(now time.Time, v *serverState, queue []*job) (Call, bool) {
 	limit := s.pool.Batch.Size
 	room := s.pool.Batch.RoomBytes*roomPart - v.used
 	c := Call{Server: v.Server}
@@ -472,10 +486,7 @@
 		}
 		t.pending = t.pending[n:]
 		t.running += n
-		if len(t.pending) == 0 && len(t.Inputs) > 0 {
-			id := t.ID
-			out.Replies = append(out.Replies, Reply{Box: id.Box, Message: Message{Reading: &id}})
-		}
+		t.sent = now
 		room -= float64(n) * t.ResultBytes
 		rc.bytes += float64(n) * t.ResultBytes
 	}
@@ -569,6 +580,10 @@
 		if t.ended {
 			continue
 		}
+		if t.read {
+			s.end(now, t, Message{Failed: &Failed{ID: t.ID, Reason: Gone}}, out)
+			continue
+		}
 		t.pending = append(t.pending, rc.pieces[i])
 		if outcome != CallFull && !counted[t] {
 			counted[t] = true
@@ -627,6 +642,10 @@
 	default:
 		t.failures++
 	}
+	if t.read { // its inputs were given up: only its owner can make them again
+		s.end(now, t, Message{Failed: &Failed{ID: t.ID, Reason: Gone}}, out)
+		return
+	}
 	t.pending = append(t.pending, piece)
 	if t.failures >= pieceFailures {
 		s.end(now, t, Message{Failed: &Failed{ID: t.ID, Reason: Errors}}, out)
--- a/src/batch/scheduler_test.go
+++ b/src/batch/scheduler_test.go
@@ -188,17 +188,33 @@
 	}
 }
 
-func TestReadingIsSaidWhenTheLastPieceIsInACall(t *testing.T) {
+func TestReadingIsSaidWhenEveryPieceIsInACallThatHasBegun(t *testing.T) {
+	said := func(a Actions) bool {
+		for _, r := range a.Replies {
+			if r.Message.Reading != nil {
+				return true
+			}
+		}
+		return false
+	}
 	s := testScheduler(1)
 	j := testJob("a", 1, 1)
 	j.Inputs = []string{"x"}
 	a := s.Submit(start, j)
-	said := false
-	for _, r := range a.Replies {
-		said = said || r.Message.Reading != nil && *r.Message.Reading == j.ID
+	if said(a) || said(s.Tick(start.Add(readTime/2))) {
+		t.Fatal("inputs were given up while the server might refuse the call")
+	}
+	s.CallEnded(start.Add(readTime/2), a.Calls[0].N, CallFull, nil)
+	if said(s.Tick(start.Add(readTime))) {
+		t.Fatal("inputs were given up though the call was refused")
+	}
+	next := s.Tick(start.Add(2 * readTime))
+	if len(next.Calls) != 1 || !said(s.Tick(start.Add(4*readTime))) {
+		t.Fatal("the owner was not told that its inputs have been read")
 	}
-	if !said {
-		t.Fatal("the owner was not told that its inputs are being read")
+	b := s.CallEnded(start.Add(5*readTime), next.Calls[0].N, CallDone, []ItemResult{{Reason: ItemError}})
+	if f := failedOf(b); f == nil || f.Reason != Gone {
+		t.Fatal("a piece whose inputs were given up was tried again")
 	}
 }
 
--- a/src/gateway/stages.go
+++ b/src/gateway/stages.go
@@ -15,10 +15,8 @@
 // typicalFill is how full calls are when it matters whether a request is in time.
 const typicalFill = 0.5
 
-// readTime is how long a call may take to read its inputs once it has begun. Their room is given up
-// then and not at the call's end: room is what bounds a pool of makers. A call that fails after that
-// finds its inputs gone, and the stages are made again.
-const readTime = 90 * time.Millisecond
+// lifeMargin is kept from the life of results for messages and for a call to come to its turn.
+const lifeMargin = 90 * time.Millisecond
 
 // results are what the stages of one request made.
 type results struct {
@@ -195,7 +193,7 @@
 	if len(j.Inputs) == 0 {
 		j.Key = s.request.PieceKey
 	}
-	done, reason := g.runJob(ctx, j, func() { time.AfterFunc(readTime, func() { s.freeRead(i) }) })
+	done, reason := g.runJob(ctx, j, func() { s.freeRead(i) })
 	if done == nil {
 		if reason != batch.Stopped {
 			g.Log.Warn("stage failed", "request", s.request.ID, "stage", i, "pool", st.Pool, "reason", reason.String(), "took_ms", g.now().Sub(began).Milliseconds())
@@ -261,5 +259,5 @@
 	if p == nil || p.Batch == nil || p.Batch.ResultTTL == 0 {
 		return time.Hour
 	}
-	return p.Batch.ResultTTL - readTime
+	return p.Batch.ResultTTL - lifeMargin
 }
