News of changes, waits and loads in large fleets

Cause, by thinking through 80 boxes: a change went round by heartbeats only, a scheduler's wait reached a box every dozen seconds, and four of five boxes' loads were unknown. A change is pushed on to six others, Accept carries the wait, and the boxes heard of lately stand for all. A connection that forgets sooner than it says: requests that can't be repeated use one only within 0.3 s.

--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -84,7 +84,10 @@
 type Pool struct {
 	Box    string
 	Domain string // of this box
+	Boxes  int    // that there are, this one among them; 0 when only those heard of count
 
+	heard   map[string]time.Time // boxes that told of their loads, and when last
+	scale   float64              // by which the loads that were told stand for all
 	servers map[string]*server
 	kept    map[string]map[string]time.Time // prompt part to servers that read it, and when
 	picks   uint64
@@ -96,7 +99,7 @@
 
 // NewPool knows no server yet.
 func NewPool(box, domain string) *Pool {
-	return &Pool{Box: box, Domain: domain, servers: map[string]*server{}, kept: map[string]map[string]time.Time{}, popular: map[string]float64{}}
+	return &Pool{Box: box, Domain: domain, heard: map[string]time.Time{}, servers: map[string]*server{}, kept: map[string]map[string]time.Time{}, popular: map[string]float64{}}
 }
 
 // Configure takes the servers that are listed and take new work.
@@ -121,20 +124,38 @@
 // Size counts the servers.
 func (p *Pool) Size() int { return len(p.servers) }
 
-// load sums what all boxes have at a server.
-func (v *server) load(now time.Time) Load {
-	l := v.own
+// load sums what all boxes have at a server. In a large fleet few tell in time; the others are taken to
+// have as much as they.
+func (p *Pool) load(now time.Time, v *server) Load {
+	var peers Load
 	for _, n := range v.peers {
 		if now.Sub(n.at) < noteLife {
-			l.Requests += n.load.Requests
-			l.Tokens += n.load.Tokens
+			peers.Requests += n.load.Requests
+			peers.Tokens += n.load.Tokens
 		}
 	}
-	return l
+	return Load{Requests: v.own.Requests + int(p.scale*float64(peers.Requests)), Tokens: v.own.Tokens + int(p.scale*float64(peers.Tokens))}
+}
+
+// unheard is by how much the boxes heard of lately stand for all.
+func (p *Pool) unheard(now time.Time) float64 {
+	n := 0
+	for box, at := range p.heard {
+		if now.Sub(at) < noteLife {
+			n++
+		} else {
+			delete(p.heard, box)
+		}
+	}
+	if n == 0 || p.Boxes-1 <= n {
+		return 1
+	}
+	return float64(p.Boxes-1) / float64(n)
 }
 
 // PeerLoad takes another box's note on a server.
 func (p *Pool) PeerLoad(now time.Time, box, id string, l Load) {
+	p.heard[box] = now
 	if v := p.servers[id]; v != nil {
 		v.peers[box] = note{load: l, at: now}
 	}
@@ -153,8 +174,9 @@
 
 // Busy says how many requests all boxes have in the pool and how many places it has.
 func (p *Pool) Busy(now time.Time) (requests, places int) {
+	p.scale = p.unheard(now)
 	for _, v := range p.servers {
-		requests += v.load(now).Requests
+		requests += p.load(now, v).Requests
 		places += v.Slots
 	}
 	return requests, places
@@ -166,6 +188,7 @@
 	var best *server
 	bestCost, why := 0.0, ""
 	p.ask(now, w)
+	p.scale = p.unheard(now)
 	p.picks++
 	home := p.home(w)
 	for pass := range 2 {
@@ -216,7 +239,7 @@
 
 // cost estimates in milliseconds how much later the request would be answered at a server.
 func (p *Pool) cost(now time.Time, v *server, w *Wish, home string) float64 {
-	l := v.load(now)
+	l := p.load(now, v)
 	slots := float64(max(1, v.Slots))
 	cost := runningPenalty * float64(l.Requests) * 64 / slots
 	if v.Domain != p.Domain {
@@ -268,20 +291,24 @@
 		return ""
 	}
 	first, deepest := w.Parts[0].ID, w.Parts[len(w.Parts)-2].ID
-	ranked := make([]string, 0, len(p.servers))
+	type rankedServer struct {
+		id   string
+		rank uint64
+	}
+	ranked := make([]rankedServer, 0, len(p.servers))
 	for id := range p.servers {
-		ranked = append(ranked, id)
+		ranked = append(ranked, rankedServer{id, catalog.Hash(first, id)})
 	}
-	sort.Slice(ranked, func(i, j int) bool { return catalog.Hash(first, ranked[i]) > catalog.Hash(first, ranked[j]) })
+	sort.Slice(ranked, func(i, j int) bool { return ranked[i].rank > ranked[j].rank })
 	share := 0.0
 	if p.asked > 0 {
 		share = p.popular[first] / p.asked
 	}
 	n := min(len(ranked), int(math.Ceil(popularitySpare*share*float64(len(ranked)))))
 	best, rank := "", uint64(0)
-	for _, id := range ranked[:max(1, n)] {
-		if r := catalog.Hash(deepest, id); best == "" || r > rank {
-			best, rank = id, r
+	for _, s := range ranked[:max(1, n)] {
+		if r := catalog.Hash(deepest, s.id); best == "" || r > rank {
+			best, rank = s.id, r
 		}
 	}
 	return best
--- a/src/balance/balance_test.go
+++ b/src/balance/balance_test.go
@@ -174,3 +174,18 @@
 		t.Errorf("%d requests are still counted", n)
 	}
 }
+
+func TestInALargeFleetTheHeardStandForAll(t *testing.T) {
+	p := testPool("a", 2)
+	p.Boxes = 81
+	for i := range 8 {
+		p.PeerLoad(start, fmt.Sprint("box", i), "s0", Load{Requests: 1})
+	}
+	if n, _ := p.Busy(start); n != 80 {
+		t.Errorf("8 of 80 boxes have 8 requests; %d are expected in all, want 80", n)
+	}
+	p.Boxes = 9
+	if n, _ := p.Busy(start); n != 8 {
+		t.Errorf("8 of 8 boxes have 8 requests; %d are expected", n)
+	}
+}
--- a/src/batch/scheduler.go
+++ b/src/batch/scheduler.go
@@ -251,7 +251,7 @@
 		return Actions{Replies: []Reply{{Box: j.ID.Box, Message: e.message}}}
 	}
 	id := j.ID
-	accept := Reply{Box: id.Box, Message: Message{Accept: &id}}
+	accept := Reply{Box: id.Box, Message: Message{Accept: &id, Wait: s.Wait(now)}}
 	if s.jobs[id] != nil {
 		return Actions{Replies: []Reply{accept}}
 	}
--- a/src/core/members.go
+++ b/src/core/members.go
@@ -409,6 +409,18 @@
 	return out
 }
 
+// Some lists where a few usable members listen, drawn anew each time: for news that is to go round a
+// fleet that is too large to tell everybody.
+func (m *Members) Some(n int) []string {
+	var out []string
+	for _, name := range m.newRound() {
+		if e := m.all[name]; e.Usable() && e.id.Incarnation != 0 && len(out) < n {
+			out = append(out, e.address)
+		}
+	}
+	return out
+}
+
 // Usable lists the names of members that take work, this box included unless it is leaving.
 func (m *Members) Usable() []string {
 	var out []string
--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -22,7 +22,7 @@
 const (
 	dialPatience    = 700 * time.Millisecond // for a connection to open
 	idleLimit       = 4 * time.Second        // a connection unused this long is not used again
-	freshLimit      = time.Second            // nor, by a request that can't be repeated, one unused this long
+	freshLimit      = 300 * time.Millisecond // nor, by a request that can't be repeated, one unused this long
 	idleMargin      = time.Second            // kept from the idle time that the server announces
 	userTimeout     = 1500 * time.Millisecond
 	keepAliveIdle   = time.Second
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -18,6 +18,7 @@
 	waitLife     = 1500 * time.Millisecond // a scheduler's note on its wait counts this long
 	seenLately   = 60 * time.Second        // a box heard of this lately may be alive, for the shared budget
 	notesPerBeat = 64
+	announceTo   = 6               // boxes of a large fleet that hear of a change at once
 	unsureFor    = 5 * time.Second // after its start a box does not know how many there are
 	unsureBoxes  = 40              // and counts on so many
 )
@@ -88,18 +89,36 @@
 }
 
 // tellNews gives every box of a small fleet this box's loads, more often than heartbeats go round.
-func (g *Gateway) tellNews(context.Context) { g.announce() }
+func (g *Gateway) tellNews(context.Context) {
+	f := &g.fleet
+	f.mu.Lock()
+	to := f.core.Near()
+	f.mu.Unlock()
+	g.tellTo(to)
+}
 
-// announce tells every box of a small fleet what this box holds and has, without waiting for a beat.
+// announce tells what this box holds and has without waiting for a beat: every box of a small fleet,
+// a few of a large one, which tell others in their turn when it is news to them.
 func (g *Gateway) announce() {
 	f := &g.fleet
-	now := g.now()
 	f.mu.Lock()
-	to, self := f.core.Near(), f.core.Self
+	to := f.core.Near()
+	if len(to) == 0 {
+		to = f.core.Some(announceTo)
+	}
 	f.mu.Unlock()
+	g.tellTo(to)
+}
+
+func (g *Gateway) tellTo(to []string) {
 	if len(to) == 0 {
 		return
 	}
+	f := &g.fleet
+	now := g.now()
+	f.mu.Lock()
+	self := f.core.Self
+	f.mu.Unlock()
 	b := core.Beat{From: self, News: true}
 	g.news(now)(&b)
 	for _, address := range to {
@@ -159,6 +178,7 @@
 }
 
 func (g *Gateway) takeLoads(now time.Time, m core.Beat) {
+	boxes := len(g.fleet.usable())
 	notes := make(map[uint64]core.BackendNote, len(m.Backends))
 	for _, n := range m.Backends {
 		notes[n.Server] = n
@@ -171,6 +191,7 @@
 		n := notes[catalog.Hash(s.ID)]
 		e := g.pools.get(s.Pool)
 		e.mu.Lock()
+		e.picker.Boxes = boxes
 		e.picker.PeerLoad(now, m.From.ID.Name, s.ID, balance.Load{Requests: int(n.Requests), Tokens: int(n.Tokens)})
 		if n.Resting {
 			e.picker.Rest(now, s.ID)
@@ -269,6 +290,13 @@
 	return 0
 }
 
+// noteWait takes what a scheduler told of its wait with an answer.
+func (f *fleet) noteWait(now time.Time, pool string, wait time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.waits[catalog.Hash(pool)] = waitNote{wait: wait, at: now}
+}
+
 // TakeQuestion answers another box.
 func (g *Gateway) TakeQuestion(_ context.Context, q port.Question) port.Answer {
 	if q.Publish == nil {
--- a/src/gateway/gateway_test.go
+++ b/src/gateway/gateway_test.go
@@ -67,6 +67,25 @@
 	})
 }
 
+// In a fleet too large to tell everybody a change goes round in a few hops.
+func TestAChangeGoesRoundALargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 40)
+		time.Sleep(8 * time.Second)
+		f.publish(testCatalog(7))
+		time.Sleep(600 * time.Millisecond)
+		behind := 0
+		for _, g := range f.boxes {
+			if g.Version() != 7 {
+				behind++
+			}
+		}
+		if behind > 0 {
+			t.Errorf("%d of 40 boxes have the old version after 0.6 s", behind)
+		}
+	})
+}
+
 func TestPiecesOfManyBoxesShareCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, 5)
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -410,6 +410,7 @@
 			case m.Reading != nil:
 				reading()
 			case m.From == box:
+				g.fleet.noteWait(g.now(), j.Pool, m.Wait)
 				accepted, silent = true, 0
 				timer.Reset(askAgain)
 			}
