A fault soak of real processes before the stand-in of the platform

make soak plays seeds of kills, pauses, planned stops, reloads, a store that goes away, new configurations and failing engines, overlapping; it judges whole and own answers, once, truthful refusals, planned stops and a configuration that never goes back, by what callers and engines see.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets: build, test, lint, bench; gen needs buf and its two plugins.
 GO ?= go
 
-.PHONY: build test lint bench gen demo fuzz faults histories mutants
+.PHONY: build test lint bench gen demo fuzz faults histories mutants soak
 
 build:
 	$(GO) build -o stilemast .
@@ -47,3 +47,10 @@
 # with the machine, so CI leaves it out.
 sockets:
 	scripts/sockets
+
+# Real processes before the stand-in of the platform, with signals, a store that goes away and engines
+# that fail; each seed takes about 15 s. CI plays one.
+SEEDS ?= 20
+FIRST ?= 1
+soak:
+	$(GO) test ./platform -run TestSoak -v -timeout 2h -soak.seeds $(SEEDS) -soak.first $(FIRST) | grep -v '^ *===\|^=== '
