--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -314,6 +314,15 @@
 	return best
 }
 
+// HomeDomain is the failure domain of the server where a prompt's shared parts are best read, "" when
+// it has none. Work that makes large inputs for the request is best done there.
+func (p *Pool) HomeDomain(w *Wish) string {
+	if v := p.servers[p.home(w)]; v != nil {
+		return v.Domain
+	}
+	return ""
+}
+
 // ask counts the tokens of a request under its first prompt part.
 func (p *Pool) ask(now time.Time, w *Wish) {
 	if len(w.Parts) == 0 {
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -135,6 +135,9 @@
 		return
 	}
 	v.wish = balance.Wish{Parts: v.request.Parts, Exclude: map[string]bool{}}
+	e.mu.Lock()
+	v.stages.domain = e.picker.HomeDomain(&v.wish)
+	e.mu.Unlock()
 	if err := v.makeStages(ctx); err != nil {
 		v.refuse(err)
 		return
--- a/src/gateway/stages.go
+++ b/src/gateway/stages.go
@@ -15,6 +15,9 @@
 // typicalFill is how full calls are when it matters whether a request is in time.
 const typicalFill = 0.5
 
+// largeResults is the size of a stage's results from which on they are made where they will be read.
+const largeResults = 200_000
+
 // lifeMargin is kept from the life of results for messages and for a call to come to its turn.
 const lifeMargin = 90 * time.Millisecond
 
@@ -83,6 +86,7 @@
 	priority  int
 	objective time.Time
 	deadline  time.Time
+	domain    string // where results that the request itself reads are best made, "" for anywhere
 	results   *results
 	followers [][]int
 	done      []chan struct{}
@@ -193,6 +197,9 @@
 	if len(j.Inputs) == 0 {
 		j.Key = s.request.PieceKey
 	}
+	if j.InputDomain == "" && len(s.followers[i]) == 0 && j.ResultBytes*float64(j.Pieces) >= largeResults {
+		j.InputDomain = s.domain
+	}
 	done, reason := g.runJob(ctx, j, func() { s.freeRead(i) })
 	if done == nil {
 		if reason != batch.Stopped {
