--- a/src/cli/operate.go
+++ b/src/cli/operate.go
@@ -62,8 +62,7 @@
 		Flags: []cli.Flag{&cli.BoolFlag{Name: "settings", Usage: "the file holds a box's settings"}},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.Bool("settings") {
-				_, err := config.ReadSettings(c.Args().First())
-				return err
+				return validateSettings(c.Args().First())
 			}
 			raw, err := os.ReadFile(c.Args().First())
 			if err != nil {
@@ -83,6 +82,20 @@
 	}
 }
 
+// validateSettings checks the settings of a box or of a gateway, whichever the file holds.
+func validateSettings(path string) error {
+	mode, err := config.ReadMode(path)
+	if err != nil {
+		return err
+	}
+	if mode == config.ModeGateway {
+		_, err = config.ReadGatewaySettings(path)
+	} else {
+		_, err = config.ReadSettings(path)
+	}
+	return err
+}
+
 func planCommand() *cli.Command {
 	return &cli.Command{
 		Name: "plan", Usage: "tell what a configuration would change against the one in force at a box", ArgsUsage: "FILE",
--- a/src/experiment/experiment.go
+++ b/src/experiment/experiment.go
@@ -18,10 +18,10 @@
 	Name        string
 	Placement   core.Placer
 	NoAdmission bool
-	One         bool // a single decider with nothing stale: the oracle
+	One         bool // a single decider with nothing stale: a baseline, no bound
 }
 
-// Policies are the system's own, its baselines, and the oracle.
+// Policies are the system's own, its baselines, and a single decider, which shares the policy's weaknesses and so bounds nothing.
 func Policies() []Policy {
 	return []Policy{
 		{Name: "stilemast", Placement: core.ExpectedFinish},
@@ -29,7 +29,7 @@
 		{Name: "least-in-flight", Placement: core.LeastInFlight, NoAdmission: true},
 		{Name: "two-choices", Placement: core.TwoChoices, NoAdmission: true},
 		{Name: "first-come", Placement: core.ExpectedFinish, NoAdmission: true},
-		{Name: "oracle", Placement: core.ExpectedFinish, One: true},
+		{Name: "single-decider", Placement: core.ExpectedFinish, One: true},
 	}
 }
 
