--- /dev/null
+++ b/src/balance/constants.go
@@ -0,0 +1,25 @@
+package balance
+
+import "time"
+
+// Tunables of the choice.
+const (
+	noteLife        = 1500 * time.Millisecond // a peer's note on its load counts this long
+	keptLife        = 10 * time.Second        // a prompt part read this long ago may be kept still
+	keptMost        = 4096                    // prompt parts remembered of one pool
+	tokensPerMs     = 50.0                    // prompt tokens that an engine reads in a millisecond, about
+	runningPenalty  = 3.0                     // ms that each running request adds
+	jitterMs        = 1.0                     // by which servers of the same cost are told apart
+	farPenalty      = 8.0                     // ms for a server in another failure domain than the box
+	againPerToken   = 0.12                    // ms that reading a shared token again weighs, beside the time that it takes
+	bytesPerMs      = 27000.0                 // bytes of results from another domain that weigh as much as a ms
+	popularitySpare = 2.0                     // servers for a popular prompt part, over its share of all tokens
+	popularityLife  = 5 * time.Second         // over which that share is measured
+	failurePause    = 600 * time.Millisecond  // after repeated failures; doubled with each further one
+	maxDoublings    = 4
+	hardFailures    = 2    // broken exchanges in a row before a server rests
+	failureLearning = 0.15 // weight of a new outcome in a server's share of failures
+	greyShare       = 0.3  // share of failures above the pool's at which a server rests
+	paceLearning    = 0.2
+	slowRatio       = 2.5
+)
--- /dev/null
+++ b/src/balance/health.go
@@ -0,0 +1,113 @@
+package balance
+
+import (
+	"time"
+)
+
+func (v *server) usable(now time.Time) bool {
+	if now.Before(v.until) {
+		return false
+	}
+	return v.rests == 0 || !v.probing
+}
+
+// Outcome says how an exchange with a server ended.
+type Outcome uint8
+
+// String names the outcome for logs.
+func (o Outcome) String() string {
+	switch o {
+	case Good:
+		return "good"
+	case Failed:
+		return "failed"
+	case Full:
+		return "full"
+	case Broken:
+		return "broken"
+	case Dropped:
+		return "dropped"
+	}
+	return "unknown"
+}
+
+// Ended takes the end of a request's exchange. It says whether the server now rests.
+func (p *Pool) Ended(now time.Time, id string, w *Wish, o Outcome) bool {
+	v := p.servers[id]
+	if v == nil {
+		return false
+	}
+	v.own.Requests = max(0, v.own.Requests-1)
+	if v.own.Requests == 0 {
+		v.own.Tokens = 0
+	}
+	if o == Dropped {
+		v.probing = false
+		return false
+	}
+	bad := 0.0
+	if o != Good {
+		bad = 1
+	}
+	v.share += failureLearning * (bad - v.share)
+	p.share += failureLearning / float64(max(1, len(p.servers))) * (bad - p.share)
+	switch o {
+	case Good:
+		v.broken = 0
+		if v.probing || v.share < greyShare {
+			v.rests = 0
+		}
+		v.probing = false
+		return false
+	case Broken, Full:
+		v.broken++
+	}
+	if v.probing || v.broken >= hardFailures || v.share > p.share+greyShare {
+		p.rest(now, v)
+		return true
+	}
+	return false
+}
+
+func (p *Pool) rest(now time.Time, v *server) {
+	v.until = now.Add(failurePause << min(v.rests, maxDoublings))
+	v.rests++
+	v.broken, v.probing = 0, false
+	v.share = min(v.share, p.share+greyShare/2)
+}
+
+// Rest lets a server rest because another box found it failing.
+func (p *Pool) Rest(now time.Time, id string) {
+	if v := p.servers[id]; v != nil && v.rests == 0 {
+		p.rest(now, v)
+	}
+}
+
+// Resting lists the servers that get no work now.
+func (p *Pool) Resting(now time.Time) []string {
+	var out []string
+	for id, v := range p.servers {
+		if now.Before(v.until) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Pace takes the time a server took for a request against the time that was expected of it.
+func (p *Pool) Pace(id string, took, expected time.Duration) {
+	v := p.servers[id]
+	if v == nil || expected <= 0 {
+		return
+	}
+	v.pace += paceLearning * (float64(took)/float64(expected) - v.pace)
+}
+
+// The outcomes.
+const (
+	Good    Outcome = iota + 1 // an answer that was no failure
+	Failed                     // a failure that the server stated
+	Full                       // the server took nothing
+	Broken                     // no connection, no answer, or one that makes no sense
+	Dropped                    // given up for reasons of ours; says nothing of the server
+)
--- /dev/null
+++ b/src/batch/ending.go
@@ -0,0 +1,126 @@
+package batch
+
+import (
+	"time"
+)
+
+// CallEnded takes the end of a call. results has an entry for each item when the outcome is CallDone.
+func (s *Scheduler) CallEnded(now time.Time, n uint64, outcome CallOutcome, results []ItemResult) Actions {
+	var out Actions
+	rc := s.calls[n]
+	if rc == nil {
+		return out
+	}
+	delete(s.calls, n)
+	v := s.servers[rc.server]
+	if v != nil {
+		if v.handed {
+			s.idle = append(s.idle, rc.server)
+		}
+		v.call, v.handed = 0, false
+	}
+	if outcome == CallDone && len(results) != len(rc.jobs) {
+		outcome = CallBroken
+	}
+	if outcome == CallDone {
+		s.takeResults(now, rc, v, results, &out)
+	} else {
+		s.giveBack(now, rc, v, outcome, &out)
+	}
+	if v != nil && !v.listed {
+		delete(s.servers, rc.server)
+	}
+	more := s.dispatch(now)
+	out.Calls = append(out.Calls, more.Calls...)
+	out.Replies = append(out.Replies, more.Replies...)
+	return out
+}
+
+// giveBack returns the pieces of a call that did not run and lets the server rest.
+func (s *Scheduler) giveBack(now time.Time, rc *runningCall, v *serverState, outcome CallOutcome, out *Actions) {
+	if v != nil {
+		v.used = max(0, v.used-rc.bytes)
+		if outcome == CallFull {
+			v.pause = now.Add(fullPause)
+		} else {
+			v.pause = now.Add(failurePause << min(v.failures, maxDoublings))
+			v.failures++
+		}
+	}
+	counted := map[*job]bool{}
+	for i, t := range rc.jobs {
+		t.running--
+		if t.ended {
+			continue
+		}
+		if t.read {
+			s.end(now, t, Message{Failed: &Failed{ID: t.ID, Reason: Gone}}, out)
+			continue
+		}
+		t.pending = append(t.pending, rc.pieces[i])
+		if outcome != CallFull && !counted[t] {
+			counted[t] = true
+			t.failures++
+		}
+		if t.failures >= pieceFailures {
+			s.end(now, t, Message{Failed: &Failed{ID: t.ID, Reason: Errors}}, out)
+		}
+	}
+}
+
+func (s *Scheduler) takeResults(now time.Time, rc *runningCall, v *serverState, results []ItemResult, out *Actions) {
+	s.learn(now, rc, v)
+	for i, r := range results {
+		t := rc.jobs[i]
+		t.running--
+		if r.Handle != "" {
+			s.handles[r.Handle] = held{server: rc.server, bytes: t.ResultBytes, until: now.Add(s.pool.Batch.ResultTTL)}
+			if t.ended {
+				s.release(now, []string{r.Handle})
+				continue
+			}
+			t.handles[rc.pieces[i]] = r.Handle
+			if v != nil {
+				t.domains[rc.pieces[i]] = v.Domain
+			}
+			continue
+		}
+		if v != nil {
+			v.used = max(0, v.used-t.ResultBytes)
+		}
+		if !t.ended {
+			s.missed(now, t, rc.pieces[i], r.Reason, v, out)
+		}
+	}
+	for _, t := range rc.jobs {
+		if !t.ended && t.running == 0 && len(t.pending) == 0 {
+			s.end(now, t, Message{Done: &Done{ID: t.ID, Handles: t.handles, Domain: commonest(t.domains)}}, out)
+		}
+	}
+}
+
+// missed deals with a piece that a server did not make.
+func (s *Scheduler) missed(now time.Time, t *job, piece int, why ItemReason, v *serverState, out *Actions) {
+	switch why {
+	case ItemLate:
+		s.end(now, t, Message{Failed: &Failed{ID: t.ID, Reason: Late}}, out)
+		return
+	case ItemGone:
+		s.end(now, t, Message{Failed: &Failed{ID: t.ID, Reason: Gone}}, out)
+		return
+	case ItemNoRoom:
+		if v != nil {
+			v.pause = now.Add(roomPause)
+		}
+	default:
+		t.failures++
+	}
+	if t.read { // its inputs were given up: only its owner can make them again
+		s.end(now, t, Message{Failed: &Failed{ID: t.ID, Reason: Gone}}, out)
+		return
+	}
+	t.pending = append(t.pending, piece)
+	if t.failures >= pieceFailures {
+		s.end(now, t, Message{Failed: &Failed{ID: t.ID, Reason: Errors}}, out)
+	}
+}
--- /dev/null
+++ b/src/batch/forming.go
@@ -0,0 +1,187 @@
+package batch
+
+import (
+	"sort"
+	"time"
+)
+
+// sorted lists the jobs with those first that should be served first: jobs that can still be in
+// time by how soon they are due, then the others by their deadline.
+func (s *Scheduler) sorted(now time.Time) []*job {
+	list := make([]*job, 0, len(s.jobs))
+	for _, t := range s.jobs {
+		list = append(list, t)
+	}
+	hopeless := func(t *job) bool { return s.hopeless(now, t) }
+	rank := func(t *job) time.Time {
+		if hopeless(t) {
+			return t.Deadline
+		}
+		return t.Due.Add(time.Duration(t.Priority) * priorityStep)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		a, b := list[i], list[j]
+		if ha, hb := hopeless(a), hopeless(b); ha != hb {
+			return hb
+		}
+		if ra, rb := rank(a), rank(b); !ra.Equal(rb) {
+			return ra.Before(rb)
+		}
+		return a.ID.N < b.ID.N || a.ID.N == b.ID.N && a.ID.Box < b.ID.Box
+	})
+	return list
+}
+
+// free lists the servers that can take a call, the best first.
+func (s *Scheduler) free(now time.Time) []*serverState {
+	var out []*serverState
+	for _, v := range s.servers {
+		if v.listed && v.call == 0 && !now.Before(v.pause) {
+			out = append(out, v)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := out[i], out[j]
+		if slowA, slowB := a.ratio > slowRatio, b.ratio > slowRatio; slowA != slowB {
+			return slowB
+		}
+		if a.used != b.used {
+			return a.used < b.used
+		}
+		return a.ID < b.ID
+	})
+	return out
+}
+
+// dispatch gives every free server a call, as long as there is work that fits it.
+func (s *Scheduler) dispatch(now time.Time) Actions {
+	var out Actions
+	if s.pool.Batch == nil || len(s.jobs) == 0 || now.Before(s.holds) {
+		return out
+	}
+	free := s.free(now)
+	if len(free) == 0 {
+		return out
+	}
+	s.waiting, _ = s.Pending()
+	queue := s.sorted(now)
+	for _, v := range free {
+		if v.ratio > slowRatio && !s.worthSlow(now, v) {
+			continue
+		}
+		if c, ok := s.form(now, v, queue); ok {
+			out.Calls = append(out.Calls, c)
+		}
+	}
+	return out
+}
+
+// worthSlow says whether a slow server should get a call: when work has piled up beyond what the
+// others can take soon, or now and then to see whether it is slow still.
+func (s *Scheduler) worthSlow(now time.Time, v *serverState) bool {
+	sound, pending := 0, 0
+	for _, o := range s.servers {
+		if o.listed && o.ratio <= slowRatio && o.failures == 0 {
+			sound++
+		}
+	}
+	for _, t := range s.jobs {
+		pending += len(t.pending)
+	}
+	if sound == 0 {
+		return true
+	}
+	if now.Sub(v.probed) > slowProbe {
+		v.probed = now
+		return true
+	}
+	return pending > int(v.ratio)*sound*s.pool.Batch.Size
+}
+
+// form makes a call of the most urgent pieces that fit a server.
+func (s *Scheduler) form(now time.Time, v *serverState, queue []*job) (Call, bool) {
+	limit := s.pool.Batch.Size
+	room := s.pool.Batch.RoomBytes*roomPart - v.used
+	c := Call{Server: v.Server}
+	rc := &runningCall{server: v.ID, began: now, expected: s.pool.Batch.CallTime}
+	for _, t := range queue {
+		if t.ended || len(t.pending) == 0 || len(c.Items) >= limit {
+			continue
+		}
+		if !s.fitsDomain(now, t, v) {
+			continue
+		}
+		n := min(len(t.pending), limit-len(c.Items))
+		if t.ResultBytes > 0 {
+			n = min(n, int(room/t.ResultBytes))
+		}
+		if n <= 0 || n < len(t.pending) && now.Sub(t.since) < splitAfter && len(t.pending) <= limit && s.roomFor(t) {
+			continue
+		}
+		for _, piece := range t.pending[:n] {
+			c.Items = append(c.Items, Item{Request: t.Request, Stage: t.Stage, Piece: piece, Remaining: t.Deadline.Sub(now), Key: t.Key, Inputs: t.Inputs})
+			rc.jobs, rc.pieces = append(rc.jobs, t), append(rc.pieces, piece)
+			rc.expected += s.pieceTime(t.Class)
+		}
+		t.pending = t.pending[n:]
+		t.running += n
+		t.sent = now
+		room -= float64(n) * t.ResultBytes
+		rc.bytes += float64(n) * t.ResultBytes
+	}
+	if len(c.Items) == 0 {
+		return c, false
+	}
+	s.next++
+	c.N = s.next
+	c.Free = s.freeing[v.ID]
+	delete(s.freeing, v.ID)
+	expected := time.Duration(float64(rc.expected) * max(1, v.ratio))
+	c.Timeout = time.Duration(float64(expected)*timeoutFactor) + timeoutFloor
+	v.call, v.until = c.N, now.Add(expected)
+	v.used += rc.bytes
+	s.calls[c.N] = rc
+	return c, true
+}
+
+// roomFor says whether some server's room could hold all of a job's results at once.
+func (s *Scheduler) roomFor(t *job) bool {
+	return float64(len(t.pending))*t.ResultBytes <= s.pool.Batch.RoomBytes*roomPart
+}
+
+// fitsDomain keeps a job near its inputs for a while, as long as there is a sound server there.
+func (s *Scheduler) fitsDomain(now time.Time, t *job, v *serverState) bool {
+	wait := foreignAfter
+	if s.waiting <= s.pool.Batch.Size && t.Due.Sub(now) > s.pool.Batch.CallTime+foreignSlack {
+		wait = foreignAfterSlack
+	}
+	if t.InputDomain == "" || t.InputDomain == v.Domain || now.Sub(t.since) >= wait {
+		return true
+	}
+	for _, o := range s.servers {
+		if o.listed && o.Domain == t.InputDomain && o.failures == 0 && o.ratio <= slowRatio {
+			return false
+		}
+	}
+	return true
+}
+
+// hopeless says whether a job can't be in time any more.
+func (s *Scheduler) hopeless(now time.Time, t *job) bool {
+	b := s.pool.Batch
+	call := b.CallTime + time.Duration(hopelessFill*float64(b.Size))*b.ItemTime
+	return t.running == 0 && now.Add(call).After(t.Due)
+}
+
+// commonest gives the word that occurs most often; the first by order among equals.
+func commonest(words []string) string {
+	count := map[string]int{}
+	best := ""
+	for _, w := range words {
+		count[w]++
+		if n := count[w]; n > count[best] || n == count[best] && w < best {
+			best = w
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/src/batch/pace.go
@@ -0,0 +1,81 @@
+package batch
+
+import (
+	"time"
+)
+
+func (s *Scheduler) pieceTime(class string) time.Duration {
+	f, ok := s.pieces[class]
+	if !ok {
+		f = 1
+	}
+	return time.Duration(f * float64(s.pool.Batch.ItemTime))
+}
+
+// learn compares a call's time with what was expected of it.
+func (s *Scheduler) learn(now time.Time, rc *runningCall, v *serverState) {
+	if v == nil {
+		return
+	}
+	v.failures = 0
+	took := now.Sub(rc.began)
+	r := float64(took) / float64(rc.expected)
+	if len(rc.jobs) > 0 && v.ratio < slowRatio && r < slowRatio {
+		items := float64(rc.expected - s.pool.Batch.CallTime)
+		measured := max(0, float64(took)/v.ratio-float64(s.pool.Batch.CallTime))
+		for _, t := range rc.jobs {
+			f := float64(s.pieceTime(t.Class)) / float64(s.pool.Batch.ItemTime)
+			s.pieces[t.Class] = min(3, max(0.1, f*(1+classLearning/float64(len(rc.jobs))*(measured/max(items, 1)-1))))
+		}
+	}
+	v.ratio += serverLearning * (r - v.ratio)
+	if waiting, _ := s.Pending(); waiting >= s.pool.Batch.Size {
+		measured := float64(len(rc.jobs)) / took.Seconds()
+		if s.pace == 0 {
+			s.pace = measured
+		}
+		s.pace += paceLearning * (measured - s.pace)
+	}
+}
+
+// Wait estimates how long a new piece waits before its call begins. Jobs that can't be in time any
+// more go last and are not ahead of it.
+func (s *Scheduler) Wait(now time.Time) time.Duration {
+	if s.pool.Batch == nil {
+		return 0
+	}
+	sound, soonest := 0, time.Duration(-1)
+	for _, v := range s.servers {
+		if !v.listed || v.failures > 0 || v.ratio > slowRatio {
+			continue
+		}
+		sound++
+		left := time.Duration(0)
+		if v.call != 0 {
+			left = max(0, v.until.Sub(now))
+		}
+		if soonest < 0 || left < soonest {
+			soonest = left
+		}
+	}
+	if sound == 0 {
+		return s.pool.Batch.CallTime
+	}
+	ahead := 0
+	for _, t := range s.jobs {
+		if !s.hopeless(now, t) {
+			ahead += len(t.pending)
+		}
+	}
+	rate := s.fullRate()
+	if s.pace > 0 {
+		rate = min(rate, s.pace)
+	}
+	return soonest + time.Duration(float64(ahead)/(rate*float64(sound))*float64(time.Second))
+}
+
+// fullRate is the pieces a second of one server whose calls are full.
+func (s *Scheduler) fullRate() float64 {
+	b := s.pool.Batch
+	return float64(b.Size) / (b.CallTime + time.Duration(b.Size)*b.ItemTime).Seconds()
+}
--- a/src/gateway/admission.go
+++ b/src/gateway/admission.go
@@ -6,16 +6,6 @@
 	"github.com/stilemast/stilemast/src/code"
 )
 
-// Tunables of admission.
-const (
-	lateFactor     = 1.1                    // of the objective that the expected time may take
-	leastReturn    = 300 * time.Millisecond // shortest time after which a caller is asked back
-	mostReturn     = 3 * time.Second
-	returnPart     = 1.0 // of the expected excess that is waited for
-	notReadyAfter  = 300 * time.Millisecond
-	elsewhereAfter = 30 * time.Millisecond // when another box can take the request at once
-)
-
 // expected estimates the time from now to the first output, with the waits that the pools'
 // schedulers tell of. The second result is the part of it that is waiting.
 func (s *stageRun) expected(now time.Time) (total, waits time.Duration) {
--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -13,19 +13,6 @@
 	"github.com/stilemast/stilemast/src/exchange"
 )
 
-// Tunables of attempts.
-const (
-	maxUnsent      = 3                       // servers in a row to which nothing could be sent
-	maxAnswer      = 8 << 20                 // bytes of an answer that is no stream
-	hedgeShare     = 1.0                     // of the objective that a repeatable request's first attempt has
-	leastAttempt   = 100 * time.Millisecond  // least time of an attempt that may be repeated
-	silentFactor   = 4.0                     // of the expected time to the first event, before a resumable stream moves
-	silentFloor    = 1200 * time.Millisecond // least such time
-	gapLimit       = 2 * time.Second         // silence inside a resumable stream before it moves
-	failureReturn  = 400 * time.Millisecond  // after which a caller is asked back when servers failed
-	priorityHigher = 9                       // least urgent priority at a server
-)
-
 // errSilent ends an attempt whose server stayed silent too long.
 var errSilent = errors.New("the server stayed silent")
 
--- /dev/null
+++ b/src/gateway/constants.go
@@ -0,0 +1,95 @@
+package gateway
+
+import "time"
+
+// Tunables of admission.
+const (
+	lateFactor     = 1.1                    // of the objective that the expected time may take
+	leastReturn    = 300 * time.Millisecond // shortest time after which a caller is asked back
+	mostReturn     = 3 * time.Second
+	returnPart     = 1.0 // of the expected excess that is waited for
+	notReadyAfter  = 300 * time.Millisecond
+	elsewhereAfter = 30 * time.Millisecond // when another box can take the request at once
+)
+
+// Tunables of attempts.
+const (
+	maxUnsent      = 3                       // servers in a row to which nothing could be sent
+	maxAnswer      = 8 << 20                 // bytes of an answer that is no stream
+	hedgeShare     = 1.0                     // of the objective that a repeatable request's first attempt has
+	leastAttempt   = 100 * time.Millisecond  // least time of an attempt that may be repeated
+	silentFactor   = 4.0                     // of the expected time to the first event, before a resumable stream moves
+	silentFloor    = 1200 * time.Millisecond // least such time
+	gapLimit       = 2 * time.Second         // silence inside a resumable stream before it moves
+	failureReturn  = 400 * time.Millisecond  // after which a caller is asked back when servers failed
+	priorityHigher = 9                       // least urgent priority at a server
+)
+
+// Tunables of the fleet.
+const (
+	waitLife     = 1500 * time.Millisecond // a scheduler's note on its wait counts this long
+	seenLately   = 60 * time.Second        // a box heard of this lately may be alive, for the shared budget
+	notesPerBeat = 64
+	announceTo   = 6               // boxes of a large fleet that hear of a change at once
+	unsureFor    = 5 * time.Second // after its start a box does not know how many there are
+	unsureBoxes  = 40              // and counts on so many
+)
+
+// Paces of the background work.
+const (
+	tickEvery    = 100 * time.Millisecond
+	scheduleTick = 40 * time.Millisecond
+	pauseLimit   = time.Second            // a longer gap between ticks is a pause of the process
+	wakeWait     = 800 * time.Millisecond // that requests wait for a confirmation after a pause
+	writeTime    = 10 * time.Second       // that a caller may leave a piece of its answer unread
+	takesFor     = 3 * time.Second        // that a stopping box still takes requests; the balancer knows by then
+)
+
+const (
+	estimateLearning = 0.1
+	firstGuess       = 250 * time.Millisecond
+)
+
+// Tunables of reading the platform.
+const (
+	watchWait    = time.Second             // that one watch waits at the store
+	readPatience = 1500 * time.Millisecond // for one read
+	readBackoff  = 150 * time.Millisecond  // after a failed read, doubled with each
+	maxBackoff   = time.Second
+	notReading   = 150 * time.Millisecond // pace at which a box asks itself whether to read
+	pullTime     = 500 * time.Millisecond
+	trustFor     = 2500 * time.Millisecond // age of a confirmation up to which "there is none" is said
+)
+
+const (
+	relayBuffer = 4 << 10
+	maxEvent    = 1 << 20 // bytes of one event
+)
+
+// Tunables of talking with a scheduler.
+const (
+	ackPatience   = 250 * time.Millisecond // for a scheduler to accept a job
+	askAgain      = 500 * time.Millisecond // pace at which an owner asks for an accepted job
+	handoverWait  = 60 * time.Millisecond  // that a scheduler which has just got a pool waits for news of it
+	handoverAgain = time.Second            // before it waits so again
+	silentAsks    = 2                      // unanswered questions after which another box is asked
+)
+
+// stagePart is the part of a request's time by whose end its stages must be made. What is not through
+// them by then is given up while its caller still has time to come back.
+const stagePart = 0.45
+
+// maxPieces bounds the pieces of one stage of one request.
+const maxPieces = 4096
+
+// stageMargin is what one stage takes beyond its server's own times: messages and waits for ticks.
+const stageMargin = 15 * time.Millisecond
+
+// typicalFill is how full calls are when it matters whether a request is in time.
+const typicalFill = 0.5
+
+// largeResults is the size of a stage's results from which on they are made where they will be read.
+const largeResults = 200_000
+
+// lifeMargin is kept from the life of results for messages and for a call to come to its turn.
+const lifeMargin = 90 * time.Millisecond
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -13,16 +13,6 @@
 	"github.com/stilemast/stilemast/src/port"
 )
 
-// Tunables of the fleet.
-const (
-	waitLife     = 1500 * time.Millisecond // a scheduler's note on its wait counts this long
-	seenLately   = 60 * time.Second        // a box heard of this lately may be alive, for the shared budget
-	notesPerBeat = 64
-	announceTo   = 6               // boxes of a large fleet that hear of a change at once
-	unsureFor    = 5 * time.Second // after its start a box does not know how many there are
-	unsureBoxes  = 40              // and counts on so many
-)
-
 // fleet is the membership and what the boxes tell one another of their loads.
 type fleet struct {
 	gateway *Gateway
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -18,12 +18,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/stilemast/stilemast/src/balance"
 	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/port"
-	"github.com/stilemast/stilemast/src/retry"
 )
 
 // Settings are what a gateway is told at its start.
@@ -78,16 +76,6 @@
 	Retried   func(pool string, allowed bool)
 }
 
-// Paces of the background work.
-const (
-	tickEvery    = 100 * time.Millisecond
-	scheduleTick = 40 * time.Millisecond
-	pauseLimit   = time.Second            // a longer gap between ticks is a pause of the process
-	wakeWait     = 800 * time.Millisecond // that requests wait for a confirmation after a pause
-	writeTime    = 10 * time.Second       // that a caller may leave a piece of its answer unread
-	takesFor     = 3 * time.Second        // that a stopping box still takes requests; the balancer knows by then
-)
-
 // Run works until the context ends. Init must have been called.
 func (g *Gateway) Run(ctx context.Context) {
 
@@ -230,101 +218,6 @@
 	return catalog.Limits{}
 }
 
-// pools holds a picker and a retry budget for each pool, each under its own lock.
-type pools struct {
-	gateway *Gateway
-	mu      sync.RWMutex
-	all     map[string]*pool
-}
-
-type pool struct {
-	mu     sync.Mutex
-	name   string
-	picker *balance.Pool
-	budget *retry.Budget
-}
-
-func (p *pools) init(g *Gateway) {
-	p.gateway = g
-	p.all = map[string]*pool{}
-}
-
-// get gives a pool, making it when it is new.
-func (p *pools) get(name string) *pool {
-	p.mu.RLock()
-	e := p.all[name]
-	p.mu.RUnlock()
-	if e != nil {
-		return e
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if e = p.all[name]; e == nil {
-		s := p.gateway.Settings
-		e = &pool{
-			name:   name,
-			picker: balance.NewPool(p.gateway.ID.Name, s.FailureDomain),
-			budget: &retry.Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
-		}
-		p.all[name] = e
-	}
-	return e
-}
-
-func (p *pools) list() []*pool {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	out := make([]*pool, 0, len(p.all))
-	for _, e := range p.all {
-		out = append(out, e)
-	}
-	return out
-}
-
-// configure gives every pool its servers that take new work.
-func (p *pools) configure(servers map[string][]catalog.Server) {
-	for name := range servers {
-		p.get(name)
-	}
-	for _, e := range p.list() {
-		e.mu.Lock()
-		e.picker.Configure(servers[e.name])
-		e.mu.Unlock()
-	}
-}
-
-// estimates are moving means of how long pipelines take from dispatch to the first output.
-type estimates struct {
-	mu    sync.Mutex
-	first map[string]time.Duration
-}
-
-const (
-	estimateLearning = 0.1
-	firstGuess       = 250 * time.Millisecond
-)
-
-func (e *estimates) init() { e.first = map[string]time.Duration{} }
-
-func (e *estimates) learn(pipeline string, took time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	old, ok := e.first[pipeline]
-	if !ok {
-		old = took
-	}
-	e.first[pipeline] = old + time.Duration(estimateLearning*float64(took-old))
-}
-
-func (e *estimates) get(pipeline string) time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if d, ok := e.first[pipeline]; ok {
-		return d
-	}
-	return firstGuess
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- /dev/null
+++ b/src/gateway/owner.go
@@ -0,0 +1,166 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/stilemast/stilemast/src/batch"
+	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/core"
+)
+
+// waiting holds the jobs of this box that schedulers work on.
+type waiting struct {
+	gateway *Gateway
+	mu      sync.Mutex
+	next    uint64
+	jobs    map[uint64]chan batch.Message
+}
+
+func (w *waiting) init(g *Gateway) {
+	w.gateway = g
+	w.jobs = map[uint64]chan batch.Message{}
+}
+
+// open makes an id and the channel on which answers come.
+func (w *waiting) open() (batch.JobID, chan batch.Message) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.next++
+	c := make(chan batch.Message, 8)
+	w.jobs[w.next] = c
+	id := w.gateway.ID
+	return batch.JobID{Box: id.Name, Life: id.Incarnation, N: w.next}, c
+}
+
+func (w *waiting) close(id batch.JobID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.jobs, id.N)
+}
+
+// take gives an answer to whoever waits for it.
+func (w *waiting) take(m batch.Message) {
+	id := batch.JobID{}
+	switch {
+	case m.Accept != nil:
+		id = *m.Accept
+	case m.Reading != nil:
+		id = *m.Reading
+	case m.Done != nil:
+		id = m.Done.ID
+	case m.Failed != nil:
+		id = m.Failed.ID
+	}
+	if id.Life != w.gateway.ID.Incarnation {
+		return
+	}
+	w.mu.Lock()
+	c := w.jobs[id.N]
+	w.mu.Unlock()
+	if c == nil {
+		return
+	}
+	select {
+	case c <- m:
+	default:
+	}
+}
+
+// schedulerOf is the box that forms the calls of a pool: the first of the living by rendezvous hash.
+func (g *Gateway) schedulerOf(pool string, avoid map[string]bool) string {
+	if !g.Settings.SharedBatches {
+		return g.ID.Name
+	}
+	best, rank := "", uint64(0)
+	for _, b := range g.fleet.usable() {
+		if avoid[b] {
+			continue
+		}
+		if r := catalog.Hash("scheduler", pool, b); best == "" || r > rank {
+			best, rank = b, r
+		}
+	}
+	if best == "" {
+		return g.ID.Name
+	}
+	return best
+}
+
+// tell sends a message on jobs to a box, this one included.
+func (g *Gateway) tell(box string, m batch.Message) {
+	m.From, m.Address = g.ID.Name, g.Settings.Address
+	if box == g.ID.Name {
+		g.desk.take(m)
+		return
+	}
+	if a := g.fleet.addressOf(box); a != "" {
+		g.Peers.Batch(a, m)
+	}
+}
+
+// runJob has a job done by its pool's scheduler and gives its end. When a scheduler stays silent the
+// next box is asked; a piece may then be made twice. reading is called when every piece is in a call.
+func (g *Gateway) runJob(ctx context.Context, j *batch.Job, reading func()) (*batch.Done, batch.Reason) {
+	id, answers := g.waiting.open()
+	defer g.waiting.close(id)
+	j.ID = id
+	avoid := map[string]bool{}
+	box := g.schedulerOf(j.Pool, avoid)
+	g.tell(box, batch.Message{Submit: j.Submission(g.now())})
+	timer := time.NewTimer(ackPatience)
+	defer timer.Stop()
+	accepted, silent := false, 0
+	for {
+		select {
+		case <-ctx.Done():
+			g.tell(box, batch.Message{Withdraw: &batch.Withdraw{ID: id, Pool: j.Pool}})
+			return nil, batch.Stopped
+		case m := <-answers:
+			switch {
+			case m.Done != nil:
+				return m.Done, 0
+			case m.Failed != nil && m.Failed.Reason == batch.NoPool && box != g.ID.Name:
+				avoid[box] = true
+				box, accepted, silent = g.another(j, box, avoid, "no_pool"), false, 0
+				timer.Reset(ackPatience)
+			case m.Failed != nil && m.Failed.Reason == batch.Moved:
+				box, accepted, silent = m.Failed.To, false, 0
+				if box != g.ID.Name && g.fleet.addressOf(box) == "" {
+					box = g.schedulerOf(j.Pool, avoid)
+				}
+				g.tell(box, batch.Message{Submit: j.Submission(g.now())})
+				timer.Reset(ackPatience)
+			case m.Failed != nil:
+				return nil, m.Failed.Reason
+			case m.Reading != nil:
+				reading()
+			case m.From == box:
+				g.fleet.noteWait(g.now(), j.Pool, m.Wait)
+				accepted, silent = true, 0
+				timer.Reset(askAgain)
+			}
+		case <-timer.C:
+			silent++
+			lost := g.fleet.stateOf(box) == core.MemberDead && box != g.ID.Name
+			if !accepted || silent > silentAsks || lost {
+				avoid[box] = true
+				box, accepted, silent = g.another(j, box, avoid, "silent"), false, 0
+				timer.Reset(ackPatience)
+				continue
+			}
+			g.tell(box, batch.Message{Submit: j.Submission(g.now())})
+			timer.Reset(ackPatience)
+		}
+	}
+}
+
+// another moves a job from a scheduler that does not answer to the next.
+func (g *Gateway) another(j *batch.Job, from string, avoid map[string]bool, why string) string {
+	g.tell(from, batch.Message{Withdraw: &batch.Withdraw{ID: j.ID, Pool: j.Pool}})
+	box := g.schedulerOf(j.Pool, avoid)
+	g.Log.Warn("scheduler changed", "request", j.Request, "pool", j.Pool, "from", from, "to", box, "cause", why)
+	g.tell(box, batch.Message{Submit: j.Submission(g.now())})
+	return box
+}
--- /dev/null
+++ b/src/gateway/pools.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/stilemast/stilemast/src/balance"
+	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/retry"
+)
+
+// pools holds a picker and a retry budget for each pool, each under its own lock.
+type pools struct {
+	gateway *Gateway
+	mu      sync.RWMutex
+	all     map[string]*pool
+}
+
+type pool struct {
+	mu     sync.Mutex
+	name   string
+	picker *balance.Pool
+	budget *retry.Budget
+}
+
+func (p *pools) init(g *Gateway) {
+	p.gateway = g
+	p.all = map[string]*pool{}
+}
+
+// get gives a pool, making it when it is new.
+func (p *pools) get(name string) *pool {
+	p.mu.RLock()
+	e := p.all[name]
+	p.mu.RUnlock()
+	if e != nil {
+		return e
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e = p.all[name]; e == nil {
+		s := p.gateway.Settings
+		e = &pool{
+			name:   name,
+			picker: balance.NewPool(p.gateway.ID.Name, s.FailureDomain),
+			budget: &retry.Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
+		}
+		p.all[name] = e
+	}
+	return e
+}
+
+func (p *pools) list() []*pool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	out := make([]*pool, 0, len(p.all))
+	for _, e := range p.all {
+		out = append(out, e)
+	}
+	return out
+}
+
+// configure gives every pool its servers that take new work.
+func (p *pools) configure(servers map[string][]catalog.Server) {
+	for name := range servers {
+		p.get(name)
+	}
+	for _, e := range p.list() {
+		e.mu.Lock()
+		e.picker.Configure(servers[e.name])
+		e.mu.Unlock()
+	}
+}
+
+// estimates are moving means of how long pipelines take from dispatch to the first output.
+type estimates struct {
+	mu    sync.Mutex
+	first map[string]time.Duration
+}
+
+func (e *estimates) init() { e.first = map[string]time.Duration{} }
+
+func (e *estimates) learn(pipeline string, took time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	old, ok := e.first[pipeline]
+	if !ok {
+		old = took
+	}
+	e.first[pipeline] = old + time.Duration(estimateLearning*float64(took-old))
+}
+
+func (e *estimates) get(pipeline string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if d, ok := e.first[pipeline]; ok {
+		return d
+	}
+	return firstGuess
+}
--- a/src/gateway/relay.go
+++ b/src/gateway/relay.go
@@ -13,11 +13,6 @@
 	"github.com/stilemast/stilemast/src/code"
 )
 
-const (
-	relayBuffer = 4 << 10
-	maxEvent    = 1 << 20 // bytes of one event
-)
-
 // eventSplitter splits a stream into whole events.
 type eventSplitter struct {
 	held []byte
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -113,13 +113,6 @@
 	return nil
 }
 
-// stagePart is the part of a request's time by whose end its stages must be made. What is not through
-// them by then is given up while its caller still has time to come back.
-const stagePart = 0.45
-
-// maxPieces bounds the pieces of one stage of one request.
-const maxPieces = 4096
-
 // run takes a routed request to its end.
 func (v *visit) run(ctx context.Context) {
 	g, p := v.gateway, v.pipeline
--- a/src/gateway/stages.go
+++ b/src/gateway/stages.go
@@ -9,18 +9,6 @@
 	"github.com/stilemast/stilemast/src/catalog"
 )
 
-// stageMargin is what one stage takes beyond its server's own times: messages and waits for ticks.
-const stageMargin = 15 * time.Millisecond
-
-// typicalFill is how full calls are when it matters whether a request is in time.
-const typicalFill = 0.5
-
-// largeResults is the size of a stage's results from which on they are made where they will be read.
-const largeResults = 200_000
-
-// lifeMargin is kept from the life of results for messages and for a call to come to its turn.
-const lifeMargin = 90 * time.Millisecond
-
 // results are what the stages of one request made.
 type results struct {
 	gateway  *Gateway
