--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -90,8 +90,13 @@
 
 // fail ends a request that no server answered.
 func (v *visit) fail(ctx context.Context, err *code.Error) {
+	if v.begun && v.callerLeft(ctx) {
+		v.ended("cancelled", "cause", "the caller left within the stream", "last_event", v.lastEvent)
+		v.caller.Cut()
+		return
+	}
 	if v.begun {
-		v.ended("cut", "cause", err.Message)
+		v.ended("cut", "cause", err.Message, "deadline_passed", ctx.Err() != nil)
 		v.caller.Cut()
 		return
 	}
@@ -147,10 +152,16 @@
 	return v.take(ctx, e, s, reply, began, watch, why)
 }
 
-// blame says whether a broken exchange speaks against the server: not when the caller left.
+// blame says how far a broken exchange speaks against the server: not at all when the caller left, and
+// no more than a failure when the deadline passed, which may be too short for any server.
 func (v *visit) blame(ctx context.Context) balance.Outcome {
-	if v.callerLeft(ctx) && !errors.Is(context.Cause(ctx), errSilent) {
+	switch {
+	case errors.Is(context.Cause(ctx), errSilent):
+		return balance.Broken
+	case v.callerLeft(ctx):
 		return balance.Dropped
+	case ctx.Err() != nil:
+		return balance.Failed
 	}
 	return balance.Broken
 }
--- a/src/gateway/gateway_test.go
+++ b/src/gateway/gateway_test.go
@@ -359,6 +359,29 @@
 	})
 }
 
+// A deadline that no server can keep says nothing of one server: none is left alone for it.
+func TestDeadlinesThatNobodyKeepsRestNoServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1)
+		f.send = func(ctx context.Context, _ string, c *Call) (*Reply, error) {
+			if !wait(ctx, 300*time.Millisecond) {
+				return nil, ctx.Err()
+			}
+			return textReply(http.StatusOK, "ok"), nil
+		}
+		settle()
+		for i := range 30 {
+			f.ask("box0", "/stamp/x", fmt.Sprint("r", i), func(r *Request) { r.Left = 100 * time.Millisecond })
+		}
+		e := f.box("box0").pools.get("model")
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if r := e.picker.Resting(time.Now()); len(r) > 0 {
+			t.Errorf("%v rest", r)
+		}
+	})
+}
+
 // A process that was paused confirms what it believes before it serves: a token may be gone.
 func TestAPausedBoxConfirmsFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
