Work for a heartbeat and a choice that does not grow with servers times boxes

Each beat touched every server and sorted the list, each choice summed every peer's note on every server, each change of members compared all with all, and every watch without a change sorted the list again. Peers' words are kept sparse and summed once, the scheduler of a pool is remembered, a watch without a change only confirms.

--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -33,15 +33,23 @@
 	Tokens   int // of prompts that are still to be read
 }
 
-type note struct {
-	load Load
-	at   time.Time
+// Note is another box's word on its load at a server, which is named by the hash of its id.
+type Note struct {
+	Server uint64
+	Load   Load
+	Rests  bool // the server failed there
+}
+
+// word is what one box told of this pool, and when.
+type word struct {
+	at    time.Time
+	notes []Note
 }
 
 type server struct {
 	catalog.Server
 	own     Load
-	peers   map[string]note
+	peers   Load    // what other boxes told of lately, together
 	broken  int     // broken exchanges in a row
 	share   float64 // of failures, moving
 	rests   int     // times it was rested without a success between
@@ -56,8 +64,9 @@
 	Domain string // of this box
 	Boxes  int    // that there are, this one among them; 0 when only those heard of count
 
-	heard   map[string]time.Time // boxes that told of their loads, and when last
-	scale   float64              // by which the loads that were told stand for all
+	words   map[string]word    // of other boxes, by name
+	names   map[uint64]*server // by the hash of their ids
+	scale   float64            // by which the loads that were told stand for all
 	servers map[string]*server
 	kept    map[string]map[string]time.Time // prompt part to servers that read it, and when
 	picks   uint64
@@ -69,7 +78,7 @@
 
 // NewPool knows no server yet.
 func NewPool(box, domain string) *Pool {
-	return &Pool{Box: box, Domain: domain, heard: map[string]time.Time{}, servers: map[string]*server{}, kept: map[string]map[string]time.Time{}, popular: map[string]float64{}}
+	return &Pool{Box: box, Domain: domain, words: map[string]word{}, names: map[uint64]*server{}, servers: map[string]*server{}, kept: map[string]map[string]time.Time{}, popular: map[string]float64{}}
 }
 
 // Configure takes the servers that are listed and take new work.
@@ -79,14 +88,16 @@
 		seen[v.ID] = true
 		st := p.servers[v.ID]
 		if st == nil {
-			st = &server{peers: map[string]note{}, pace: 1}
+			st = &server{pace: 1}
 			p.servers[v.ID] = st
+			p.names[catalog.Hash(v.ID)] = st
 		}
 		st.Server = v
 	}
 	for id := range p.servers {
 		if !seen[id] {
 			delete(p.servers, id)
+			delete(p.names, catalog.Hash(id))
 		}
 	}
 }
@@ -96,39 +107,56 @@
 
 // load sums what all boxes have at a server. In a large fleet few tell in time; the others are taken to
 // have as much as they.
-func (p *Pool) load(now time.Time, v *server) Load {
-	var peers Load
-	for _, n := range v.peers {
-		if now.Sub(n.at) < noteLife {
-			peers.Requests += n.load.Requests
-			peers.Tokens += n.load.Tokens
-		}
+func (p *Pool) load(v *server) Load {
+	return Load{
+		Requests: v.own.Requests + int(p.scale*float64(v.peers.Requests)),
+		Tokens:   v.own.Tokens + int(p.scale*float64(v.peers.Tokens)),
 	}
-	return Load{Requests: v.own.Requests + int(p.scale*float64(peers.Requests)), Tokens: v.own.Tokens + int(p.scale*float64(peers.Tokens))}
 }
 
-// unheard is by how much the boxes heard of lately stand for all.
+// unheard drops words that are too old and gives by how much the boxes heard of lately stand for all.
 func (p *Pool) unheard(now time.Time) float64 {
-	n := 0
-	for box, at := range p.heard {
-		if now.Sub(at) < noteLife {
-			n++
-		} else {
-			delete(p.heard, box)
+	for box, w := range p.words {
+		if now.Sub(w.at) >= noteLife {
+			p.forgetWord(box)
 		}
 	}
+	n := len(p.words)
 	if n == 0 || p.Boxes-1 <= n {
 		return 1
 	}
 	return float64(p.Boxes-1) / float64(n)
 }
 
-// PeerLoad takes another box's note on a server.
-func (p *Pool) PeerLoad(now time.Time, box, id string, l Load) {
-	p.heard[box] = now
-	if v := p.servers[id]; v != nil {
-		v.peers[box] = note{load: l, at: now}
+// forgetWord takes what a box told out of the sums.
+func (p *Pool) forgetWord(box string) {
+	for _, n := range p.words[box].notes {
+		if v := p.names[n.Server]; v != nil {
+			v.peers.Requests = max(0, v.peers.Requests-n.Load.Requests)
+			v.peers.Tokens = max(0, v.peers.Tokens-n.Load.Tokens)
+		}
+	}
+	delete(p.words, box)
+}
+
+// Hear takes all that another box tells of its loads; servers of other pools are passed over, and a
+// server that is not named has nothing of that box. The work grows with the notes, not the servers.
+func (p *Pool) Hear(now time.Time, box string, notes []Note) {
+	p.forgetWord(box)
+	w := word{at: now}
+	for _, n := range notes {
+		v := p.names[n.Server]
+		if v == nil {
+			continue
+		}
+		v.peers.Requests += n.Load.Requests
+		v.peers.Tokens += n.Load.Tokens
+		w.notes = append(w.notes, n)
+		if n.Rests && v.rests == 0 {
+			p.rest(now, v)
+		}
 	}
+	p.words[box] = w
 }
 
 // Own gives this box's load at each server where it has any.
@@ -146,7 +174,7 @@
 func (p *Pool) Busy(now time.Time) (requests, places int) {
 	p.scale = p.unheard(now)
 	for _, v := range p.servers {
-		requests += p.load(now, v).Requests
+		requests += p.load(v).Requests
 		places += v.Slots
 	}
 	return requests, places
@@ -202,7 +230,7 @@
 
 // cost estimates in milliseconds how much later the request would be answered at a server.
 func (p *Pool) cost(now time.Time, v *server, w *Wish, home string) float64 {
-	l := p.load(now, v)
+	l := p.load(v)
 	slots := float64(max(1, v.Slots))
 	cost := runningPenalty * float64(l.Requests) * 64 / slots
 	if v.Domain != p.Domain {
--- a/src/balance/balance_test.go
+++ b/src/balance/balance_test.go
@@ -74,7 +74,7 @@
 	p := testPool("a", 9)
 	w := &Wish{Parts: prompt("x", "y", "z")}
 	home := pick(t, p, w)
-	p.PeerLoad(start, "other", home, Load{Requests: 64, Tokens: 500_000})
+	p.Hear(start, "other", []Note{{Server: catalog.Hash(home), Load: Load{Requests: 64, Tokens: 500_000}}})
 	if s := pick(t, p, w); s == home {
 		t.Errorf("%s got the request though ten seconds of reading wait there", home)
 	}
@@ -113,8 +113,7 @@
 
 func TestWhenAllRestTheLeastBadIsTried(t *testing.T) {
 	p := testPool("a", 2)
-	p.Rest(start, "s0")
-	p.Rest(start, "s1")
+	p.Hear(start, "other", []Note{{Server: catalog.Hash("s0"), Rests: true}, {Server: catalog.Hash("s1"), Rests: true}})
 	if _, why, ok := p.Pick(start, &Wish{}); !ok || why != "all servers rest" {
 		t.Errorf("nothing was tried: %s", why)
 	}
@@ -179,7 +178,7 @@
 	p := testPool("a", 2)
 	p.Boxes = 81
 	for i := range 8 {
-		p.PeerLoad(start, fmt.Sprint("box", i), "s0", Load{Requests: 1})
+		p.Hear(start, fmt.Sprint("box", i), []Note{{Server: catalog.Hash("s0"), Load: Load{Requests: 1}}})
 	}
 	if n, _ := p.Busy(start); n != 80 {
 		t.Errorf("8 of 80 boxes have 8 requests; %d are expected in all, want 80", n)
@@ -189,3 +188,23 @@
 		t.Errorf("8 of 8 boxes have 8 requests; %d are expected", n)
 	}
 }
+
+func TestABoxsNewWordTakesTheOldOnesPlace(t *testing.T) {
+	p := testPool("a", 2)
+	note := func(id string, n int) []Note { return []Note{{Server: catalog.Hash(id), Load: Load{Requests: n}}} }
+	p.Hear(start, "b", note("s0", 5))
+	p.Hear(start, "c", note("s0", 2))
+	p.Hear(start, "b", note("s1", 1))
+	if n, _ := p.Busy(start); n != 3 {
+		t.Errorf("%d requests, want 2 of c and 1 of b", n)
+	}
+	p.Configure([]catalog.Server{{ID: "s1", Slots: 64}})
+	p.Hear(start, "b", note("s0", 9))
+	if n, _ := p.Busy(start); n != 0 {
+		t.Errorf("%d requests at servers that are gone", n)
+	}
+	p.Hear(start, "b", note("s1", 4))
+	if n, _ := p.Busy(start.Add(noteLife)); n != 0 {
+		t.Errorf("%d requests by old words", n)
+	}
+}
--- a/src/balance/health.go
+++ b/src/balance/health.go
@@ -76,13 +76,6 @@
 	v.share = min(v.share, p.share+greyShare/2)
 }
 
-// Rest lets a server rest because another box found it failing.
-func (p *Pool) Rest(now time.Time, id string) {
-	if v := p.servers[id]; v != nil && v.rests == 0 {
-		p.rest(now, v)
-	}
-}
-
 // Resting lists the servers that get no work now.
 func (p *Pool) Resting(now time.Time) []string {
 	var out []string
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -17,12 +17,13 @@
 type fleet struct {
 	gateway *Gateway
 
-	mu        sync.Mutex
-	core      *core.Members
-	addresses map[string]string    // of boxes that sent messages, by name
-	seen      map[string]time.Time // boxes heard of, and when last
-	waits     map[uint64]waitNote  // by the hash of a pool
-	usableNow []string
+	mu         sync.Mutex
+	core       *core.Members
+	addresses  map[string]string    // of boxes that sent messages, by name
+	seen       map[string]time.Time // boxes heard of, and when last
+	waits      map[uint64]waitNote  // by the hash of a pool
+	usableNow  []string
+	schedulers map[string]string // of pools, as long as the members stay the same
 }
 
 type waitNote struct {
@@ -37,6 +38,7 @@
 	f.addresses, f.seen = map[string]string{}, map[string]time.Time{}
 	f.waits = map[uint64]waitNote{}
 	f.usableNow = []string{g.ID.Name}
+	f.schedulers = map[string]string{}
 }
 
 // beat sends the heartbeats that are due. Seeds whose names are not known yet are asked too.
@@ -169,23 +171,14 @@
 
 func (g *Gateway) takeLoads(now time.Time, m core.Beat) {
 	boxes := len(g.fleet.usable())
-	notes := make(map[uint64]core.BackendNote, len(m.Backends))
-	for _, n := range m.Backends {
-		notes[n.Server] = n
+	notes := make([]balance.Note, len(m.Backends))
+	for i, n := range m.Backends {
+		notes[i] = balance.Note{Server: n.Server, Load: balance.Load{Requests: int(n.Requests), Tokens: int(n.Tokens)}, Rests: n.Resting}
 	}
-	p := &g.published
-	p.mu.Lock()
-	list := p.list()
-	p.mu.Unlock()
-	for _, s := range list {
-		n := notes[catalog.Hash(s.ID)]
-		e := g.pools.get(s.Pool)
+	for _, e := range g.pools.list() {
 		e.mu.Lock()
 		e.picker.Boxes = boxes
-		e.picker.PeerLoad(now, m.From.ID.Name, s.ID, balance.Load{Requests: int(n.Requests), Tokens: int(n.Tokens)})
-		if n.Resting {
-			e.picker.Rest(now, s.ID)
-		}
+		e.picker.Hear(now, m.From.ID.Name, notes)
 		e.mu.Unlock()
 	}
 }
@@ -196,22 +189,40 @@
 	f.mu.Lock()
 	before := f.usableNow
 	f.usableNow = f.core.Usable()
+	f.schedulers = map[string]string{}
 	after := f.usableNow
 	f.mu.Unlock()
-	for _, b := range after {
-		if !slices.Contains(before, b) {
-			g.Log.Info("member joined", "member", b, "members", len(after))
-		}
+	joined, lost := differences(before, after)
+	if len(joined) > 0 {
+		g.Log.Info("members joined", "members", len(after), "joined", len(joined), "names", firstOf(joined))
 	}
-	for _, b := range before {
-		if !slices.Contains(after, b) {
-			g.Log.Warn("member lost", "member", b, "members", len(after))
-			g.published.forget(b)
-		}
+	if len(lost) > 0 {
+		g.Log.Warn("members lost", "members", len(after), "lost", len(lost), "names", firstOf(lost))
+	}
+	for _, b := range lost {
+		g.published.forget(b)
 	}
 	g.desk.handOverAll()
 }
 
+// differences lists what only one of two sorted lists holds.
+func differences(before, after []string) (added, removed []string) {
+	for len(before) > 0 || len(after) > 0 {
+		switch {
+		case len(before) == 0 || len(after) > 0 && after[0] < before[0]:
+			added, after = append(added, after[0]), after[1:]
+		case len(after) == 0 || before[0] < after[0]:
+			removed, before = append(removed, before[0]), before[1:]
+		default:
+			before, after = before[1:], after[1:]
+		}
+	}
+	return added, removed
+}
+
+// firstOf shortens a list of names for a line of the log.
+func firstOf(names []string) []string { return names[:min(len(names), namesPerLine)] }
+
 func (f *fleet) leave() {
 	f.mu.Lock()
 	f.core.Leave("")
--- a/src/gateway/owner.go
+++ b/src/gateway/owner.go
@@ -73,18 +73,35 @@
 	if !g.Settings.SharedBatches {
 		return g.ID.Name
 	}
-	best, rank := "", uint64(0)
-	for _, b := range g.fleet.usable() {
+	if len(avoid) == 0 {
+		return g.fleet.schedulerOf(pool)
+	}
+	return firstByHash(pool, g.fleet.usable(), avoid, g.ID.Name)
+}
+
+// schedulerOf remembers the scheduler of a pool for as long as the members stay the same.
+func (f *fleet) schedulerOf(pool string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	box, ok := f.schedulers[pool]
+	if !ok {
+		box = firstByHash(pool, f.usableNow, nil, f.gateway.ID.Name)
+		f.schedulers[pool] = box
+	}
+	return box
+}
+
+// firstByHash ranks boxes for a pool by rendezvous hash; otherwise is given when there is none.
+func firstByHash(pool string, boxes []string, avoid map[string]bool, otherwise string) string {
+	best, rank := otherwise, uint64(0)
+	for _, b := range boxes {
 		if avoid[b] {
 			continue
 		}
-		if r := catalog.Hash("scheduler", pool, b); best == "" || r > rank {
+		if r := catalog.Hash("scheduler", pool, b); r >= rank {
 			best, rank = b, r
 		}
 	}
-	if best == "" {
-		return g.ID.Name
-	}
 	return best
 }
 
--- a/src/gateway/reading.go
+++ b/src/gateway/reading.go
@@ -125,6 +125,11 @@
 			changes, at, err = g.Store.WatchServers(one, at, watchWait)
 			cancel()
 			began = g.now()
+			if err == nil && len(changes) == 0 {
+				r.ended(nil)
+				g.confirmServers(began, at)
+				continue
+			}
 			for _, c := range changes {
 				if c.Removed != "" {
 					delete(mine, c.Removed)
@@ -145,6 +150,16 @@
 	}
 }
 
+// confirmServers notes that a watch brought no change: what was read last is the newest still.
+func (g *Gateway) confirmServers(at time.Time, asOf uint64) {
+	p := &g.published
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if st := p.lists.Say(at); st.Version > 0 {
+		p.lists.Read(at, asOf, st.Digest)
+	}
+}
+
 func sortedServers(m map[string]catalog.Server) []catalog.Server {
 	out := make([]catalog.Server, 0, len(m))
 	for _, s := range m {
