--- /dev/null
+++ b/src/gateway/attempts_test.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/exchange"
+)
+
+func TestAMuteServerIsLeftForARequestThatMayBeRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1)
+		var first string
+		f.send = func(ctx context.Context, _ string, c *Call) (*Reply, error) {
+			if first == "" || first == c.Server.ID {
+				first = c.Server.ID
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return textReply(http.StatusOK, "ok"), nil
+		}
+		settle()
+		if a := f.ask("box0", "/look/x", "r", nil); a.body != "ok" || a.took > 400*time.Millisecond {
+			t.Errorf("%+v", a)
+		}
+	})
+}
+
+func TestNothingSentIsTriedElsewhereAndThenRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1)
+		tried := map[string]bool{}
+		f.send = func(_ context.Context, _ string, c *Call) (*Reply, error) {
+			tried[c.Server.ID] = true
+			return nil, &exchange.NotSent{Cause: errStore}
+		}
+		settle()
+		a := f.ask("box0", "/look/x", "r", nil)
+		if a.refused == nil || a.refused.DidRun() != code.RanNo || a.refused.RetryAfter == 0 || len(tried) != 3 {
+			t.Errorf("%+v after %v", a, tried)
+		}
+	})
+}
+
+func TestTheDeadlineIsTheShorterOfCallerAndPipeline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1)
+		f.send = func(ctx context.Context, _ string, c *Call) (*Reply, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		settle()
+		for left, want := range map[time.Duration]time.Duration{time.Second: time.Second, time.Minute: 5 * time.Second} {
+			a := f.ask("box0", "/look/x", "r", func(r *Request) { r.Left = left })
+			if a.refused == nil || a.refused.Code != code.DeadlinePassed || a.took != want || a.refused.RetryAfter != 0 {
+				t.Errorf("a caller that waits %s: %+v", left, a)
+			}
+		}
+	})
+}
+
+// A deadline that no server can keep says nothing of one server: none is left alone for it.
+func TestDeadlinesThatNobodyKeepsRestNoServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1)
+		f.send = func(ctx context.Context, _ string, c *Call) (*Reply, error) {
+			if !wait(ctx, 300*time.Millisecond) {
+				return nil, ctx.Err()
+			}
+			return textReply(http.StatusOK, "ok"), nil
+		}
+		settle()
+		for i := range 30 {
+			f.ask("box0", "/stamp/x", fmt.Sprint("r", i), func(r *Request) { r.Left = 100 * time.Millisecond })
+		}
+		e := f.box("box0").pools.get("model")
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if r := e.picker.Resting(time.Now()); len(r) > 0 {
+			t.Errorf("%v rest", r)
+		}
+	})
+}
+
+func TestOnceIsSentOnceThoughMoreAttemptsAreAllowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1)
+		sent := 0
+		f.send = func(context.Context, string, *Call) (*Reply, error) {
+			sent++
+			return nil, errBroken
+		}
+		settle()
+		a := f.ask("box0", "/stamp/x", "r", nil)
+		if sent != 1 || a.refused == nil || a.refused.DidRun() != code.RanUnknown || a.refused.RetryAfter != 0 {
+			t.Errorf("sent %d times: %+v", sent, a.refused)
+		}
+	})
+}
--- a/src/gateway/fleet_test.go
+++ b/src/gateway/fleet_test.go
@@ -307,4 +307,11 @@
 		}}
 }
 
+// streams has every server answer with a whole stream of some events.
+func (f *testFleet) streams(n int) {
+	f.send = func(ctx context.Context, _ string, _ *Call) (*Reply, error) {
+		return events(ctx, 1, n, time.Millisecond, io.EOF), nil
+	}
+}
+
 var errBroken = io.ErrUnexpectedEOF
--- /dev/null
+++ b/src/gateway/relay_test.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func TestAStreamThatFallsSilentGoesOnElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1)
+		sent := 0
+		f.send = func(ctx context.Context, _ string, c *Call) (*Reply, error) {
+			if sent++; sent == 1 {
+				r := events(ctx, 1, 3, time.Millisecond, nil)
+				read := r.Read
+				r.Read = func(b []byte) (int, error) {
+					n, err := read(b)
+					if n == 0 && err == nil {
+						<-ctx.Done()
+						return 0, ctx.Err()
+					}
+					return n, err
+				}
+				return r, nil
+			}
+			if c.LastEvent != "3" || len(c.Inputs) == 0 {
+				t.Errorf("taken up after %q with inputs %v", c.LastEvent, c.Inputs)
+			}
+			return events(ctx, 2, 5, time.Millisecond, io.EOF), nil // repeats two events
+		}
+		settle()
+		a := f.ask("box0", "/draft/x", "r", nil)
+		want := ""
+		for i := 1; i <= 5; i++ {
+			want += fmt.Sprintf("id: %d\ndata: x\n\n", i)
+		}
+		if !a.ended || a.body != want {
+			t.Errorf("%+v", a)
+		}
+	})
+}
+
+func TestAStreamBrokenForGoodIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1)
+		f.send = func(ctx context.Context, _ string, c *Call) (*Reply, error) {
+			return events(ctx, 1, 2, time.Millisecond, errBroken), nil
+		}
+		settle()
+		if a := f.ask("box0", "/draft/x", "r", nil); !a.cut || a.ended {
+			t.Errorf("%+v", a)
+		}
+	})
+}
+
+func TestWholeEventsOnly(t *testing.T) {
+	var e eventSplitter
+	got := ""
+	for _, b := range []string{"id: 1\nda", "ta: x\n", "\nid: 2\n\nid", ": 3\r\n\r", "\nid: 4"} {
+		got += string(e.add([]byte(b)))
+	}
+	if want := "id: 1\ndata: x\n\nid: 2\n\nid: 3\r\n\r\n"; got != want || string(e.held) != "id: 4" {
+		t.Errorf("passed on %q, held %q", got, e.held)
+	}
+	if id := lastID([]byte(got)); id != "3" {
+		t.Errorf("last id %q", id)
+	}
+	if n := newer([]byte("id: 1\n\nid: 2\n\nid: 3\n\n"), "2"); !strings.HasPrefix(string(n), "id: 3") {
+		t.Errorf("newer than 2: %q", n)
+	}
+}
