Let the product judge the sizes of requests, and the adapter only report them

Cause: platform/ refused long headers, long bodies and missing ids itself, with defaults of its own, and the gateway judged bodies a second time: a decision in the adapter that stood twice. Change: the adapter reports what the caller sent and reads no more of a body than shows that it is too long; Gateway.checkSize decides. Ruled out: leaving the reading to the product (the adapter holds the connection).

--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -94,3 +94,9 @@
 
 // lifeMargin is kept from the life of results for messages and for a call to come to its turn.
 const lifeMargin = 90 * time.Millisecond
+
+// Limits of what callers may send where the configuration sets none.
+const (
+	defaultBody   = 4 << 20
+	defaultHeader = 16 << 10
+)
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -210,12 +210,19 @@
 // WriteBy is until when a caller must have taken a piece of its answer that is written now.
 func (g *Gateway) WriteBy() time.Time { return g.now().Add(writeTime) }
 
-// Limits are what callers may send, as far as they are known.
+// Limits are what callers may send: as configured, or defaults while nothing is known.
 func (g *Gateway) Limits() catalog.Limits {
+	l := catalog.Limits{}
 	if x := g.index.Load(); x != nil {
-		return x.Catalog().Limits
+		l = x.Catalog().Limits
 	}
-	return catalog.Limits{}
+	if l.BodyBytes == 0 {
+		l.BodyBytes = defaultBody
+	}
+	if l.HeaderBytes == 0 {
+		l.HeaderBytes = defaultHeader
+	}
+	return l
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/src/gateway/ports.go
+++ b/src/gateway/ports.go
@@ -14,19 +14,23 @@
 
 // Request is one try of a caller, in the product's terms.
 type Request struct {
-	ID        string // of this try
-	Method    string
-	Target    string // path and query as the caller sent them
-	Host      string
-	Path      string
-	Header    http.Header // what is passed on as it is
-	Body      []byte
-	Token     string
-	Left      time.Duration // that the caller will wait, 0 when it did not say
-	Parts     []balance.Part
-	Pieces    []int // of each stage; nil when the caller did not say
-	PieceKey  string
-	LastEvent string // the last event that the caller has, "" for none
+	ID     string // of this try
+	Method string
+	Target string // path and query as the caller sent them
+	Host   string
+	Path   string
+	Header http.Header // what is passed on as it is
+	Body   []byte
+	// HeaderBytes and BodyBytes are the sizes that the caller sent or announced; a body over the limit
+	// may not have been read whole.
+	HeaderBytes int
+	BodyBytes   int64
+	Token       string
+	Left        time.Duration // that the caller will wait, 0 when it did not say
+	Parts       []balance.Part
+	Pieces      []int // of each stage; nil when the caller did not say
+	PieceKey    string
+	LastEvent   string // the last event that the caller has, "" for none
 }
 
 // Caller takes the answer. Exactly one of Refuse and Whole is called, or Begin followed by any number
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -57,6 +57,9 @@
 // configuration that was confirmed lately; otherwise the caller is asked to come back.
 func (v *visit) route() *code.Error {
 	g, r := v.gateway, v.request
+	if err := v.checkSize(); err != nil {
+		return err
+	}
 	x := g.index.Load()
 	if x == nil {
 		return refusal(code.NotReady, "configuration", notReadyAfter, "no configuration is known yet")
@@ -87,9 +90,6 @@
 			v.priority += 3 * w.Priority
 		}
 	}
-	if limit := x.Catalog().Limits.BodyBytes; limit > 0 && len(r.Body) > limit {
-		return refusal(code.MessageTooLarge, "body", 0, "%d bytes, at most %d", len(r.Body), limit)
-	}
 	v.deadline, v.limitedBy = v.began.Add(p.Timeout), "pipeline"
 	if r.Left > 0 && r.Left < p.Timeout {
 		v.deadline, v.limitedBy = v.began.Add(r.Left), "caller"
@@ -99,6 +99,20 @@
 	return v.checkPieces()
 }
 
+// checkSize refuses a request without an id and what is larger than callers may send.
+func (v *visit) checkSize() *code.Error {
+	r, limits := v.request, v.gateway.Limits()
+	switch {
+	case r.ID == "":
+		return refusal(code.BadField, "id", 0, "is missing")
+	case r.HeaderBytes > limits.HeaderBytes:
+		return refusal(code.HeaderTooLarge, "header", 0, "%d bytes, at most %d", r.HeaderBytes, limits.HeaderBytes)
+	case r.BodyBytes > int64(limits.BodyBytes):
+		return refusal(code.MessageTooLarge, "body", 0, "%d bytes, at most %d", r.BodyBytes, limits.BodyBytes)
+	}
+	return nil
+}
+
 // checkPieces makes the counts of pieces as many as there are stages.
 func (v *visit) checkPieces() *code.Error {
 	r, n := v.request, len(v.pipeline.Stages)
