Use servers whose entries lapsed in an outage until they could be back

Ruled out: the watch (it fails in every outage longer than a second, so the list is always read whole after one).

catalog.Listing follows the list at a reader and keeps lapsed servers for 2 s; servers that were leaving are not kept.

--- a/src/gateway/published.go
+++ b/src/gateway/published.go
@@ -90,6 +90,13 @@
 	return &port.Published{AsOf: st.Version, Digest: st.Digest, Servers: p.list()}
 }
 
+// heldServers lists the servers that this box believes in.
+func (p *published) heldServers() []catalog.Server {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.list()
+}
+
 func (p *published) list() []catalog.Server {
 	out := make([]catalog.Server, 0, len(p.servers))
 	for _, s := range p.servers {
--- a/src/gateway/reading.go
+++ b/src/gateway/reading.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sort"
 	"strconv"
 	"time"
 
@@ -106,37 +105,15 @@
 	defer g.background.Done()
 	r := &reader{gateway: g, document: port.DocumentServers, feed: g.published.lists}
 	at := uint64(0)
-	mine := map[string]catalog.Server{} // as of at
+	listing := &catalog.Listing{} // as of at
 	for r.wait(ctx) {
 		began := g.now()
 		var err error
 		if at == 0 {
-			one, cancel := context.WithTimeout(ctx, readPatience)
-			var list []catalog.Server
-			list, at, err = g.Store.Servers(one)
-			cancel()
-			mine = map[string]catalog.Server{}
-			for _, s := range list {
-				mine[s.ID] = s
-			}
+			at, err = g.readListing(ctx, listing, r.failures > 0)
 		} else {
-			one, cancel := context.WithTimeout(ctx, watchWait+readPatience)
-			var changes []ServerChange
-			changes, at, err = g.Store.WatchServers(one, at, watchWait)
-			cancel()
+			at, err = g.watchListing(ctx, listing, at)
 			began = g.now()
-			if err == nil && len(changes) == 0 {
-				r.ended(nil)
-				g.confirmServers(began, at)
-				continue
-			}
-			for _, c := range changes {
-				if c.Removed != "" {
-					delete(mine, c.Removed)
-				} else {
-					mine[c.Server.ID] = c.Server
-				}
-			}
 		}
 		if err == ErrHistoryGone {
 			at, err = 0, nil
@@ -144,10 +121,48 @@
 			at = 0
 		}
 		r.ended(err)
-		if at > 0 {
-			g.takeServers(sortedServers(mine), at, began, "store")
+		switch {
+		case at > 0 && listing.Changed(began):
+			list, lapsed := listing.Servers(began)
+			if lapsed > 0 {
+				g.Log.Warn("servers without an entry after an outage", "lapsed", lapsed, "listed", len(list)-lapsed, "revision", at)
+			}
+			g.takeServers(list, at, began, "store")
+		case at > 0:
+			g.confirmServers(began, at)
+		}
+	}
+}
+
+// readListing reads the list whole. After an outage the servers that this box held and the list lacks
+// may only have lapsed.
+func (g *Gateway) readListing(ctx context.Context, l *catalog.Listing, afterOutage bool) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readPatience)
+	defer cancel()
+	list, at, err := g.Store.Servers(ctx)
+	if err != nil {
+		return 0, err
+	}
+	l.Replace(g.now(), list, g.published.heldServers(), afterOutage)
+	return at, nil
+}
+
+// watchListing waits for changes of the list.
+func (g *Gateway) watchListing(ctx context.Context, l *catalog.Listing, after uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+readPatience)
+	defer cancel()
+	changes, at, err := g.Store.WatchServers(ctx, after, l.Wait(g.now(), watchWait))
+	if err != nil {
+		return 0, err
+	}
+	for _, c := range changes {
+		if c.Removed != "" {
+			l.Remove(c.Removed)
+		} else {
+			l.Put(c.Server)
 		}
 	}
+	return at, nil
 }
 
 // confirmServers notes that a watch brought no change: what was read last is the newest still.
@@ -159,12 +174,3 @@
 		p.lists.Read(at, asOf, st.Digest)
 	}
 }
-
-func sortedServers(m map[string]catalog.Server) []catalog.Server {
-	out := make([]catalog.Server, 0, len(m))
-	for _, s := range m {
-		out = append(out, s)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
-	return out
-}
