Pools stay with settled schedulers; a silent one is passed over by the next request too

Cause: a box that came back took its pools over at once, knowing neither all members nor what lies at the servers. Ruled out: the planned handover, which is clean (38 pieces gone, none without room at 11 to 14 s).

Rumours tell how long a box has been running. Only boxes that have run 20 s, or started within 3 s of the oldest, schedule. A box that did not answer a job is passed over until it is heard of, and a job sent back to it is taken by the one that named it.

--- a/src/core/members.go
+++ b/src/core/members.go
@@ -45,6 +45,7 @@
 	asked   time.Time // oldest unanswered beat, zero if none
 	listed  bool
 	version uint64
+	started time.Time // of this life, as far as rumours tell; never before its true start by more than their way
 }
 
 // ID is the member's name and incarnation.
@@ -62,6 +63,9 @@
 // Heard is when it last answered this box itself.
 func (m *Member) Heard() time.Time { return m.heard }
 
+// Up is how long this life of the member has been running, as far as this box was told.
+func (m *Member) Up(now time.Time) time.Duration { return now.Sub(m.started) }
+
 // Listed says whether the platform's list has it.
 func (m *Member) Listed() bool { return m.listed }
 
@@ -88,6 +92,7 @@
 	Self   Rumour
 	Rand   *rand.Rand
 	Expect func(b *Beat) // fills in what other parts of the box tell; may be nil
+	Start  time.Time     // of this box
 
 	all     map[string]*Member
 	closed  map[BoxID]closedLife
@@ -139,7 +144,7 @@
 		}
 		e := m.all[b.Name]
 		if e == nil {
-			e = &Member{id: BoxID{Name: b.Name}, state: MemberSuspect, since: now}
+			e = &Member{id: BoxID{Name: b.Name}, state: MemberSuspect, since: now, started: now}
 			m.all[b.Name] = e
 		}
 		e.listed = true
@@ -280,26 +285,38 @@
 	if e.asked.IsZero() {
 		e.asked = now
 	}
-	b := m.beat()
+	b := m.beat(now)
 	m.sent[b.Seq] = sentBeat{to: name, at: now}
 	return BeatTo{Address: e.address, Beat: b}
 }
 
 // Introduce makes a question to an address whose box is not known yet.
-func (m *Members) Introduce(address string) BeatTo {
-	return BeatTo{Address: address, Beat: m.beat()}
+func (m *Members) Introduce(now time.Time, address string) BeatTo {
+	return BeatTo{Address: address, Beat: m.beat(now)}
 }
 
 // beat makes a message with this box's news.
-func (m *Members) beat() Beat {
+func (m *Members) beat(now time.Time) Beat {
 	m.seq++
-	b := Beat{From: m.Self, Seq: m.seq, Rumours: m.take()}
+	b := Beat{From: m.self(now), Seq: m.seq, Rumours: m.take(now)}
 	if m.Expect != nil {
 		m.Expect(&b)
 	}
 	return b
 }
 
+// self is what this box says of itself.
+func (m *Members) self(now time.Time) Rumour {
+	r := m.Self
+	if !m.Start.IsZero() {
+		r.Up = now.Sub(m.Start)
+	}
+	return r
+}
+
+// News is a message that tells of this box's state and wants no answer.
+func (m *Members) News(now time.Time) Beat { return Beat{From: m.self(now), News: true} }
+
 // Heard is what a received beat meant to the rest of the box.
 type Heard struct {
 	Reply   []BeatTo
@@ -332,7 +349,7 @@
 		}
 		return h
 	}
-	reply := m.beat()
+	reply := m.beat(now)
 	reply.Seq, reply.Answer = b.Seq, true
 	h.Reply = append(h.Reply, BeatTo{Address: b.From.Address, Beat: reply})
 	if t := m.all[b.AskFor]; b.AskFor != "" && t != nil && t.address != "" {
@@ -436,5 +453,18 @@
 	return out
 }
 
+// Running lists the names of members that take work, as Usable does, with how long each has been running.
+func (m *Members) Running(now time.Time) map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for _, name := range m.Usable() {
+		if name == m.Self.ID.Name {
+			out[name] = now.Sub(m.Start)
+		} else {
+			out[name] = m.all[name].Up(now)
+		}
+	}
+	return out
+}
+
 // Successor is the box that took over the ledger of an incarnation that stopped as planned, or "".
 func (m *Members) Successor(id BoxID) string { return m.closed[id].successor }
--- a/src/core/rumour.go
+++ b/src/core/rumour.go
@@ -13,6 +13,8 @@
 	State     MemberState `msgpack:"s"`
 	Round     uint64      `msgpack:"r"`
 	Successor string      `msgpack:"x,omitempty"` // who took over its ledger
+	// Up is how long the member had been running when this was sent, as far as the sender knows.
+	Up time.Duration `msgpack:"u,omitempty"`
 }
 
 // LoadNote says how many calls a box has at a server, named by its hash.
@@ -65,7 +67,7 @@
 }
 
 // take picks the rumours of one message, those with most repeats left first.
-func (m *Members) take() []Rumour {
+func (m *Members) take(now time.Time) []Rumour {
 	if len(m.fresh) == 0 {
 		return nil
 	}
@@ -83,6 +85,11 @@
 	var out []Rumour
 	for _, n := range names[:min(len(names), rumoursPerBeat)] {
 		h := m.fresh[n]
+		if e := m.all[n]; e != nil && e.id == h.rumour.ID {
+			h.rumour.Up = e.Up(now)
+		} else if h.rumour.ID == m.Self.ID {
+			h.rumour = m.self(now)
+		}
 		out = append(out, h.rumour)
 		if h.left--; h.left <= 0 {
 			delete(m.fresh, n)
@@ -105,16 +112,22 @@
 	}
 	e := m.all[r.ID.Name]
 	if e == nil {
-		e = &Member{id: r.ID, address: r.Address, domain: r.Domain, state: r.State, round: r.Round, since: now}
+		e = &Member{id: r.ID, address: r.Address, domain: r.Domain, state: r.State, round: r.Round, since: now, started: now.Add(-r.Up)}
 		m.all[r.ID.Name] = e
 		m.changed = true
 		m.spread(r)
 		return
 	}
+	if started := now.Add(-r.Up); r.ID == e.id && started.Before(e.started) {
+		e.started = started
+	}
 	if !m.supersedes(r, e) {
 		return
 	}
 	newLife := r.ID.Incarnation > e.id.Incarnation
+	if newLife {
+		e.started = now.Add(-r.Up)
+	}
 	e.id, e.address, e.domain, e.round = r.ID, r.Address, r.Domain, r.Round
 	if newLife || r.State != MemberSuspect && r.State != MemberDead {
 		e.asked = time.Time{}
--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -76,6 +76,14 @@
 	silentAsks    = 2                      // unanswered questions after which another box is asked
 )
 
+// Tunables of the choice of schedulers.
+const (
+	settledAfter = 20 * time.Second       // that a box runs before it takes a pool over from another
+	cohortSpread = 3 * time.Second        // boxes that started within this time of the oldest may schedule at once
+	shunFor      = 3 * time.Second        // that a box which did not answer is passed over
+	rosterLife   = 100 * time.Millisecond // for which the schedulers once chosen are kept
+)
+
 // stagePart is the part of a request's time by whose end its stages must be made. What is not through
 // them by then is given up while its caller still has time to come back.
 const stagePart = 0.45
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -17,13 +17,13 @@
 type fleet struct {
 	gateway *Gateway
 
-	mu         sync.Mutex
-	core       *core.Members
-	addresses  map[string]string    // of boxes that sent messages, by name
-	seen       map[string]time.Time // boxes heard of, and when last
-	waits      map[uint64]waitNote  // by the hash of a pool
-	usableNow  []string
-	schedulers map[string]string // of pools, as long as the members stay the same
+	mu        sync.Mutex
+	core      *core.Members
+	addresses map[string]string    // of boxes that sent messages, by name
+	seen      map[string]time.Time // boxes heard of, and when last
+	waits     map[uint64]waitNote  // by the hash of a pool
+	usableNow []string
+	roster    roster
 }
 
 type waitNote struct {
@@ -35,10 +35,11 @@
 	f.gateway = g
 	self := core.Rumour{ID: g.ID, Address: g.Settings.Address, Domain: g.Settings.FailureDomain}
 	f.core = core.NewMembers(self, g.Rand)
+	f.core.Start = g.startedAt
 	f.addresses, f.seen = map[string]string{}, map[string]time.Time{}
 	f.waits = map[uint64]waitNote{}
 	f.usableNow = []string{g.ID.Name}
-	f.schedulers = map[string]string{}
+	f.roster.init()
 }
 
 // beat sends the heartbeats that are due. Seeds whose names are not known yet are asked too.
@@ -48,7 +49,7 @@
 	f.mu.Lock()
 	f.core.Expect = g.news(now)
 	out := append(f.core.Tick(now), f.core.Indirect(now)...)
-	out = append(out, f.seedBeats()...)
+	out = append(out, f.seedBeats(now)...)
 	changed := f.core.Changed()
 	f.mu.Unlock()
 	g.send(out)
@@ -58,7 +59,7 @@
 }
 
 // seedBeats asks the seeds that no living member is known to have.
-func (f *fleet) seedBeats() []core.BeatTo {
+func (f *fleet) seedBeats(now time.Time) []core.BeatTo {
 	known := map[string]bool{f.gateway.Settings.Address: true}
 	for _, m := range f.core.Each() {
 		if m.State() != core.MemberDead {
@@ -68,7 +69,7 @@
 	var out []core.BeatTo
 	for _, s := range f.gateway.Settings.Seeds {
 		if !known[s] {
-			out = append(out, f.core.Introduce(s))
+			out = append(out, f.core.Introduce(now, s))
 		}
 	}
 	return out
@@ -109,9 +110,8 @@
 	f := &g.fleet
 	now := g.now()
 	f.mu.Lock()
-	self := f.core.Self
+	b := f.core.News(now)
 	f.mu.Unlock()
-	b := core.Beat{From: self, News: true}
 	g.news(now)(&b)
 	for _, address := range to {
 		g.Peers.Beat(address, b)
@@ -152,6 +152,7 @@
 	now := g.now()
 	f.mu.Lock()
 	f.seen[m.From.ID.Name] = now
+	f.roster.heard(m.From.ID.Name)
 	f.core.Expect = g.news(now)
 	h := f.core.Receive(now, m)
 	changed := f.core.Changed()
@@ -189,7 +190,7 @@
 	f.mu.Lock()
 	before := f.usableNow
 	f.usableNow = f.core.Usable()
-	f.schedulers = map[string]string{}
+	f.roster.forget()
 	after := f.usableNow
 	f.mu.Unlock()
 	joined, lost := differences(before, after)
@@ -256,9 +257,11 @@
 	return max(n, len(f.gateway.Settings.Seeds))
 }
 
-func (f *fleet) learnAddress(box, address string) {
+// heardFrom notes a box that sent a message, and where it listens.
+func (f *fleet) heardFrom(box, address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.roster.heard(box)
 	f.addresses[box] = address
 }
 
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -236,7 +236,7 @@
 
 // TakeBatch takes another box's message on jobs.
 func (g *Gateway) TakeBatch(m batch.Message) {
-	g.fleet.learnAddress(m.From, m.Address)
+	g.fleet.heardFrom(m.From, m.Address)
 	if m.Submit != nil || m.Withdraw != nil || m.Free != nil || m.Handover != nil {
 		g.desk.take(m)
 		return
--- a/src/gateway/owner.go
+++ b/src/gateway/owner.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/stilemast/stilemast/src/batch"
-	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/core"
 )
 
@@ -68,43 +67,6 @@
 	}
 }
 
-// schedulerOf is the box that forms the calls of a pool: the first of the living by rendezvous hash.
-func (g *Gateway) schedulerOf(pool string, avoid map[string]bool) string {
-	if !g.Settings.SharedBatches {
-		return g.ID.Name
-	}
-	if len(avoid) == 0 {
-		return g.fleet.schedulerOf(pool)
-	}
-	return firstByHash(pool, g.fleet.usable(), avoid, g.ID.Name)
-}
-
-// schedulerOf remembers the scheduler of a pool for as long as the members stay the same.
-func (f *fleet) schedulerOf(pool string) string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	box, ok := f.schedulers[pool]
-	if !ok {
-		box = firstByHash(pool, f.usableNow, nil, f.gateway.ID.Name)
-		f.schedulers[pool] = box
-	}
-	return box
-}
-
-// firstByHash ranks boxes for a pool by rendezvous hash; otherwise is given when there is none.
-func firstByHash(pool string, boxes []string, avoid map[string]bool, otherwise string) string {
-	best, rank := otherwise, uint64(0)
-	for _, b := range boxes {
-		if avoid[b] {
-			continue
-		}
-		if r := catalog.Hash("scheduler", pool, b); r >= rank {
-			best, rank = b, r
-		}
-	}
-	return best
-}
-
 // tell sends a message on jobs to a box, this one included.
 func (g *Gateway) tell(box string, m batch.Message) {
 	m.From, m.Address = g.ID.Name, g.Settings.Address
@@ -140,13 +102,15 @@
 				return m.Done, 0
 			case m.Failed != nil && m.Failed.Reason == batch.NoPool && box != g.ID.Name:
 				avoid[box] = true
-				box, accepted, silent = g.another(j, box, avoid, "no_pool"), false, 0
+				box, accepted, silent = g.another(j, box, avoid, poolUnknown), false, 0
 				timer.Reset(ackPatience)
 			case m.Failed != nil && m.Failed.Reason == batch.Moved:
-				box, accepted, silent = m.Failed.To, false, 0
-				if box != g.ID.Name && g.fleet.addressOf(box) == "" {
-					box = g.schedulerOf(j.Pool, avoid)
+				// A box that did not answer is not asked again: the one that names it takes a job that
+				// comes back.
+				if to := m.Failed.To; !avoid[to] && (to == g.ID.Name || g.fleet.addressOf(to) != "") {
+					box = to
 				}
+				accepted, silent = false, 0
 				g.tell(box, batch.Message{Submit: j.Submission(g.now())})
 				timer.Reset(ackPatience)
 			case m.Failed != nil:
@@ -163,7 +127,7 @@
 			lost := g.fleet.stateOf(box) == core.MemberDead && box != g.ID.Name
 			if !accepted || silent > silentAsks || lost {
 				avoid[box] = true
-				box, accepted, silent = g.another(j, box, avoid, "silent"), false, 0
+				box, accepted, silent = g.another(j, box, avoid, silentScheduler), false, 0
 				timer.Reset(ackPatience)
 				continue
 			}
@@ -173,9 +137,18 @@
 	}
 }
 
+// Causes for which a job goes to another scheduler.
+const (
+	silentScheduler = "silent"
+	poolUnknown     = "no_pool"
+)
+
 // another moves a job from a scheduler that does not answer to the next.
 func (g *Gateway) another(j *batch.Job, from string, avoid map[string]bool, why string) string {
 	g.tell(from, batch.Message{Withdraw: &batch.Withdraw{ID: j.ID, Pool: j.Pool}})
+	if why == silentScheduler {
+		g.fleet.shun(g.now(), from)
+	}
 	box := g.schedulerOf(j.Pool, avoid)
 	g.Log.Warn("scheduler changed", "request", j.Request, "pool", j.Pool, "from", from, "to", box, "cause", why)
 	g.tell(box, batch.Message{Submit: j.Submission(g.now())})
--- /dev/null
+++ b/src/gateway/roster.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/stilemast/stilemast/src/catalog"
+)
+
+// roster ranks the boxes that may schedule a pool. All boxes come to the same answer without a
+// message: the first by rendezvous hash among the settled ones. A box that has just started is not
+// settled: it knows neither the members nor the results that lie at the servers, and each change of
+// scheduler costs work. It is guarded by the fleet's lock.
+type roster struct {
+	chosen map[string]string    // scheduler by pool
+	until  time.Time            // when chosen is worked out anew
+	silent map[string]time.Time // boxes that did not answer this box, and when they are asked again
+}
+
+func (r *roster) init() {
+	r.chosen, r.silent = map[string]string{}, map[string]time.Time{}
+}
+
+// forget has schedulers worked out anew.
+func (r *roster) forget() { clear(r.chosen) }
+
+// heard notes a message of a box.
+func (r *roster) heard(box string) {
+	if _, ok := r.silent[box]; ok {
+		delete(r.silent, box)
+		r.forget()
+	}
+}
+
+// shun passes a box over that did not answer, until it is heard of or for a while.
+func (r *roster) shun(now time.Time, box string) {
+	r.silent[box] = now.Add(shunFor)
+	r.forget()
+}
+
+// settled lists the boxes that have been running for a while, or that started with the oldest: after
+// a loss of all boxes nobody has been running for long.
+func settled(running map[string]time.Duration) []string {
+	oldest := time.Duration(0)
+	for _, up := range running {
+		oldest = max(oldest, up)
+	}
+	var out []string
+	for box, up := range running {
+		if up >= settledAfter || oldest-up <= cohortSpread {
+			out = append(out, box)
+		}
+	}
+	return out
+}
+
+// firstByHash ranks boxes for a pool by rendezvous hash; otherwise is given when there is none.
+func firstByHash(pool string, boxes []string, avoid map[string]bool, otherwise string) string {
+	best, rank := otherwise, uint64(0)
+	for _, b := range boxes {
+		if avoid[b] {
+			continue
+		}
+		if r := catalog.Hash("scheduler", pool, b); r >= rank {
+			best, rank = b, r
+		}
+	}
+	return best
+}
+
+// shun has this box pass another over as a scheduler.
+func (f *fleet) shun(now time.Time, box string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.roster.shun(now, box)
+}
+
+// schedulers lists the boxes that may schedule pools now. The fleet's lock is held.
+func (f *fleet) schedulers(now time.Time) []string {
+	list := settled(f.core.Running(now))
+	out := list[:0]
+	for _, box := range list {
+		if now.Before(f.roster.silent[box]) {
+			continue
+		}
+		out = append(out, box)
+	}
+	return out
+}
+
+// schedulerOf gives the scheduler of a pool and remembers it for a moment.
+func (f *fleet) schedulerOf(now time.Time, pool string, avoid map[string]bool) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(avoid) > 0 {
+		return firstByHash(pool, f.schedulers(now), avoid, f.gateway.ID.Name)
+	}
+	if !now.Before(f.roster.until) {
+		f.roster.forget()
+		f.roster.until = now.Add(rosterLife)
+	}
+	box, ok := f.roster.chosen[pool]
+	if !ok {
+		box = firstByHash(pool, f.schedulers(now), nil, f.gateway.ID.Name)
+		f.roster.chosen[pool] = box
+	}
+	return box
+}
+
+// schedulerOf is the box that forms the calls of a pool.
+func (g *Gateway) schedulerOf(pool string, avoid map[string]bool) string {
+	if !g.Settings.SharedBatches {
+		return g.ID.Name
+	}
+	return g.fleet.schedulerOf(g.now(), pool, avoid)
+}
