After a loss of all boxes the seeds schedule until boxes know one another

Ruled out: slow owners (no changes of scheduler before the fault), two schedulers in the rolling restart (none full there).

For the first 4 s of the oldest box the boxes at the seed addresses schedule; a box that has met neither them nor older boxes waits up to 1 s.

--- a/src/core/members.go
+++ b/src/core/members.go
@@ -453,15 +453,22 @@
 	return out
 }
 
-// Running lists the names of members that take work, as Usable does, with how long each has been running.
-func (m *Members) Running(now time.Time) map[string]time.Duration {
-	out := map[string]time.Duration{}
+// RunningMember is a member that takes work.
+type RunningMember struct {
+	Name    string
+	Address string
+	Up      time.Duration // how long it has been running
+}
+
+// Running lists the members that take work, as Usable does, with what the choice among them needs.
+func (m *Members) Running(now time.Time) []RunningMember {
+	var out []RunningMember
 	for _, name := range m.Usable() {
-		if name == m.Self.ID.Name {
-			out[name] = now.Sub(m.Start)
-		} else {
-			out[name] = m.all[name].Up(now)
+		r := RunningMember{Name: name, Address: m.Self.Address, Up: now.Sub(m.Start)}
+		if e := m.all[name]; e != nil {
+			r.Address, r.Up = e.address, e.Up(now)
 		}
+		out = append(out, r)
 	}
 	return out
 }
--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -73,13 +73,17 @@
 	askAgain      = 500 * time.Millisecond // pace at which an owner asks for an accepted job
 	handoverWait  = 60 * time.Millisecond  // that a scheduler which has just got a pool waits for news of it
 	handoverAgain = time.Second            // before it waits so again
+	handoverKeeps = 400 * time.Millisecond // that a scheduler keeps a pool it was given, whoever it takes for the first
 	silentAsks    = 2                      // unanswered questions after which another box is asked
 )
 
 // Tunables of the choice of schedulers.
 const (
-	settledAfter = 20 * time.Second       // that a box runs before it takes a pool over from another
-	cohortSpread = 3 * time.Second        // boxes that started within this time of the oldest may schedule at once
+	settledAfter = 20 * time.Second // that a box runs before it takes a pool over from another
+	cohortSpread = 3 * time.Second  // boxes that started within this time of the oldest may schedule at once
+	formedAfter  = 4 * time.Second  // that the oldest box runs until all know one another
+	formingFor   = time.Second      // after its start a box waits so long to meet a box that may schedule
+	formingPace  = 10 * time.Millisecond
 	shunFor      = 3 * time.Second        // that a box which did not answer is passed over
 	rosterLife   = 100 * time.Millisecond // for which the schedulers once chosen are kept
 )
--- a/src/gateway/owner.go
+++ b/src/gateway/owner.go
@@ -86,6 +86,7 @@
 	defer g.waiting.close(id)
 	j.ID = id
 	avoid := map[string]bool{}
+	g.awaitFormed(ctx)
 	box := g.schedulerOf(j.Pool, avoid)
 	g.tell(box, batch.Message{Submit: j.Submission(g.now())})
 	timer := time.NewTimer(ackPatience)
--- a/src/gateway/roster.go
+++ b/src/gateway/roster.go
@@ -1,13 +1,15 @@
 package gateway
 
 import (
+	"context"
+	"slices"
 	"time"
 
 	"github.com/stilemast/stilemast/src/catalog"
 )
 
 // roster ranks the boxes that may schedule a pool. All boxes come to the same answer without a
-// message: the first by rendezvous hash among the settled ones. A box that has just started is not
+// message: the first by rendezvous hash among the eligible ones. A box that has just started is not
 // settled: it knows neither the members nor the results that lie at the servers, and each change of
 // scheduler costs work. It is guarded by the fleet's lock.
 type roster struct {
@@ -37,20 +39,34 @@
 	r.forget()
 }
 
-// settled lists the boxes that have been running for a while, or that started with the oldest: after
-// a loss of all boxes nobody has been running for long.
-func settled(running map[string]time.Duration) []string {
+// contender is a box that takes work, as the choice of schedulers sees it.
+type contender struct {
+	name string
+	up   time.Duration // how long it has been running
+	seed bool          // it is one of the boxes that every box begins with
+}
+
+// eligible lists the boxes that may schedule: those that have been running for a while or that started
+// with the oldest. Just after a start or a loss of all boxes few know one another; then the seeds
+// schedule, which every box meets first.
+func eligible(all []contender) []string {
+	var settled, seeds []string
 	oldest := time.Duration(0)
-	for _, up := range running {
-		oldest = max(oldest, up)
+	for _, c := range all {
+		oldest = max(oldest, c.up)
 	}
-	var out []string
-	for box, up := range running {
-		if up >= settledAfter || oldest-up <= cohortSpread {
-			out = append(out, box)
+	for _, c := range all {
+		if c.up >= settledAfter || oldest-c.up <= cohortSpread {
+			settled = append(settled, c.name)
+		}
+		if c.seed {
+			seeds = append(seeds, c.name)
 		}
 	}
-	return out
+	if oldest < formedAfter && len(seeds) > 0 {
+		return seeds
+	}
+	return settled
 }
 
 // firstByHash ranks boxes for a pool by rendezvous hash; otherwise is given when there is none.
@@ -76,7 +92,11 @@
 
 // schedulers lists the boxes that may schedule pools now. The fleet's lock is held.
 func (f *fleet) schedulers(now time.Time) []string {
-	list := settled(f.core.Running(now))
+	var all []contender
+	for _, m := range f.core.Running(now) {
+		all = append(all, contender{name: m.Name, up: m.Up, seed: slices.Contains(f.gateway.Settings.Seeds, m.Address)})
+	}
+	list := eligible(all)
 	out := list[:0]
 	for _, box := range list {
 		if now.Before(f.roster.silent[box]) {
@@ -106,6 +126,29 @@
 	return box
 }
 
+// forming says whether this box has just started and has not met the boxes that may schedule: what it
+// would choose now, no other box would.
+func (f *fleet) forming(now time.Time) bool {
+	if now.Sub(f.gateway.startedAt) > formingFor {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.core.Running(now) {
+		if m.Up >= formedAfter || slices.Contains(f.gateway.Settings.Seeds, m.Address) {
+			return false
+		}
+	}
+	return true
+}
+
+// awaitFormed holds a job back while this box does not know who schedules, for a bounded time.
+func (g *Gateway) awaitFormed(ctx context.Context) {
+	for g.Settings.SharedBatches && g.fleet.forming(g.now()) && ctx.Err() == nil {
+		sleep(ctx, formingPace)
+	}
+}
+
 // schedulerOf is the box that forms the calls of a pool.
 func (g *Gateway) schedulerOf(pool string, avoid map[string]bool) string {
 	if !g.Settings.SharedBatches {
--- a/src/gateway/roster_test.go
+++ b/src/gateway/roster_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -13,24 +15,65 @@
 )
 
 func TestOnlySettledBoxesScheduleUnlessAllHaveJustStarted(t *testing.T) {
+	old, young := time.Minute, 5*time.Second
 	for _, c := range []struct {
-		name    string
-		running map[string]time.Duration
-		want    []string
+		name string
+		all  []contender
+		want []string
 	}{
-		{"a start of all", map[string]time.Duration{"a": time.Second, "b": 1200 * time.Millisecond}, []string{"a", "b"}},
-		{"one has come back", map[string]time.Duration{"a": time.Minute, "b": time.Minute, "c": 5 * time.Second}, []string{"a", "b"}},
-		{"it has settled", map[string]time.Duration{"a": time.Minute, "b": time.Minute, "c": settledAfter}, []string{"a", "b", "c"}},
-		{"only one is old", map[string]time.Duration{"a": 10 * time.Second, "b": 4 * time.Second}, []string{"a"}},
+		{"a start of all without seeds", []contender{{"a", time.Second, false}, {"b", 1200 * time.Millisecond, false}}, []string{"a", "b"}},
+		{"a start of all", []contender{{"a", 2 * time.Second, false}, {"b", 2 * time.Second, true}, {"c", time.Second, true}}, []string{"b", "c"}},
+		{"all know one another", []contender{{"a", young, false}, {"b", young, true}, {"c", young, true}}, []string{"a", "b", "c"}},
+		{"one has come back", []contender{{"a", old, false}, {"b", old, false}, {"c", young, true}}, []string{"a", "b"}},
+		{"it has settled", []contender{{"a", old, false}, {"c", settledAfter, true}}, []string{"a", "c"}},
+		{"only one is old", []contender{{"a", 10 * time.Second, false}, {"b", 4 * time.Second, false}}, []string{"a"}},
 	} {
-		got := settled(c.running)
-		slices.Sort(got)
-		if !slices.Equal(got, c.want) {
+		if got := eligible(c.all); !slices.Equal(got, c.want) {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
 }
 
+// After a loss of all boxes each knows only itself at first. Their pieces must go to one box all the
+// same, or every box fills the same servers with calls of its own.
+func TestAfterALossOfAllBoxesOneSchedulesEachPool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 12)
+		f.streams(2)
+		time.Sleep(4 * time.Second)
+		var names []string
+		for i := range 12 {
+			names = append(names, fmt.Sprint("box", i))
+		}
+		for _, n := range names {
+			f.kill(n)
+		}
+		var mu sync.Mutex
+		schedulers := map[string]bool{}
+		run := f.runPieces
+		f.runPieces = func(ctx context.Context, box string, s catalog.Server, items []batch.Item) (batch.CallOutcome, []batch.ItemResult) {
+			mu.Lock()
+			schedulers[box] = true
+			mu.Unlock()
+			return run(ctx, box, s, items)
+		}
+		var done sync.WaitGroup
+		for i, n := range slices.Backward(names) { // the seeds come back last
+			f.start(n)
+			time.Sleep(20 * time.Millisecond) // it knows a configuration by then
+			done.Go(func() {
+				if a := f.ask(n, "/draft/1", fmt.Sprint("r", i), nil); !a.ended {
+					t.Errorf("the request at %s: %+v", n, a)
+				}
+			})
+		}
+		done.Wait()
+		if len(schedulers) != 1 {
+			t.Errorf("%d boxes made calls to one pool's servers", len(schedulers))
+		}
+	})
+}
+
 // schedulerAmong is the box that schedules a pool if only these may.
 func schedulerAmong(pool string, boxes ...string) string {
 	return firstByHash(pool, boxes, nil, "")
@@ -39,7 +82,7 @@
 func TestABoxThatComesBackLeavesItsPoolsWhereTheyAre(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, 4)
-		time.Sleep(4 * time.Second)
+		time.Sleep(settledAfter + time.Second)
 		first := f.box("box0").schedulerOf("encode", nil)
 		f.kill(first)
 		time.Sleep(8 * time.Second)
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -25,6 +25,7 @@
 	pool    string
 	usedAt  time.Time
 	heldAt  time.Time // when calls were last put off for a handover
+	givenAt time.Time // when another box last handed the pool over to this one
 	foreign bool      // another box had the pool when this one last looked
 }
 
@@ -113,6 +114,10 @@
 	}
 	now := g.now()
 	s.mu.Lock()
+	if now.Sub(s.givenAt) < handoverKeeps && !g.Draining() { // the giver knew better: giving it back would start a circle
+		s.mu.Unlock()
+		return
+	}
 	s.foreign = true
 	h, a := s.core.HandOver(now, next)
 	s.mu.Unlock()
@@ -128,8 +133,10 @@
 	if s == nil {
 		return
 	}
+	now := d.gateway.now()
 	s.mu.Lock()
-	s.core.TakeOver(d.gateway.now(), h)
+	s.givenAt, s.foreign = now, false
+	s.core.TakeOver(now, h)
 	s.mu.Unlock()
 }
 
--- a/src/gateway/scheduling_test.go
+++ b/src/gateway/scheduling_test.go
@@ -192,3 +192,31 @@
 		}
 	})
 }
+
+// Boxes see a change of members at different moments. The next scheduler of a pool may get it before it
+// sees itself as the first; handing it back would send the pool in a circle.
+func TestAPoolThatWasHandedOverIsNotGivenBackAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 3)
+		time.Sleep(settledAfter + time.Second)
+		first := f.box("box0").schedulerOf("encode", nil)
+		var next *Gateway
+		for _, b := range []string{"box0", "box1", "box2"} {
+			if b != first {
+				next = f.box(b)
+			}
+		}
+		job := &batch.Submit{ID: batch.JobID{Box: "box0", N: 1}, Pool: "encode", Pieces: 9, DeadlineIn: time.Minute, DueIn: time.Second}
+		next.TakeBatch(batch.Message{From: first, Handover: &batch.Handover{Pool: "encode"}})
+		next.TakeBatch(batch.Message{From: "box0", Submit: job})
+		time.Sleep(handoverKeeps / 2)
+		if next.desk.foreign() == 0 {
+			t.Error("the pool was given back at once")
+		}
+		time.Sleep(handoverKeeps)
+		pieces, _ := next.desk.get("encode").core.Pending()
+		if pieces > 0 {
+			t.Error("a pool that belongs to another box was kept for ever")
+		}
+	})
+}
