--- a/src/gateway/scheduling_test.go
+++ b/src/gateway/scheduling_test.go
@@ -206,16 +206,21 @@
 				next = f.box(b)
 			}
 		}
-		job := &batch.Submit{ID: batch.JobID{Box: "box0", N: 1}, Pool: "encode", Pieces: 9, DeadlineIn: time.Minute, DueIn: time.Second}
 		next.TakeBatch(batch.Message{From: first, Handover: &batch.Handover{Pool: "encode"}})
-		next.TakeBatch(batch.Message{From: "box0", Submit: job})
+		for n := range uint64(6) { // each fills all servers for 300 ms
+			next.TakeBatch(batch.Message{From: "box0", Submit: &batch.Submit{
+				ID: batch.JobID{Box: "box0", N: n}, Pool: "encode", Pieces: 12, DeadlineIn: time.Minute, DueIn: time.Second}})
+		}
+		waiting := func() int {
+			pieces, _ := next.desk.get("encode").core.Pending()
+			return pieces
+		}
 		time.Sleep(handoverKeeps / 2)
-		if next.desk.foreign() == 0 {
+		if waiting() == 0 {
 			t.Error("the pool was given back at once")
 		}
 		time.Sleep(handoverKeeps)
-		pieces, _ := next.desk.get("encode").core.Pending()
-		if pieces > 0 {
+		if waiting() > 0 {
 			t.Error("a pool that belongs to another box was kept for ever")
 		}
 	})
