--- a/src/batch/constants.go
+++ b/src/batch/constants.go
@@ -7,7 +7,8 @@
 	priorityStep      = 250 * time.Millisecond // by which a less urgent job counts as due later
 	foreignAfter      = 160 * time.Millisecond // wait after which a job may leave the domain of its inputs
 	foreignSlack      = 500 * time.Millisecond // beyond a call's time; with so much left
-	foreignAfterSlack = 350 * time.Millisecond // a job waits for its domain this long
+	foreignAfterSlack = 900 * time.Millisecond // a job waits for its domain this long
+	calmServers       = 4                      // for so many servers one call's worth of waiting pieces is little
 	splitAfter        = 200 * time.Millisecond // wait after which a job may be split between calls
 	roomPart          = 0.97                   // part of a server's room that is used
 	roomPause         = 300 * time.Millisecond // after a server said that it has none
--- a/src/batch/forming.go
+++ b/src/batch/forming.go
@@ -79,12 +79,7 @@
 // worthSlow says whether a slow server should get a call: when work has piled up beyond what the
 // others can take soon, or now and then to see whether it is slow still.
 func (s *Scheduler) worthSlow(now time.Time, v *serverState) bool {
-	sound, pending := 0, 0
-	for _, o := range s.servers {
-		if o.listed && o.ratio <= slowRatio && o.failures == 0 {
-			sound++
-		}
-	}
+	sound, pending := s.sound(), 0
 	for _, t := range s.jobs {
 		pending += len(t.pending)
 	}
@@ -152,20 +147,39 @@
 // fitsDomain keeps a job near its inputs for a while, as long as there is a sound server there.
 func (s *Scheduler) fitsDomain(now time.Time, t *job, v *serverState) bool {
 	wait := foreignAfter
-	if s.waiting <= s.pool.Batch.Size && t.Due.Sub(now) > s.pool.Batch.CallTime+foreignSlack {
+	if s.calm() && t.Due.Sub(now) > s.pool.Batch.CallTime+foreignSlack {
 		wait = foreignAfterSlack
 	}
 	if t.InputDomain == "" || t.InputDomain == v.Domain || now.Sub(t.since) >= wait {
 		return true
 	}
 	for _, o := range s.servers {
-		if o.listed && o.Domain == t.InputDomain && o.failures == 0 && o.ratio <= slowRatio {
+		if o.sound() && o.Domain == t.InputDomain {
 			return false
 		}
 	}
 	return true
 }
 
+// calm says whether so little waits that a job may wait for its domain without holding others up.
+func (s *Scheduler) calm() bool {
+	return s.waiting <= s.pool.Batch.Size*max(1, s.sound()/calmServers)
+}
+
+// sound counts the servers that work as they should.
+func (s *Scheduler) sound() int {
+	n := 0
+	for _, v := range s.servers {
+		if v.sound() {
+			n++
+		}
+	}
+	return n
+}
+
+// sound says whether a server is listed, answers and is not slow.
+func (v *serverState) sound() bool { return v.listed && v.failures == 0 && v.ratio <= slowRatio }
+
 // hopeless says whether a job can't be in time any more.
 func (s *Scheduler) hopeless(now time.Time, t *job) bool {
 	b := s.pool.Batch
--- a/src/batch/pace.go
+++ b/src/batch/pace.go
@@ -46,7 +46,7 @@
 	}
 	sound, soonest := 0, time.Duration(-1)
 	for _, v := range s.servers {
-		if !v.listed || v.failures > 0 || v.ratio > slowRatio {
+		if !v.sound() {
 			continue
 		}
 		sound++
