Boxes that do not read hear that lapsed servers were dropped

Cause: peers take a list only as of a later revision; the end of the grace changes the list at an unchanged revision, so boxes that do not read went on using servers that never came back until something else was written.

States of a list are ordered by revision and, within one, a list without lapsed servers comes later. The test with six boxes fails before. Also: eligible boxes are worked out once for all pools.

--- a/src/catalog/listing.go
+++ b/src/catalog/listing.go
@@ -12,6 +12,9 @@
 // one that is still missing then is gone.
 const lapseGrace = 2 * time.Second
 
+// statesPerRevision is how many states a list can have at one revision of the platform.
+const statesPerRevision = 2
+
 // Listing is the list of servers as one reader of the platform follows it: a whole read, then
 // changes. After an outage it keeps the servers whose entries may only have lapsed for a while.
 // It is pure: time comes in. Not safe for concurrent use.
@@ -83,6 +86,18 @@
 	return l.changed
 }
 
+// State orders the states of a list: by the platform's revision, and within one revision a list of which
+// lapsed servers have been dropped comes after one that keeps them. A box takes the later of two.
+func (l *Listing) State(revision uint64) uint64 {
+	if len(l.lapsed) > 0 {
+		return revision * statesPerRevision
+	}
+	return revision*statesPerRevision + 1
+}
+
+// RevisionOf is the platform's revision of a state.
+func RevisionOf(state uint64) uint64 { return state / statesPerRevision }
+
 // Wait shortens a wait for changes so that lapsed servers are dropped when their time is over.
 func (l *Listing) Wait(now time.Time, d time.Duration) time.Duration {
 	if len(l.lapsed) == 0 {
--- a/src/catalog/listing_test.go
+++ b/src/catalog/listing_test.go
@@ -71,3 +71,15 @@
 		}
 	}
 }
+
+// Peers take a list only if its state is later. When lapsed servers are dropped the platform's revision
+// need not have changed.
+func TestAListWithoutLapsedServersIsALaterState(t *testing.T) {
+	l := &Listing{}
+	l.Replace(start, nil, []Server{{ID: "a"}}, true)
+	with := l.State(7)
+	l.Servers(start.Add(lapseGrace))
+	if without := l.State(7); without <= with || without >= l.State(8) || RevisionOf(with) != 7 || RevisionOf(without) != 7 {
+		t.Errorf("states %d and %d of revision 7", with, without)
+	}
+}
--- a/src/gateway/outage_test.go
+++ b/src/gateway/outage_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,3 +45,22 @@
 		}
 	})
 }
+
+// The end of the grace changes the list while the store's revision stays: the boxes that do not read
+// must hear of it all the same.
+func TestBoxesThatDoNotReadDropLapsedServersToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 6)
+		time.Sleep(3 * time.Second)
+		all := f.servers
+		f.setStore(false, all)
+		time.Sleep(6 * time.Second)
+		f.setStore(true, all[:2])
+		time.Sleep(5 * time.Second)
+		for i := range 6 {
+			if box := f.box(fmt.Sprint("box", i)); box.mayUse(all[2].ID) {
+				t.Errorf("box%d uses a server that never came back", i)
+			}
+		}
+	})
+}
--- a/src/gateway/published.go
+++ b/src/gateway/published.go
@@ -142,7 +142,8 @@
 	g.announce()
 }
 
-// takeServers takes a list of servers as of a revision. readAt is zero when it came from a peer.
+// takeServers takes a list of servers in a state (catalog.Listing.State). readAt is zero when it came
+// from a peer.
 func (g *Gateway) takeServers(list []catalog.Server, asOf uint64, readAt time.Time, from string) {
 	after := make(map[string]catalog.Server, len(list))
 	for _, s := range list {
@@ -190,14 +191,14 @@
 	return out
 }
 
-func (g *Gateway) logServers(before map[string]catalog.Server, change catalog.Difference, asOf uint64, from string) {
+func (g *Gateway) logServers(before map[string]catalog.Server, change catalog.Difference, state uint64, from string) {
 	for _, s := range change.Put {
 		if old, ok := before[s.ID]; !ok || old.Draining != s.Draining {
-			g.Log.Info("server listed", "server", s.ID, "pool", s.Pool, "domain", s.Domain, "draining", s.Draining, "revision", asOf, "from", from)
+			g.Log.Info("server listed", "server", s.ID, "pool", s.Pool, "domain", s.Domain, "draining", s.Draining, "revision", catalog.RevisionOf(state), "from", from)
 		}
 	}
 	for _, id := range change.Gone {
-		g.Log.Info("server gone", "server", id, "pool", before[id].Pool, "revision", asOf, "from", from)
+		g.Log.Info("server gone", "server", id, "pool", before[id].Pool, "revision", catalog.RevisionOf(state), "from", from)
 	}
 }
 
@@ -293,7 +294,7 @@
 	p.mu.Unlock()
 	d.Since.Apply(after)
 	if catalog.Digest(after) != d.Digest {
-		g.Log.Warn("difference of servers does not fit", "from", from, "revision", d.AsOf)
+		g.Log.Warn("difference of servers does not fit", "from", from, "revision", catalog.RevisionOf(d.AsOf))
 		p.mu.Lock()
 		p.lists.PullFailed(from)
 		p.mu.Unlock()
--- a/src/gateway/reading.go
+++ b/src/gateway/reading.go
@@ -127,10 +127,10 @@
 			if lapsed > 0 {
 				g.Log.Warn("servers without an entry after an outage", "lapsed", lapsed, "listed", len(list)-lapsed, "revision", at)
 			}
-			g.takeServers(list, at, began, "store")
+			g.takeServers(list, listing.State(at), began, "store")
 			sleep(ctx, min(mostListPace, time.Duration(len(list))*listPace)) // changes of a large list go round together
 		case at > 0:
-			g.confirmServers(began, at)
+			g.confirmServers(began, listing.State(at))
 		}
 	}
 }
--- a/src/gateway/roster.go
+++ b/src/gateway/roster.go
@@ -13,8 +13,9 @@
 // settled: it knows neither the members nor the results that lie at the servers, and each change of
 // scheduler costs work. It is guarded by the fleet's lock.
 type roster struct {
+	boxes  []string             // that are eligible
 	chosen map[string]string    // scheduler by pool
-	until  time.Time            // when chosen is worked out anew
+	until  time.Time            // when both are worked out anew
 	silent map[string]time.Time // boxes that did not answer this box, and when they are asked again
 }
 
@@ -22,8 +23,11 @@
 	r.chosen, r.silent = map[string]string{}, map[string]time.Time{}
 }
 
-// forget has schedulers worked out anew.
-func (r *roster) forget() { clear(r.chosen) }
+// forget has everything worked out anew.
+func (r *roster) forget() {
+	clear(r.chosen)
+	r.until = time.Time{}
+}
 
 // heard notes a message of a box.
 func (r *roster) heard(box string) {
@@ -90,37 +94,41 @@
 	f.roster.shun(now, box)
 }
 
-// schedulers lists the boxes that may schedule pools now. The fleet's lock is held.
-func (f *fleet) schedulers(now time.Time) []string {
+// eligible lists the boxes that may do now what one box does for all. The fleet's lock is held.
+func (f *fleet) eligible(now time.Time) []string {
+	r := &f.roster
+	if now.Before(r.until) {
+		return r.boxes
+	}
 	var all []contender
 	for _, m := range f.core.Running(now) {
 		all = append(all, contender{name: m.Name, up: m.Up, seed: slices.Contains(f.gateway.Settings.Seeds, m.Address)})
 	}
-	list := eligible(all)
-	out := list[:0]
-	for _, box := range list {
-		if now.Before(f.roster.silent[box]) {
-			continue
-		}
-		out = append(out, box)
+	clear(r.chosen)
+	r.boxes, r.until = eligible(all), now.Add(rosterLife)
+	return r.boxes
+}
+
+// schedulers lists the boxes that may schedule pools now. The fleet's lock is held.
+func (f *fleet) schedulers(now time.Time) []string {
+	all := f.eligible(now)
+	if len(f.roster.silent) == 0 {
+		return all
 	}
-	return out
+	return slices.DeleteFunc(slices.Clone(all), func(box string) bool { return now.Before(f.roster.silent[box]) })
 }
 
 // schedulerOf gives the scheduler of a pool and remembers it for a moment.
 func (f *fleet) schedulerOf(now time.Time, pool string, avoid map[string]bool) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	boxes := f.schedulers(now)
 	if len(avoid) > 0 {
-		return firstByHash(pool, f.schedulers(now), avoid, f.gateway.ID.Name)
-	}
-	if !now.Before(f.roster.until) {
-		f.roster.forget()
-		f.roster.until = now.Add(rosterLife)
+		return firstByHash(pool, boxes, avoid, f.gateway.ID.Name)
 	}
 	box, ok := f.roster.chosen[pool]
 	if !ok {
-		box = firstByHash(pool, f.schedulers(now), nil, f.gateway.ID.Name)
+		box = firstByHash(pool, boxes, nil, f.gateway.ID.Name)
 		f.roster.chosen[pool] = box
 	}
 	return box
