--- a/src/gateway/published.go
+++ b/src/gateway/published.go
@@ -134,14 +134,33 @@
 		p.mu.Unlock()
 		return
 	}
+	before := p.held
 	p.held = c
 	g.index.Store(catalog.NewIndex(c))
 	p.mu.Unlock()
 	g.Log.Info("configuration in force", "version", c.Version, "revision", asOf, "from", from, "pipelines", len(c.Pipelines), "workspaces", len(c.Workspaces))
+	g.logChanges(c.Version, catalog.ChangesOf(before, c))
 	g.applyServers(nil)
 	g.announce()
 }
 
+// logChanges says what a version changes; lists of names are shortened.
+func (g *Gateway) logChanges(version uint64, c catalog.Changes) {
+	line := []any{"version", version}
+	for _, f := range []struct {
+		name string
+		list []string
+	}{
+		{"pipelines_added", c.PipelinesAdded}, {"pipelines_removed", c.PipelinesRemoved}, {"pipelines_changed", c.PipelinesChanged},
+		{"pools_changed", c.PoolsChanged}, {"tokens_added_of", c.TokensAdded}, {"tokens_removed_of", c.TokensRemoved},
+	} {
+		if len(f.list) > 0 {
+			line = append(line, f.name, len(f.list), f.name+"_names", firstOf(f.list))
+		}
+	}
+	g.Log.Info("configuration changes", line...)
+}
+
 // takeServers takes a list of servers in a state (catalog.Listing.State). readAt is zero when it came
 // from a peer.
 func (g *Gateway) takeServers(list []catalog.Server, asOf uint64, readAt time.Time, from string) {
