--- a/src/batch/scheduler.go
+++ b/src/batch/scheduler.go
@@ -105,20 +105,28 @@
 	return s.dispatch(now)
 }
 
-// Submit takes a job, or answers again for one that it knows.
-func (s *Scheduler) Submit(now time.Time, j *Job) Actions {
-	insisted := false
-	if e, ok := s.ended[j.ID]; ok && e.message.Failed != nil && e.message.Failed.Reason == Moved {
-		delete(s.ended, j.ID) // its owner sees no other scheduler
-		insisted = true
-	} else if ok {
-		return Actions{Replies: []Reply{{Box: j.ID.Box, Message: e.message}}}
-	}
+// Submit takes a job, or answers again for one that it knows. elsewhere names the box that schedules
+// the pool when it is another: the owner is sent there, and the job is taken only if it comes back,
+// since then its owner sees no other scheduler. A call that this box made beside the other's would wait
+// at its server, unread, while its inputs are given up.
+func (s *Scheduler) Submit(now time.Time, j *Job, elsewhere string) Actions {
 	id := j.ID
+	e, ended := s.ended[id]
+	insisted := ended && e.message.Failed != nil && e.message.Failed.Reason == Moved
+	if insisted {
+		delete(s.ended, id)
+	} else if ended {
+		return Actions{Replies: []Reply{{Box: id.Box, Message: e.message}}}
+	}
 	accept := Reply{Box: id.Box, Message: Message{Accept: &id, Wait: s.Wait(now)}}
 	if s.jobs[id] != nil {
 		return Actions{Replies: []Reply{accept}}
 	}
+	if elsewhere != "" && !insisted {
+		moved := Message{Failed: &Failed{ID: id, Reason: Moved, To: elsewhere}}
+		s.ended[id] = ending{message: moved, at: now}
+		return Actions{Replies: []Reply{{Box: id.Box, Message: moved}}}
+	}
 	t := &job{Job: j, since: now, insisted: insisted, handles: make([]string, j.Pieces), domains: make([]string, j.Pieces)}
 	for i := range j.Pieces {
 		t.pending = append(t.pending, i)
--- a/src/batch/scheduler_test.go
+++ b/src/batch/scheduler_test.go
@@ -70,12 +70,12 @@
 
 func TestOneCallHoldsPiecesOfManyBoxes(t *testing.T) {
 	s := testScheduler(1)
-	first := s.Submit(start, testJob("a", 1, 1))
+	first := s.Submit(start, testJob("a", 1, 1), "")
 	if len(first.Calls) != 1 {
 		t.Fatalf("a free server got %d calls, want 1", len(first.Calls))
 	}
-	s.Submit(start, testJob("b", 1, 2))
-	s.Submit(start, testJob("c", 1, 3))
+	s.Submit(start, testJob("b", 1, 2), "")
+	s.Submit(start, testJob("c", 1, 3), "")
 	next := s.CallEnded(start.Add(260*time.Millisecond), first.Calls[0].N, CallDone, made(first.Calls[0]))
 	if doneOf(next, "a") == nil {
 		t.Fatal("the first job's owner heard nothing")
@@ -92,9 +92,9 @@
 func TestAskedAgainAnEndedJobIsAnsweredFromMemory(t *testing.T) {
 	s := testScheduler(1)
 	j := testJob("a", 1, 1)
-	c := s.Submit(start, j).Calls[0]
+	c := s.Submit(start, j, "").Calls[0]
 	s.CallEnded(start.Add(time.Second), c.N, CallDone, made(c))
-	again := s.Submit(start.Add(time.Second), j)
+	again := s.Submit(start.Add(time.Second), j, "")
 	if doneOf(again, "a") == nil || len(again.Calls) != 0 {
 		t.Fatalf("an ended job was not answered from memory: %+v", again)
 	}
@@ -104,10 +104,10 @@
 	s := testScheduler(1)
 	big := testJob("a", 1, 4)
 	big.ResultBytes = 200 // 4 of them leave no room for a fifth of 1000 x roomPart
-	c := s.Submit(start, big).Calls[0]
+	c := s.Submit(start, big, "").Calls[0]
 	other := testJob("b", 1, 1)
 	other.ResultBytes = 200
-	s.Submit(start, other)
+	s.Submit(start, other, "")
 	a := s.CallEnded(start.Add(300*time.Millisecond), c.N, CallDone, made(c))
 	if len(a.Calls) != 0 {
 		t.Fatal("a call was made without room for its results")
@@ -123,11 +123,11 @@
 	s := testScheduler(1)
 	big := testJob("a", 1, 4)
 	big.ResultBytes = 240
-	c := s.Submit(start, big).Calls[0]
+	c := s.Submit(start, big, "").Calls[0]
 	s.CallEnded(start.Add(300*time.Millisecond), c.N, CallDone, made(c))
 	late := testJob("b", 1, 1)
 	late.ResultBytes, late.Deadline = 240, start.Add(time.Minute)
-	if a := s.Submit(start.Add(time.Second), late); len(a.Calls) != 0 {
+	if a := s.Submit(start.Add(time.Second), late, ""); len(a.Calls) != 0 {
 		t.Fatal("a call was made without room")
 	}
 	if a := s.Tick(start.Add(4400 * time.Millisecond)); len(a.Calls) != 1 {
@@ -138,7 +138,7 @@
 func TestABrokenCallGoesToAnotherServerAndNotForEver(t *testing.T) {
 	s := testScheduler(2)
 	now := start
-	a := s.Submit(now, testJob("a", 1, 1))
+	a := s.Submit(now, testJob("a", 1, 1), "")
 	seen := map[string]bool{}
 	for range pieceFailures {
 		for len(a.Calls) == 0 {
@@ -164,7 +164,7 @@
 func TestAFullServerCountsAsNoFailure(t *testing.T) {
 	s := testScheduler(1)
 	now := start
-	a := s.Submit(now, testJob("a", 1, 1))
+	a := s.Submit(now, testJob("a", 1, 1), "")
 	for range 2 * pieceFailures {
 		a = s.CallEnded(now, a.Calls[0].N, CallFull, nil)
 		if f := failedOf(a); f != nil {
@@ -181,7 +181,7 @@
 	s := testScheduler(1)
 	j := testJob("a", 1, 1)
 	j.Inputs = []string{"x"}
-	c := s.Submit(start, j).Calls[0]
+	c := s.Submit(start, j, "").Calls[0]
 	a := s.CallEnded(start.Add(time.Second), c.N, CallDone, []ItemResult{{Reason: ItemGone}})
 	if f := failedOf(a); f == nil || f.Reason != Gone {
 		t.Fatalf("the owner was not told to make the inputs again: %+v", a.Replies)
@@ -200,7 +200,7 @@
 	s := testScheduler(1)
 	j := testJob("a", 1, 1)
 	j.Inputs = []string{"x"}
-	a := s.Submit(start, j)
+	a := s.Submit(start, j, "")
 	if said(a) || said(s.Tick(start.Add(readTime/2))) {
 		t.Fatal("inputs were given up while the server might refuse the call")
 	}
@@ -220,12 +220,12 @@
 
 func TestUrgentFirstAndHopelessLast(t *testing.T) {
 	s := testScheduler(1)
-	busy := s.Submit(start, testJob("x", 1, 8)).Calls[0]
+	busy := s.Submit(start, testJob("x", 1, 8), "").Calls[0]
 	hopeless, later, soon := testJob("h", 1, 4), testJob("l", 1, 4), testJob("s", 1, 4)
 	hopeless.Due = start.Add(100 * time.Millisecond)
 	soon.Due = start.Add(1500 * time.Millisecond)
 	for _, j := range []*Job{hopeless, later, soon} {
-		s.Submit(start, j)
+		s.Submit(start, j, "")
 	}
 	c := s.CallEnded(start.Add(400*time.Millisecond), busy.N, CallDone, made(busy)).Calls[0]
 	if len(c.Items) != 8 || c.Items[0].Request != "s-1" || c.Items[4].Request != "l-1" {
@@ -235,10 +235,10 @@
 
 func TestWorkStaysNearItsInputsForAWhile(t *testing.T) {
 	s := testScheduler(2)
-	s.Submit(start, testJob("x", 1, 1)) // takes s0, of d0
+	s.Submit(start, testJob("x", 1, 1), "") // takes s0, of d0
 	near := testJob("a", 1, 1)
 	near.InputDomain = "d0"
-	if a := s.Submit(start, near); len(a.Calls) != 0 {
+	if a := s.Submit(start, near, ""); len(a.Calls) != 0 {
 		t.Fatal("work left the domain of its inputs at once")
 	}
 	if a := s.Tick(start.Add(foreignAfter)); len(a.Calls) != 0 {
@@ -246,7 +246,7 @@
 	}
 	hurried := testJob("b", 1, 1)
 	hurried.InputDomain, hurried.Due = "d0", start.Add(800*time.Millisecond)
-	s.Submit(start, hurried)
+	s.Submit(start, hurried, "")
 	a := s.Tick(start.Add(foreignAfter))
 	if len(a.Calls) != 1 || a.Calls[0].Server.Domain != "d1" || a.Calls[0].Items[0].Request != "b-1" {
 		t.Fatal("work that is due soon waited for its domain")
@@ -259,7 +259,7 @@
 
 func TestLateWorkIsDropped(t *testing.T) {
 	s := testScheduler(0)
-	s.Submit(start, testJob("a", 1, 1))
+	s.Submit(start, testJob("a", 1, 1), "")
 	if f := failedOf(s.Tick(start.Add(5001 * time.Millisecond))); f == nil || f.Reason != Late {
 		t.Fatal("a job outlived its deadline")
 	}
@@ -268,7 +268,7 @@
 func TestWithdrawnWorkFreesWhatWasMade(t *testing.T) {
 	s := testScheduler(1)
 	j := testJob("a", 1, 1)
-	c := s.Submit(start, j).Calls[0]
+	c := s.Submit(start, j, "").Calls[0]
 	s.Withdraw(start, j.ID)
 	s.CallEnded(start.Add(time.Second), c.N, CallDone, made(c))
 	a := s.Tick(start.Add(time.Second))
@@ -281,12 +281,12 @@
 	s, next := testScheduler(1), testScheduler(1)
 	first := testJob("a", 1, 4)
 	first.ResultBytes = 240
-	c := s.Submit(start, first).Calls[0]
+	c := s.Submit(start, first, "").Calls[0]
 	a := s.CallEnded(start.Add(300*time.Millisecond), c.N, CallDone, made(c))
 	handles := doneOf(a, "a").Handles
-	s.Submit(start.Add(300*time.Millisecond), &Job{ID: JobID{Box: "b", N: 1}, Pool: "rerank", Pieces: 1, Deadline: start.Add(time.Minute), Due: start.Add(time.Second)})
+	s.Submit(start.Add(300*time.Millisecond), &Job{ID: JobID{Box: "b", N: 1}, Pool: "rerank", Pieces: 1, Deadline: start.Add(time.Minute), Due: start.Add(time.Second)}, "")
 	waiting := testJob("w", 1, 1)
-	s.Submit(start.Add(300*time.Millisecond), waiting)
+	s.Submit(start.Add(300*time.Millisecond), waiting, "")
 	h, out := s.HandOver(start.Add(310*time.Millisecond), "next")
 	if f := failedOf(out); f == nil || f.Reason != Moved || f.To != "next" || f.ID != waiting.ID {
 		t.Fatalf("the waiting job was not given back: %+v", out.Replies)
@@ -298,13 +298,13 @@
 	next.TakeOver(start.Add(311*time.Millisecond), h)
 	big := testJob("n", 1, 1)
 	big.ResultBytes, big.Deadline = 240, start.Add(time.Minute)
-	if a := next.Submit(start.Add(320*time.Millisecond), big); len(a.Calls) != 0 {
+	if a := next.Submit(start.Add(320*time.Millisecond), big, ""); len(a.Calls) != 0 {
 		t.Fatal("the next scheduler called a server that is at work")
 	}
 	if a := next.Tick(start.Add(2 * time.Second)); len(a.Calls) != 1 {
 		t.Fatal("room that was given up before the handover came is not used")
 	}
-	if a := s.Submit(start.Add(330*time.Millisecond), waiting); len(a.Replies) == 0 || a.Replies[0].Message.Accept == nil {
+	if a := s.Submit(start.Add(330*time.Millisecond), waiting, ""); len(a.Replies) == 0 || a.Replies[0].Message.Accept == nil {
 		t.Fatal("a job whose owner sees no other scheduler was sent away again")
 	}
 }
@@ -313,7 +313,7 @@
 	s := testScheduler(2)
 	idle := s.Wait(start)
 	for n := range uint64(20) {
-		s.Submit(start, testJob("a", n, 4))
+		s.Submit(start, testJob("a", n, 4), "")
 	}
 	if w := s.Wait(start); w <= idle+500*time.Millisecond {
 		t.Fatalf("80 pieces before two servers wait %s", w)
@@ -383,7 +383,7 @@
 				j := testJob("a", next, rapid.IntRange(1, 10).Draw(rt, "pieces"))
 				j.ResultBytes, j.Due, j.Deadline = 100, now.Add(time.Second), now.Add(3*time.Second)
 				jobs[j.ID] = j
-				take(s.Submit(now, j))
+				take(s.Submit(now, j, ""))
 			case 2, 3:
 				for _, n := range slices.Sorted(maps.Keys(open)) {
 					c := open[n]
@@ -412,3 +412,21 @@
 		}
 	})
 }
+
+// Two schedulers at the same servers: the second call waits there, while its inputs count as read.
+func TestAJobOfAPoolThatIsElsewhereIsSentOnAndTakenOnlyIfItComesBack(t *testing.T) {
+	s := testScheduler(1)
+	j := testJob("a", 1, 1)
+	first := s.Submit(start, j, "next")
+	if f := failedOf(first); f == nil || f.Reason != Moved || f.To != "next" || len(first.Calls) != 0 {
+		t.Fatalf("the job was not sent on: %+v", first)
+	}
+	again := s.Submit(start.Add(time.Millisecond), j, "next")
+	if failedOf(again) != nil || len(again.Calls) != 1 {
+		t.Fatalf("a job whose owner sees no other scheduler was not taken: %+v", again)
+	}
+	third := s.Submit(start.Add(2*time.Millisecond), j, "next")
+	if failedOf(third) != nil || len(third.Calls) != 0 || len(third.Replies) != 1 {
+		t.Errorf("asked for the job again: %+v", third)
+	}
+}
--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -75,7 +75,7 @@
 	askAgain      = 500 * time.Millisecond // pace at which an owner asks for an accepted job
 	handoverWait  = 60 * time.Millisecond  // that a scheduler which has just got a pool waits for news of it
 	handoverAgain = time.Second            // before it waits so again
-	handoverKeeps = 400 * time.Millisecond // that a scheduler keeps a pool it was given, whoever it takes for the first
+	handoverKeeps = time.Second            // that a scheduler keeps a pool it was given, whoever it takes for the first
 	silentAsks    = 2                      // unanswered questions after which another box is asked
 )
 
@@ -86,8 +86,9 @@
 	formedAfter  = 4 * time.Second  // that the oldest box runs until all know one another
 	formingFor   = time.Second      // after its start a box waits so long to meet a box that may schedule
 	formingPace  = 10 * time.Millisecond
-	shunFor      = 3 * time.Second        // that a box which did not answer is passed over
-	rosterLife   = 100 * time.Millisecond // for which the schedulers once chosen are kept
+	hintLife     = 1500 * time.Millisecond // that the word of a scheduler on who follows it counts
+	shunFor      = 3 * time.Second         // that a box which did not answer is passed over
+	rosterLife   = 100 * time.Millisecond  // for which the schedulers once chosen are kept
 )
 
 // stagePart is the part of a request's time by whose end its stages must be made. What is not through
--- a/src/gateway/owner.go
+++ b/src/gateway/owner.go
@@ -110,6 +110,7 @@
 				// comes back.
 				if to := m.Failed.To; !avoid[to] && (to == g.ID.Name || g.fleet.addressOf(to) != "") {
 					box = to
+					g.fleet.moved(g.now(), j.Pool, to)
 				}
 				accepted, silent = false, 0
 				g.tell(box, batch.Message{Submit: j.Submission(g.now())})
--- a/src/gateway/roster.go
+++ b/src/gateway/roster.go
@@ -17,10 +17,18 @@
 	chosen map[string]string    // scheduler by pool
 	until  time.Time            // when both are worked out anew
 	silent map[string]time.Time // boxes that did not answer this box, and when they are asked again
+	hints  map[string]hint      // what schedulers said of who follows them, by pool
+}
+
+// hint is the word of a scheduler that another box has its pool now. It goes before this box's own view,
+// which learns of a change later in a large fleet.
+type hint struct {
+	box   string
+	until time.Time
 }
 
 func (r *roster) init() {
-	r.chosen, r.silent = map[string]string{}, map[string]time.Time{}
+	r.chosen, r.silent, r.hints = map[string]string{}, map[string]time.Time{}, map[string]hint{}
 }
 
 // forget has everything worked out anew.
@@ -109,6 +117,13 @@
 	return r.boxes
 }
 
+// moved notes a scheduler's word that another box has its pool now.
+func (f *fleet) moved(now time.Time, pool, to string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.roster.hints[pool] = hint{box: to, until: now.Add(hintLife)}
+}
+
 // schedulers lists the boxes that may schedule pools now. The fleet's lock is held.
 func (f *fleet) schedulers(now time.Time) []string {
 	all := f.eligible(now)
@@ -126,6 +141,12 @@
 	if len(avoid) > 0 {
 		return firstByHash(pool, boxes, avoid, f.gateway.ID.Name)
 	}
+	if h, ok := f.roster.hints[pool]; ok {
+		if now.Before(h.until) && !now.Before(f.roster.silent[h.box]) {
+			return h.box
+		}
+		delete(f.roster.hints, pool)
+	}
 	box, ok := f.roster.chosen[pool]
 	if !ok {
 		box = firstByHash(pool, boxes, nil, f.gateway.ID.Name)
--- a/src/gateway/roster_test.go
+++ b/src/gateway/roster_test.go
@@ -134,3 +134,30 @@
 		}
 	})
 }
+
+// In a large fleet news of a change takes a while; the scheduler before knows who follows it.
+func TestAnOwnerBelievesASchedulerThatNamesTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 3)
+		time.Sleep(5 * time.Second)
+		g := f.box("box0")
+		first := g.schedulerOf("encode", nil)
+		next := "box1"
+		if first == next {
+			next = "box2"
+		}
+		g.fleet.moved(g.now(), "encode", next)
+		if got := g.schedulerOf("encode", nil); got != next {
+			t.Errorf("%s schedules, want %s as %s said", got, next, first)
+		}
+		time.Sleep(hintLife)
+		if got := g.schedulerOf("encode", nil); got != first {
+			t.Errorf("the word of a scheduler counts for ever: %s", got)
+		}
+		g.fleet.moved(g.now(), "encode", next)
+		g.fleet.shun(g.now(), next)
+		if got := g.schedulerOf("encode", nil); got == next {
+			t.Error("a box that does not answer schedules")
+		}
+	})
+}
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -30,6 +30,9 @@
 	foreign bool      // another box had the pool when this one last looked
 }
 
+// keeps says whether another box has just handed the pool over.
+func (s *scheduler) keeps(now time.Time) bool { return now.Sub(s.givenAt) < handoverKeeps }
+
 func (d *desk) init(g *Gateway) {
 	d.gateway = g
 	d.all, d.servers = map[string]*scheduler{}, map[string][]catalog.Server{}
@@ -122,7 +125,7 @@
 	}
 	now := g.now()
 	s.mu.Lock()
-	if now.Sub(s.givenAt) < handoverKeeps && !g.Draining() { // the giver knew better: giving it back would start a circle
+	if s.keeps(now) && !g.Draining() { // the giver knew better: giving it back would start a circle
 		s.mu.Unlock()
 		return
 	}
@@ -169,14 +172,21 @@
 		return
 	}
 	now := d.gateway.now()
+	elsewhere := d.gateway.schedulerOf(j.Pool, nil)
+	if elsewhere == d.gateway.ID.Name {
+		elsewhere = ""
+	}
 	s.mu.Lock()
 	s.usedAt = now
-	if s.foreign && now.Sub(s.heldAt) > handoverAgain {
+	if s.keeps(now) && !d.gateway.Draining() {
+		elsewhere = ""
+	}
+	if elsewhere == "" && s.foreign && now.Sub(s.heldAt) > handoverAgain {
 		s.heldAt = now
 		s.core.HoldUntil(now.Add(handoverWait))
 	}
-	s.foreign = false
-	a := s.core.Submit(now, j.Job(now))
+	s.foreign = elsewhere != ""
+	a := s.core.Submit(now, j.Job(now), elsewhere)
 	s.mu.Unlock()
 	d.carry(s, a)
 }
