--- /dev/null
+++ b/src/gateway/serverlist.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"maps"
+	"time"
+
+	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/port"
+)
+
+// takeServers takes a list of servers in a state (catalog.Listing.State). readAt is zero when it came
+// from a peer.
+func (g *Gateway) takeServers(list []catalog.Server, asOf uint64, readAt time.Time, from string) {
+	after := make(map[string]catalog.Server, len(list))
+	for _, s := range list {
+		after[s.ID] = s
+	}
+	g.takeServerMap(after, asOf, readAt, from)
+}
+
+// takeServerMap takes a list of servers by id, which must not change any more.
+func (g *Gateway) takeServerMap(after map[string]catalog.Server, asOf uint64, readAt time.Time, from string) {
+	p := &g.published
+	digest := catalog.Digest(after)
+	p.mu.Lock()
+	changed := false
+	if readAt.IsZero() {
+		changed = p.lists.Pulled(asOf, digest)
+	} else {
+		changed = p.lists.Read(readAt, asOf, digest)
+	}
+	p.known = true
+	if !changed {
+		p.mu.Unlock()
+		return
+	}
+	before := p.servers
+	change := catalog.Diff(before, after)
+	p.history.Add(p.digest, digest, change)
+	p.servers, p.digest = after, digest
+	p.recent = append(p.recent[max(0, len(p.recent)+1-recentLists):], recentList{digest: digest, servers: after})
+	p.mu.Unlock()
+	g.logServers(before, change, asOf, from)
+	g.applyServers(poolsOf(before, change))
+	g.announce()
+}
+
+// poolsOf names the pools that a change touches.
+func poolsOf(before map[string]catalog.Server, change catalog.Difference) map[string]bool {
+	out := map[string]bool{}
+	for _, s := range change.Put {
+		out[s.Pool] = true
+		out[before[s.ID].Pool] = true
+	}
+	for _, id := range change.Gone {
+		out[before[id].Pool] = true
+	}
+	return out
+}
+
+func (g *Gateway) logServers(before map[string]catalog.Server, change catalog.Difference, state uint64, from string) {
+	for _, s := range change.Put {
+		if old, ok := before[s.ID]; !ok || old.Draining != s.Draining {
+			g.Log.Info("server listed", "server", s.ID, "pool", s.Pool, "domain", s.Domain, "draining", s.Draining, "revision", catalog.RevisionOf(state), "from", from)
+		}
+	}
+	for _, id := range change.Gone {
+		g.Log.Info("server gone", "server", id, "pool", before[id].Pool, "revision", catalog.RevisionOf(state), "from", from)
+	}
+}
+
+// applyServers gives pools and schedulers the servers that take new work; nil touches all pools.
+func (g *Gateway) applyServers(touched map[string]bool) {
+	by := map[string][]catalog.Server{}
+	for name := range touched {
+		by[name] = nil
+	}
+	p := &g.published
+	p.applying.Lock()
+	defer p.applying.Unlock()
+	p.mu.Lock()
+	for _, s := range p.servers {
+		if !s.Draining && (touched == nil || touched[s.Pool]) {
+			by[s.Pool] = append(by[s.Pool], s)
+		}
+	}
+	p.mu.Unlock()
+	g.pools.configure(by, touched == nil)
+	g.desk.configure(by, touched == nil)
+}
+
+// mayUse says whether a server still takes new work, as far as this box knows.
+func (g *Gateway) mayUse(id string) bool {
+	p := &g.published
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.servers[id]
+	return ok && !s.Draining
+}
+
+// recentServers is a copy of a list that this box holds or held, nil when it is not known any more.
+func (p *published) recentServers(digest string) map[string]catalog.Server {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.recent {
+		if r.digest == digest {
+			return maps.Clone(r.servers)
+		}
+	}
+	return nil
+}
+
+// takeDifference takes a list of servers that was told as a difference to another. When that other is
+// not known any more, the list is asked for again.
+func (g *Gateway) takeDifference(d *port.Published, from string) {
+	p := &g.published
+	after := p.recentServers(d.Base)
+	if after != nil {
+		d.Since.Apply(after)
+	}
+	if after == nil || catalog.Digest(after) != d.Digest {
+		g.Log.Warn("difference of servers does not fit", "from", from, "revision", catalog.RevisionOf(d.AsOf))
+		p.mu.Lock()
+		p.lists.PullFailed(from)
+		p.mu.Unlock()
+		return
+	}
+	g.takeServerMap(after, d.AsOf, time.Time{}, from)
+}
