A job is not sent on to a box that its owner has found silent

Cause: after the change that has schedulers send jobs on, a scheduler's death cost each job 250 ms more: the next box, which had not missed the dead one yet, named it, and owners went back to it. The test for silent schedulers now has the third box schedule next; it failed with 557 ms.

--- a/src/gateway/owner.go
+++ b/src/gateway/owner.go
@@ -108,7 +108,7 @@
 			case m.Failed != nil && m.Failed.Reason == batch.Moved:
 				// A box that did not answer is not asked again: the one that names it takes a job that
 				// comes back.
-				if to := m.Failed.To; !avoid[to] && (to == g.ID.Name || g.fleet.addressOf(to) != "") {
+				if to := m.Failed.To; !avoid[to] && g.fleet.mayAsk(g.now(), to) {
 					box = to
 					g.fleet.moved(g.now(), j.Pool, to)
 				}
--- a/src/gateway/roster.go
+++ b/src/gateway/roster.go
@@ -117,6 +117,17 @@
 	return r.boxes
 }
 
+// mayAsk says whether a box can be asked: its address is known and it did not stay silent lately.
+func (f *fleet) mayAsk(now time.Time, box string) bool {
+	if box == f.gateway.ID.Name {
+		return true
+	}
+	known := f.addressOf(box) != ""
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return known && !now.Before(f.roster.silent[box])
+}
+
 // moved notes a scheduler's word that another box has its pool now.
 func (f *fleet) moved(now time.Time, pool, to string) {
 	f.mu.Lock()
--- a/src/gateway/roster_test.go
+++ b/src/gateway/roster_test.go
@@ -121,9 +121,10 @@
 			return run(ctx, box, s, items)
 		}
 		scheduler := f.box("box0").schedulerOf("encode", nil)
-		asker := "box0"
-		if scheduler == asker {
-			asker = "box1"
+		others := slices.DeleteFunc([]string{"box0", "box1", "box2"}, func(b string) bool { return b == scheduler })
+		asker := others[0] // the other one schedules next, and has not missed the first yet
+		if schedulerAmong("encode", others...) == asker {
+			asker = others[1]
 		}
 		f.kill(scheduler)
 		if a := f.ask(asker, "/draft/1", "first", nil); !a.ended || a.took < ackPatience {
