--- a/src/balance/prompt.go
+++ b/src/balance/prompt.go
@@ -64,8 +64,8 @@
 		share = p.popular[w.Parts[0].ID] / p.asked
 	}
 	n := max(1, min(len(p.servers), int(math.Ceil(popularitySpare*share*float64(len(p.servers))))))
-	least := p.rankOf(catalog.Hash(w.Parts[0].ID), n)
 	first, deepest := catalog.Hash(w.Parts[0].ID), catalog.Hash(w.Parts[len(w.Parts)-2].ID)
+	least := p.rankOf(first, n)
 	best, rank := "", uint64(0)
 	for id, v := range p.servers {
 		if mix(first, v.hash) < least {
--- /dev/null
+++ b/src/core/memberviews.go
@@ -0,0 +1,83 @@
+package core
+
+import (
+	"sort"
+	"time"
+)
+
+// Find gives a member by name, or nil.
+func (m *Members) Find(name string) *Member { return m.all[name] }
+
+// Each lists the members by name.
+func (m *Members) Each() []*Member {
+	out := make([]*Member, 0, len(m.all))
+	for _, e := range m.all {
+		out = append(out, e)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].id.Name < out[j].id.Name })
+	return out
+}
+
+// Near lists where the usable members of a small fleet listen; a large one gives none.
+func (m *Members) Near() []string {
+	var out []string
+	for _, e := range m.all {
+		if e.Usable() && e.id.Incarnation != 0 && e.address != "" {
+			out = append(out, e.address)
+		}
+	}
+	if len(out) > smallFleet {
+		return nil
+	}
+	return out
+}
+
+// Some lists where a few usable members listen, drawn anew each time: for news that is to go round a
+// fleet that is too large to tell everybody.
+func (m *Members) Some(n int) []string {
+	var out []string
+	for _, name := range m.newRound() {
+		if e := m.all[name]; e.Usable() && e.id.Incarnation != 0 && len(out) < n {
+			out = append(out, e.address)
+		}
+	}
+	return out
+}
+
+// Usable lists the names of members that take work, this box included unless it is leaving.
+func (m *Members) Usable() []string {
+	var out []string
+	if m.Self.State == MemberAlive {
+		out = append(out, m.Self.ID.Name)
+	}
+	for n, e := range m.all {
+		if e.Usable() && e.id.Incarnation != 0 {
+			out = append(out, n)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// RunningMember is a member that takes work.
+type RunningMember struct {
+	Name    string
+	Address string
+	Up      time.Duration // how long it has been running
+}
+
+// Running lists the members that take work, as Usable does, with what the choice among them needs.
+func (m *Members) Running(now time.Time) []RunningMember {
+	var out []RunningMember
+	for _, name := range m.Usable() {
+		r := RunningMember{Name: name, Address: m.Self.Address, Up: now.Sub(m.Start)}
+		if e := m.all[name]; e != nil {
+			r.Address, r.Up = e.address, e.Up(now)
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// Successor is the box that took over the ledger of an incarnation that stopped as planned, or "".
+func (m *Members) Successor(id BoxID) string { return m.closed[id].successor }
--- a/src/gateway/outage_test.go
+++ b/src/gateway/outage_test.go
@@ -17,16 +17,22 @@
 	f.rev++
 }
 
+// outage takes the store away for a while, after which it lists only so many of the servers. It gives all.
+func (f *testFleet) outage(left int) []catalog.Server {
+	time.Sleep(3 * time.Second)
+	all := f.servers
+	f.setStore(false, all)
+	time.Sleep(6 * time.Second)
+	f.setStore(true, all[:left])
+	return all
+}
+
 // Entries lapse while the store is away; whoever lives writes its entry again within about two
 // seconds of the store's return. Until then its servers are used, after that they are gone.
 func TestServersWhoseEntriesLapsedInAnOutageAreUsedUntilTheyCouldBeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, 4)
-		time.Sleep(3 * time.Second)
-		all := f.servers
-		f.setStore(false, all)
-		time.Sleep(6 * time.Second)
-		f.setStore(true, all[:1])
+		all := f.outage(1)
 		time.Sleep(1500 * time.Millisecond)
 		for _, box := range []string{"box0", "box1", "box2", "box3"} {
 			if !f.box(box).mayUse(all[1].ID) {
@@ -51,11 +57,7 @@
 func TestBoxesThatDoNotReadDropLapsedServersToo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, 6)
-		time.Sleep(3 * time.Second)
-		all := f.servers
-		f.setStore(false, all)
-		time.Sleep(6 * time.Second)
-		f.setStore(true, all[:2])
+		all := f.outage(2)
 		time.Sleep(5 * time.Second)
 		for i := range 6 {
 			if box := f.box(fmt.Sprint("box", i)); box.mayUse(all[2].ID) {
--- a/src/gateway/published_test.go
+++ b/src/gateway/published_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"maps"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/port"
 )
 
@@ -119,3 +121,26 @@
 		}
 	})
 }
+
+// Lists come from the store and from peers at once. Whichever is applied last, pools must end up with
+// the servers of the newest.
+func TestTheNewestListWinsInThePools(t *testing.T) {
+	for range 40 {
+		g := &Gateway{ID: core.BoxID{Name: "self", Incarnation: 1}, Peers: port.Peers{Beat: func(string, core.Beat) {}}}
+		g.Init()
+		var all sync.WaitGroup
+		for n := range 24 {
+			all.Go(func() { g.takeServers(benchServers(300+n, 0), uint64(n+1), time.Time{}, "somebody") })
+		}
+		all.Wait()
+		want := 0
+		for _, s := range g.published.servers {
+			if s.Pool == "model" {
+				want++
+			}
+		}
+		if got := g.pools.get("model").picker.Size(); got != want {
+			t.Fatalf("the pool has %d servers, the newest list %d", got, want)
+		}
+	}
+}
