--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -108,6 +108,12 @@
 // largeResults is the size of a stage's results from which on they are made where they will be read.
 const largeResults = 200_000
 
+// Tunables of stages that wait for the others whose results are read with theirs.
+const (
+	partnerMargin = 60 * time.Millisecond // by which they begin sooner than it is estimated to be needed
+	partnerPace   = 40 * time.Millisecond // at which that is estimated anew; a scheduler's tick
+)
+
 // lifeMargin is kept from the life of results for messages and for a call to come to its turn.
 const lifeMargin = 90 * time.Millisecond
 
--- /dev/null
+++ b/src/gateway/pacing.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"context"
+	"time"
+)
+
+// A large result takes up room at its maker from the call that makes it until it is read. Room is what
+// bounds a pool of makers, so a stage with large results is begun no sooner than it must be: so that it
+// ends together with the other results that its reader needs.
+
+// remaining estimates the time until a stage is made, 0 when it is.
+func (s *stageRun) remaining(now time.Time, stage int) time.Duration {
+	if s.request.Pieces[stage] == 0 || s.isMade(stage) {
+		return 0
+	}
+	if end := s.expectedEnd(stage); !end.IsZero() {
+		return max(0, end.Sub(now))
+	}
+	before := time.Duration(0)
+	for _, a := range s.pipeline.Stages[stage].After {
+		if a >= 0 && a < stage {
+			before = max(before, s.remaining(now, a))
+		}
+	}
+	return before + s.ahead(now, stage)
+}
+
+// ahead estimates the time from a stage's submission to its results.
+func (s *stageRun) ahead(now time.Time, stage int) time.Duration {
+	return s.gateway.waitIn(now, s.pipeline.Stages[stage].Pool) + s.typical(stage)
+}
+
+// partners lists the other stages whose results are read together with those of a stage.
+func (s *stageRun) partners(stage int) []int {
+	var out []int
+	together := s.pipeline.Final()
+	if len(s.followers[stage]) > 0 {
+		together = s.pipeline.Stages[s.followers[stage][0]].After
+	}
+	for _, k := range together {
+		if k >= 0 && k != stage {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// awaitPartners holds a stage with large results back until the results that are read together with
+// them would be made no sooner.
+func (s *stageRun) awaitPartners(ctx context.Context, stage int) {
+	if float64(s.request.Pieces[stage]*s.pipeline.Stages[stage].ResultBytes) < largeResults {
+		return
+	}
+	for ctx.Err() == nil {
+		now := s.gateway.now()
+		others := time.Duration(0)
+		for _, k := range s.partners(stage) {
+			others = max(others, s.remaining(now, k))
+		}
+		early := others - s.ahead(now, stage) - partnerMargin
+		if early <= 0 {
+			return
+		}
+		sleep(ctx, min(early, partnerPace))
+	}
+}
+
+func (s *stageRun) isMade(stage int) bool {
+	select {
+	case <-s.done[stage]:
+		return true
+	default:
+		return false
+	}
+}
+
+// expectedEnd is when a stage that was submitted should be made; zero before.
+func (s *stageRun) expectedEnd(stage int) time.Time {
+	s.results.mu.Lock()
+	defer s.results.mu.Unlock()
+	return s.ends[stage]
+}
+
+func (s *stageRun) expectEnd(stage int, end time.Time) {
+	s.results.mu.Lock()
+	defer s.results.mu.Unlock()
+	s.ends[stage] = end
+}
--- a/src/gateway/stages.go
+++ b/src/gateway/stages.go
@@ -78,6 +78,7 @@
 	results   *results
 	followers [][]int
 	done      []chan struct{}
+	ends      []time.Time // when submitted stages are expected to be made
 }
 
 // rest is the time from the end of a stage to the first output, as pools wait and work now.
@@ -124,7 +125,7 @@
 	n := len(s.pipeline.Stages)
 	s.gateway, s.followers = g, followersOf(s.pipeline)
 	s.results = &results{gateway: g, pipeline: s.pipeline, handles: make([][]string, n), freed: make([]bool, n), read: make([]bool, n), domains: make([]string, n), expires: make([]time.Time, n)}
-	s.done = make([]chan struct{}, n)
+	s.done, s.ends = make([]chan struct{}, n), make([]time.Time, n)
 	for i := range s.done {
 		s.done[i] = make(chan struct{})
 	}
@@ -170,7 +171,9 @@
 	if s.request.Pieces[i] == 0 {
 		return 0
 	}
+	s.awaitPartners(ctx, i)
 	g, began := s.gateway, s.gateway.now()
+	s.expectEnd(i, began.Add(s.ahead(began, i)))
 	rest := s.rest(i)
 	j := &batch.Job{
 		Pool: st.Pool, Request: s.request.ID, Class: s.pipeline.Name + "/" + st.Pool + "/" + string(rune('0'+i%10)),
