Work waits for the domain of its inputs by what would cross and by its time left, not by the backlog

The first stage's results are 8 KB a piece, and it waited for its domain all the same. Tests: the two new ones fail on the code before.

--- a/src/batch/constants.go
+++ b/src/batch/constants.go
@@ -8,7 +8,7 @@
 	foreignAfter      = 160 * time.Millisecond // wait after which a job may leave the domain of its inputs
 	foreignSlack      = 500 * time.Millisecond // beyond a call's time; with so much left
 	foreignAfterSlack = 900 * time.Millisecond // a job waits for its domain this long
-	calmServers       = 4                      // for so many servers one call's worth of waiting pieces is little
+	smallCross        = 200_000.0              // bytes from another domain that no job waits for
 	splitAfter        = 200 * time.Millisecond // wait after which a job may be split between calls
 	roomPart          = 0.97                   // part of a server's room that is used
 	roomPause         = 300 * time.Millisecond // after a server said that it has none
--- a/src/batch/forming.go
+++ b/src/batch/forming.go
@@ -63,7 +63,6 @@
 	if len(free) == 0 {
 		return out
 	}
-	s.waiting, _ = s.Pending()
 	queue := s.sorted(now)
 	for _, v := range free {
 		if v.ratio > slowRatio && !s.worthSlow(now, v) {
@@ -147,10 +146,10 @@
 // fitsDomain keeps a job near its inputs for a while, as long as there is a sound server there.
 func (s *Scheduler) fitsDomain(now time.Time, t *job, v *serverState) bool {
 	wait := foreignAfter
-	if s.calm() && t.Due.Sub(now) > s.pool.Batch.CallTime+foreignSlack {
+	if t.Due.Sub(now) > s.pool.Batch.CallTime+foreignSlack {
 		wait = foreignAfterSlack
 	}
-	if t.InputDomain == "" || t.InputDomain == v.Domain || now.Sub(t.since) >= wait {
+	if t.InputDomain == "" || t.InputDomain == v.Domain || t.CrossBytes < smallCross || now.Sub(t.since) >= wait {
 		return true
 	}
 	for _, o := range s.servers {
@@ -161,11 +160,6 @@
 	return true
 }
 
-// calm says whether so little waits that a job may wait for its domain without holding others up.
-func (s *Scheduler) calm() bool {
-	return s.waiting <= s.pool.Batch.Size*max(1, s.sound()/calmServers)
-}
-
 // sound counts the servers that work as they should.
 func (s *Scheduler) sound() int {
 	n := 0
--- a/src/batch/message.go
+++ b/src/batch/message.go
@@ -28,6 +28,7 @@
 	Pieces      int
 	Inputs      []string // handles of results that each piece needs
 	InputDomain string   // failure domain where most of them lie; "" for none
+	CrossBytes  float64  // that cross between domains if the pieces are made elsewhere
 	Key         string   // the caller's key for pieces without inputs
 	ResultBytes float64
 	Priority    int
@@ -93,6 +94,7 @@
 	Pieces      int           `msgpack:"n"`
 	Inputs      []string      `msgpack:"u,omitempty"`
 	InputDomain string        `msgpack:"d,omitempty"`
+	CrossBytes  float64       `msgpack:"x,omitempty"`
 	Key         string        `msgpack:"k,omitempty"`
 	ResultBytes float64       `msgpack:"b"`
 	Priority    int           `msgpack:"y"`
@@ -154,7 +156,7 @@
 func (j *Job) Submission(now time.Time) *Submit {
 	return &Submit{
 		ID: j.ID, Pool: j.Pool, Request: j.Request, Class: j.Class, Stage: j.Stage, Pieces: j.Pieces,
-		Inputs: j.Inputs, InputDomain: j.InputDomain, Key: j.Key, ResultBytes: j.ResultBytes,
+		Inputs: j.Inputs, InputDomain: j.InputDomain, CrossBytes: j.CrossBytes, Key: j.Key, ResultBytes: j.ResultBytes,
 		Priority: j.Priority, DueIn: j.Due.Sub(now), DeadlineIn: j.Deadline.Sub(now),
 	}
 }
@@ -163,7 +165,7 @@
 func (s *Submit) Job(now time.Time) *Job {
 	return &Job{
 		ID: s.ID, Pool: s.Pool, Request: s.Request, Class: s.Class, Stage: s.Stage, Pieces: s.Pieces,
-		Inputs: s.Inputs, InputDomain: s.InputDomain, Key: s.Key, ResultBytes: s.ResultBytes,
+		Inputs: s.Inputs, InputDomain: s.InputDomain, CrossBytes: s.CrossBytes, Key: s.Key, ResultBytes: s.ResultBytes,
 		Priority: s.Priority, Due: now.Add(s.DueIn), Deadline: now.Add(s.DeadlineIn),
 	}
 }
--- a/src/batch/scheduler.go
+++ b/src/batch/scheduler.go
@@ -58,8 +58,6 @@
 type Scheduler struct {
 	Self string
 
-	waiting int // pieces that wait, as calls were last formed
-
 	pool    catalog.Pool
 	jobs    map[JobID]*job
 	ended   map[JobID]ending
--- a/src/batch/scheduler_test.go
+++ b/src/batch/scheduler_test.go
@@ -237,7 +237,7 @@
 	s := testScheduler(2)
 	s.Submit(start, testJob("x", 1, 1), "") // takes s0, of d0
 	near := testJob("a", 1, 1)
-	near.InputDomain = "d0"
+	near.InputDomain, near.CrossBytes = "d0", smallCross
 	if a := s.Submit(start, near, ""); len(a.Calls) != 0 {
 		t.Fatal("work left the domain of its inputs at once")
 	}
@@ -245,7 +245,7 @@
 		t.Fatal("work left its domain though it is not due for long")
 	}
 	hurried := testJob("b", 1, 1)
-	hurried.InputDomain, hurried.Due = "d0", start.Add(800*time.Millisecond)
+	hurried.InputDomain, hurried.CrossBytes, hurried.Due = "d0", smallCross, start.Add(800*time.Millisecond)
 	s.Submit(start, hurried, "")
 	a := s.Tick(start.Add(foreignAfter))
 	if len(a.Calls) != 1 || a.Calls[0].Server.Domain != "d1" || a.Calls[0].Items[0].Request != "b-1" {
@@ -257,6 +257,29 @@
 	}
 }
 
+func TestWorkWithSmallInputsGoesAnywhere(t *testing.T) {
+	s := testScheduler(2)
+	s.Submit(start, testJob("x", 1, 1), "") // takes s0, of d0
+	near := testJob("a", 1, 1)
+	near.InputDomain, near.CrossBytes = "d0", smallCross-1
+	if a := s.Submit(start, near, ""); len(a.Calls) != 1 || a.Calls[0].Server.Domain != "d1" {
+		t.Fatal("work whose inputs are small waited for their domain")
+	}
+}
+
+func TestABacklogDoesNotDriveWorkWithTimeLeftOutOfItsDomain(t *testing.T) {
+	s := testScheduler(2)
+	s.Submit(start, testJob("x", 1, 1), "") // takes s0, of d0
+	for n := range uint64(20) {
+		near := testJob("a", n, 2)
+		near.InputDomain, near.CrossBytes = "d0", smallCross
+		s.Submit(start, near, "")
+	}
+	if a := s.Tick(start.Add(foreignAfter)); len(a.Calls) != 0 {
+		t.Fatal("work that is not due for long left the domain of its inputs because much of it waits")
+	}
+}
+
 func TestLateWorkIsDropped(t *testing.T) {
 	s := testScheduler(0)
 	s.Submit(start, testJob("a", 1, 1), "")
--- a/src/gateway/stages.go
+++ b/src/gateway/stages.go
@@ -181,7 +181,9 @@
 		Due: s.objective.Add(-rest), Deadline: s.deadline.Add(-rest),
 	}
 	var expires time.Time
-	j.Inputs, j.InputDomain, expires = s.inputs(i)
+	var each float64
+	j.Inputs, j.InputDomain, each, expires = s.inputs(i)
+	j.CrossBytes = each * float64(j.Pieces)
 	if !expires.IsZero() && expires.Before(j.Deadline) {
 		j.Deadline = expires
 	}
@@ -189,7 +191,7 @@
 		j.Key = s.request.PieceKey
 	}
 	if j.InputDomain == "" && len(s.followers[i]) == 0 && j.ResultBytes*float64(j.Pieces) >= largeResults {
-		j.InputDomain = s.domain
+		j.InputDomain, j.CrossBytes = s.domain, j.ResultBytes*float64(j.Pieces)
 	}
 	done, reason := g.runJob(ctx, j, func() { s.freeRead(i) })
 	if done == nil {
@@ -209,7 +211,7 @@
 
 // inputs lists the handles that a stage's pieces need, the domain where the most of them lie and when
 // the first of them is lost by age, less what a call may take to come to its turn.
-func (s *stageRun) inputs(i int) (handles []string, domain string, expires time.Time) {
+func (s *stageRun) inputs(i int) (handles []string, domain string, size float64, expires time.Time) {
 	r := s.results
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -219,6 +221,7 @@
 			continue
 		}
 		handles = append(handles, r.handles[a]...)
+		size += float64(len(r.handles[a]) * s.pipeline.Stages[a].ResultBytes)
 		if n := len(r.handles[a]) * s.pipeline.Stages[a].ResultBytes; n > best {
 			best, domain = n, r.domains[a]
 		}
@@ -226,7 +229,7 @@
 			expires = r.expires[a]
 		}
 	}
-	return handles, domain, expires
+	return handles, domain, size, expires
 }
 
 // freeRead gives up the results that a stage was the last to read.
