Boxes that come back together know one another within a fraction of a second

The first box up asked seeds without power; the opening packet was lost and sent again after a second, and messages to that seed queued behind it. Seeds were asked with the heartbeats only, every 500 ms.

--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -82,14 +82,16 @@
 
 // Tunables of the choice of schedulers.
 const (
-	settledAfter = 20 * time.Second // that a box runs before it takes a pool over from another
-	cohortSpread = 3 * time.Second  // boxes that started within this time of the oldest may schedule at once
-	formedAfter  = 4 * time.Second  // that the oldest box runs until all know one another
-	formingFor   = time.Second      // after its start a box waits so long to meet a box that may schedule
-	formingPace  = 10 * time.Millisecond
-	hintLife     = 1500 * time.Millisecond // that the word of a scheduler on who follows it counts
-	shunFor      = 3 * time.Second         // that a box which did not answer is passed over
-	rosterLife   = 100 * time.Millisecond  // for which the schedulers once chosen are kept
+	introduceEvery = 50 * time.Millisecond // pace at which a box that has just started asks seeds that it has not met
+	introduceFor   = 2 * time.Second
+	settledAfter   = 20 * time.Second // that a box runs before it takes a pool over from another
+	cohortSpread   = 3 * time.Second  // boxes that started within this time of the oldest may schedule at once
+	formedAfter    = 4 * time.Second  // that the oldest box runs until all know one another
+	formingFor     = time.Second      // after its start a box waits so long to meet a box that may schedule
+	formingPace    = 10 * time.Millisecond
+	hintLife       = 1500 * time.Millisecond // that the word of a scheduler on who follows it counts
+	shunFor        = 3 * time.Second         // that a box which did not answer is passed over
+	rosterLife     = 100 * time.Millisecond  // for which the schedulers once chosen are kept
 )
 
 // stagePart is the part of a request's time by whose end its stages must be made. What is not through
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -58,6 +58,20 @@
 	}
 }
 
+// introduce asks the seeds that this box has not met more often than heartbeats go, just after its start.
+func (g *Gateway) introduce(context.Context) {
+	f := &g.fleet
+	now := g.now()
+	if now.Sub(g.startedAt) > introduceFor {
+		return
+	}
+	f.mu.Lock()
+	f.core.Expect = g.news(now)
+	out := f.seedBeats(now)
+	f.mu.Unlock()
+	g.send(out)
+}
+
 // seedBeats asks the seeds that no living member is known to have.
 func (f *fleet) seedBeats(now time.Time) []core.BeatTo {
 	known := map[string]bool{f.gateway.Settings.Address: true}
--- a/src/gateway/roster_test.go
+++ b/src/gateway/roster_test.go
@@ -162,3 +162,21 @@
 		}
 	})
 }
+
+// After a loss of all boxes they come back one after the other, the seeds last. Whom a box asked before it was
+// there it asks again soon.
+func TestBoxesThatComeBackOneAfterTheOtherSoonKnowAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 0)
+		for i := range 6 {
+			f.start(fmt.Sprint("box", 5-i)) // box0 and box1 are the seeds
+			time.Sleep(70 * time.Millisecond)
+		}
+		time.Sleep(150 * time.Millisecond)
+		for i := range 6 {
+			if n := f.box(fmt.Sprint("box", i)).Members(); n != 6 {
+				t.Errorf("box%d knows %d boxes 220 ms after the last one started", i, n)
+			}
+		}
+	})
+}
--- a/src/peer/client.go
+++ b/src/peer/client.go
@@ -20,10 +20,11 @@
 
 // The client's limits.
 const (
-	dialWait     = time.Second      // for a connection to open
-	lineQueue    = 256              // messages waiting for one box; more are dropped
-	beatIdle     = 30 * time.Second // a heartbeat connection unused this long closes
-	beatPatience = time.Second      // for one heartbeat to be written
+	dialWait     = time.Second            // for a connection to open and to be secured
+	connectWait  = 200 * time.Millisecond // for TCP to connect; a lost opening packet is sent again after a second
+	lineQueue    = 256                    // messages waiting for one box; more are dropped
+	beatIdle     = 30 * time.Second       // a heartbeat connection unused this long closes
+	beatPatience = time.Second            // for one heartbeat to be written
 )
 
 // Client sends messages to other boxes. Set its fields before use; end it with Close.
@@ -53,8 +54,10 @@
 	ctx, cancel := context.WithTimeout(ctx, dialWait)
 	defer cancel()
 	if c.TLS != nil {
-		return (&tls.Dialer{Config: c.TLS}).DialContext(ctx, "tcp", address)
+		return (&tls.Dialer{Config: c.TLS, NetDialer: &net.Dialer{Timeout: connectWait}}).DialContext(ctx, "tcp", address)
 	}
+	ctx, cancelConnect := context.WithTimeout(ctx, connectWait)
+	defer cancelConnect()
 	return exchange.Dial(ctx, address)
 }
 
