--- a/src/batch/constants.go
+++ b/src/batch/constants.go
@@ -11,7 +11,7 @@
 	smallCross        = 200_000.0              // bytes from another domain that no job waits for
 	splitAfter        = 200 * time.Millisecond // wait after which a job may be split between calls
 	roomPart          = 0.97                   // part of a server's room that is used
-	roomPause         = 300 * time.Millisecond // after a server said that it has none
+	unknownLife       = time.Second            // over which an estimate of unknown results fades; the life of results (4 s) measured worse
 	fullPause         = 60 * time.Millisecond  // after a server said that it is full
 	failurePause      = 400 * time.Millisecond // after a failed call; doubled with each
 	maxDoublings      = 4
--- a/src/batch/ending.go
+++ b/src/batch/ending.go
@@ -70,6 +70,7 @@
 
 func (s *Scheduler) takeResults(now time.Time, rc *runningCall, v *serverState, results []ItemResult, out *Actions) {
 	s.learn(now, rc, v)
+	refused := 0.0 // size of the smallest result for which there was no room
 	for i, r := range results {
 		t := rc.jobs[i]
 		t.running--
@@ -88,10 +89,16 @@
 		if v != nil {
 			v.used = max(0, v.used-t.ResultBytes)
 		}
+		if r.Reason == ItemNoRoom && (refused == 0 || t.ResultBytes < refused) {
+			refused = t.ResultBytes
+		}
 		if !t.ended {
 			s.missed(now, t, rc.pieces[i], r.Reason, v, out)
 		}
 	}
+	if v != nil && refused > 0 {
+		s.refusedRoom(now, v, refused)
+	}
 	for _, t := range rc.jobs {
 		if !t.ended && t.running == 0 && len(t.pending) == 0 {
 			s.end(now, t, Message{Done: &Done{ID: t.ID, Handles: t.handles, Domain: commonest(t.domains)}}, out)
@@ -108,10 +115,7 @@
 	case ItemGone:
 		s.end(now, t, Message{Failed: &Failed{ID: t.ID, Reason: Gone}}, out)
 		return
-	case ItemNoRoom:
-		if v != nil {
-			v.pause = now.Add(roomPause)
-		}
+	case ItemNoRoom: // no fault of the piece; see refusedRoom
 	default:
 		t.failures++
 	}
--- a/src/batch/forming.go
+++ b/src/batch/forming.go
@@ -95,7 +95,7 @@
 // form makes a call of the most urgent pieces that fit a server.
 func (s *Scheduler) form(now time.Time, v *serverState, queue []*job) (Call, bool) {
 	limit := s.pool.Batch.Size
-	room := s.pool.Batch.RoomBytes*roomPart - v.used
+	room := s.room(now, v)
 	c := Call{Server: v.Server}
 	rc := &runningCall{server: v.ID, began: now, expected: s.pool.Batch.CallTime}
 	for _, t := range queue {
@@ -120,6 +120,7 @@
 		t.pending = t.pending[n:]
 		t.running += n
 		t.sent = now
+		t.doubtful = t.doubtful || s.inDoubt(now, v)
 		room -= float64(n) * t.ResultBytes
 		rc.bytes += float64(n) * t.ResultBytes
 	}
--- a/src/batch/scheduler.go
+++ b/src/batch/scheduler.go
@@ -18,19 +18,22 @@
 	insisted bool      // stays here whoever else schedules the pool
 	sent     time.Time // when its last piece so far went into a call
 	read     bool      // its owner was told that the inputs have been read
+	doubtful bool      // some of its pieces are at a server that may lack room for them
 }
 
 type serverState struct {
 	catalog.Server
-	call     uint64    // at work, 0 for none
-	until    time.Time // expected end of it
-	pause    time.Time // no call before
-	failures int
-	ratio    float64 // measured time over expected time
-	probed   time.Time
-	handed   bool    // the call at work was told to the next scheduler
-	used     float64 // bytes of results that lie there
-	listed   bool
+	call      uint64    // at work, 0 for none
+	until     time.Time // expected end of it
+	pause     time.Time // no call before
+	failures  int
+	ratio     float64 // measured time over expected time
+	probed    time.Time
+	handed    bool    // the call at work was told to the next scheduler
+	used      float64 // bytes of results that lie there
+	unknown   float64 // bytes of results there that this scheduler has no handles of, when they were last estimated
+	unknownAt time.Time
+	listed    bool
 }
 
 type runningCall struct {
@@ -210,9 +213,10 @@
 
 // hasRead says whether every piece of a job is in a call that must have read its inputs by now, and
 // its owner does not know yet. Their room is given up then and not at the call's end: room is what
-// bounds a pool of makers.
+// bounds a pool of makers. Where a server may refuse pieces for want of room the inputs are kept, or
+// the refused pieces could not be made without making all before them again.
 func (t *job) hasRead(now time.Time) bool {
-	return !t.read && len(t.Inputs) > 0 && len(t.pending) == 0 && now.Sub(t.sent) >= readTime
+	return !t.read && !t.doubtful && len(t.Inputs) > 0 && len(t.pending) == 0 && now.Sub(t.sent) >= readTime
 }
 
 func (s *Scheduler) frees() []FreeCall {
