A scheduler that is lost takes less with it: ended processes are noticed, owners tell the next what they hold

Now: the end of a heartbeat connection and refused connections show that a process has ended; what waits there moves at once. Owners name the silent box to the next scheduler, and tell it of the results that they hold. Results are given up by server, known or not. A handover is told once and the giver goes on counting. Ruled out: speeding the first question up (an accepted job waits 500 ms by design); asking makers for their room. What remains: the results of calls at work at the loss, for which nobody has a handle; they take up room for 4 s.

--- a/src/batch/ending.go
+++ b/src/batch/ending.go
@@ -14,10 +14,10 @@
 	delete(s.calls, n)
 	v := s.servers[rc.server]
 	if v != nil {
-		if v.handed {
+		if v.handed != "" {
 			s.idle = append(s.idle, rc.server)
 		}
-		v.call, v.handed = 0, false
+		v.call, v.handed = 0, ""
 	}
 	if outcome == CallDone && len(results) != len(rc.jobs) {
 		outcome = CallBroken
@@ -80,7 +80,7 @@
 				s.release(now, []string{r.Handle})
 				continue
 			}
-			t.handles[rc.pieces[i]] = r.Handle
+			t.handles[rc.pieces[i]], t.places[rc.pieces[i]] = r.Handle, rc.server
 			if v != nil {
 				t.domains[rc.pieces[i]] = v.Domain
 			}
@@ -101,7 +101,7 @@
 	}
 	for _, t := range rc.jobs {
 		if !t.ended && t.running == 0 && len(t.pending) == 0 {
-			s.end(now, t, Message{Done: &Done{ID: t.ID, Handles: t.handles, Domain: commonest(t.domains)}}, out)
+			s.end(now, t, Message{Done: &Done{ID: t.ID, Handles: t.handles, Servers: t.places, Domain: commonest(t.domains)}}, out)
 		}
 	}
 }
--- a/src/batch/handover.go
+++ b/src/batch/handover.go
@@ -4,8 +4,9 @@
 	"time"
 )
 
-// HandOver empties a scheduler whose pool another box schedules now: jobs of which nothing is in a
-// call go back to their owners, and the next scheduler is told of the rest.
+// HandOver gives up the jobs of a scheduler whose pool another box schedules now, those of which nothing
+// is in a call, and tells the next scheduler, once, of the rest. This one goes on counting it: the next
+// may not be there, and then its owners come back here.
 func (s *Scheduler) HandOver(now time.Time, next string) (Handover, Actions) {
 	h := Handover{Pool: s.pool.Name, Idle: s.idle}
 	s.idle = nil
@@ -16,36 +17,32 @@
 		}
 	}
 	for handle, r := range s.handles {
-		h.Held = append(h.Held, HeldResult{Server: r.server, Handle: handle, Bytes: r.bytes, Left: r.until.Sub(now)})
-		delete(s.handles, handle)
-		if v := s.servers[r.server]; v != nil {
-			v.used = max(0, v.used-r.bytes)
+		if r.told == next {
+			continue
 		}
+		r.told = next
+		s.handles[handle] = r
+		h.Held = append(h.Held, HeldResult{Server: r.server, Handle: handle, Bytes: r.bytes, Left: r.until.Sub(now)})
 	}
 	for id, v := range s.servers {
-		if v.call != 0 && !v.handed {
-			v.handed = true
+		if v.call != 0 && v.handed != next {
+			v.handed = next
 			h.Busy = append(h.Busy, BusyServer{Server: id, Left: max(0, v.until.Sub(now)), Bytes: s.calls[v.call].bytes})
 		}
 	}
 	return h, out
 }
 
-// TakeOver takes what the scheduler before knew.
+// TakeOver takes what the scheduler before knew. What this one had handed over itself is forgotten: it
+// has not heard since which of it was given up.
 func (s *Scheduler) TakeOver(now time.Time, h Handover) {
 	s.holds = time.Time{}
-	for _, r := range h.Held {
-		v := s.servers[r.Server]
-		if v == nil {
-			continue
-		}
-		s.handles[r.Handle] = held{server: r.Server, bytes: r.Bytes, until: now.Add(r.Left)}
-		v.used += r.Bytes
-		if _, ok := s.early[r.Handle]; ok {
-			delete(s.early, r.Handle)
-			s.release(now, []string{r.Handle})
+	for handle, r := range s.handles {
+		if r.told != "" {
+			s.forget(handle)
 		}
 	}
+	s.Hold(now, h.Held)
 	for _, b := range h.Busy {
 		v := s.servers[b.Server]
 		if v == nil || v.call != 0 {
--- a/src/batch/message.go
+++ b/src/batch/message.go
@@ -41,12 +41,13 @@
 
 // The reasons. Gone asks the owner to make the inputs again.
 const (
-	Late    Reason = iota + 1 // can't be done by its deadline
-	Gone                      // an input is gone
-	Errors                    // its pieces failed too often
-	NoPool                    // the scheduler knows no such pool
-	Stopped                   // the owner withdrew it
-	Moved                     // another box schedules the pool now; ask there
+	Late        Reason = iota + 1 // can't be done by its deadline
+	Gone                          // an input is gone
+	Errors                        // its pieces failed too often
+	NoPool                        // the scheduler knows no such pool
+	Stopped                       // the owner withdrew it
+	Moved                         // another box schedules the pool now; ask there
+	Unreachable                   // no process listens where the scheduler was; said by the owner's own box
 )
 
 // String names the reason for logs.
@@ -64,6 +65,8 @@
 		return "withdrawn"
 	case Moved:
 		return "moved"
+	case Unreachable:
+		return "unreachable"
 	}
 	return "unknown"
 }
@@ -82,6 +85,7 @@
 	Withdraw *Withdraw     `msgpack:"w,omitempty"`
 	Free     *Free         `msgpack:"r,omitempty"`
 	Handover *Handover     `msgpack:"h,omitempty"`
+	Held     *Held         `msgpack:"e,omitempty"`
 }
 
 // Submit asks for a job; its times are durations from the sending.
@@ -100,12 +104,14 @@
 	Priority    int           `msgpack:"y"`
 	DueIn       time.Duration `msgpack:"t"`
 	DeadlineIn  time.Duration `msgpack:"l"`
+	Silent      string        `msgpack:"z,omitempty"` // a box that should have scheduled it and did not answer
 }
 
 // Done gives the results of a job, a handle for each piece in order.
 type Done struct {
 	ID      JobID    `msgpack:"i"`
 	Handles []string `msgpack:"h"`
+	Servers []string `msgpack:"s"` // where each of them lies
 	Domain  string   `msgpack:"d"` // where most of them lie
 }
 
@@ -122,10 +128,18 @@
 	Pool string `msgpack:"p"`
 }
 
-// Free gives up results that have been read.
+// Free gives up results that have been read. It names where they lie, for a scheduler that never heard
+// of them.
 type Free struct {
-	Pool    string   `msgpack:"p"`
-	Handles []string `msgpack:"h"`
+	Pool    string       `msgpack:"p"`
+	Results []HeldResult `msgpack:"r"`
+}
+
+// Held tells a scheduler that is new to an owner of the results that the owner holds. The scheduler
+// before may be gone, and with it all knowledge of what takes up room.
+type Held struct {
+	Pool    string       `msgpack:"p"`
+	Results []HeldResult `msgpack:"r"`
 }
 
 // Handover gives the next scheduler of a pool what it can't see: results that take up room and calls
--- a/src/batch/scheduler.go
+++ b/src/batch/scheduler.go
@@ -12,6 +12,7 @@
 	pending  []int
 	running  int
 	handles  []string
+	places   []string // servers where the handles lie
 	domains  []string
 	failures int
 	ended    bool
@@ -29,7 +30,7 @@
 	failures  int
 	ratio     float64 // measured time over expected time
 	probed    time.Time
-	handed    bool    // the call at work was told to the next scheduler
+	handed    string  // the scheduler that was told of the call at work
 	used      float64 // bytes of results that lie there
 	unknown   float64 // bytes of results there that this scheduler has no handles of, when they were last estimated
 	unknownAt time.Time
@@ -49,6 +50,7 @@
 	server string
 	bytes  float64
 	until  time.Time
+	told   string // the scheduler that it was handed over to
 }
 
 type ending struct {
@@ -128,7 +130,7 @@
 		s.ended[id] = ending{message: moved, at: now}
 		return Actions{Replies: []Reply{{Box: id.Box, Message: moved}}}
 	}
-	t := &job{Job: j, since: now, insisted: insisted, handles: make([]string, j.Pieces), domains: make([]string, j.Pieces)}
+	t := &job{Job: j, since: now, insisted: insisted, handles: make([]string, j.Pieces), places: make([]string, j.Pieces), domains: make([]string, j.Pieces)}
 	for i := range j.Pieces {
 		t.pending = append(t.pending, i)
 	}
@@ -152,8 +154,44 @@
 	return out
 }
 
-// Free gives up results that have been read.
-func (s *Scheduler) Free(now time.Time, handles []string) { s.release(now, handles) }
+// Free gives up results that have been read, also those that this scheduler never heard of.
+func (s *Scheduler) Free(now time.Time, results []HeldResult) {
+	for _, r := range results {
+		if _, known := s.handles[r.Handle]; known {
+			s.release(now, []string{r.Handle})
+			continue
+		}
+		s.early[r.Handle] = now
+		if v := s.servers[r.Server]; v != nil {
+			v.unknown = max(0, v.unknown-r.Bytes)
+			s.freeing[r.Server] = append(s.freeing[r.Server], r.Handle)
+		}
+	}
+}
+
+// Hold takes what an owner or the scheduler before says of results that take up room.
+func (s *Scheduler) Hold(now time.Time, results []HeldResult) {
+	for _, r := range results {
+		v := s.servers[r.Server]
+		_, known := s.handles[r.Handle]
+		_, given := s.early[r.Handle]
+		if v == nil || known || given {
+			continue
+		}
+		s.handles[r.Handle] = held{server: r.Server, bytes: r.Bytes, until: now.Add(r.Left)}
+		v.used += r.Bytes
+		v.unknown = max(0, v.unknown-r.Bytes)
+	}
+}
+
+// forget drops a result that is there no more.
+func (s *Scheduler) forget(handle string) {
+	r := s.handles[handle]
+	delete(s.handles, handle)
+	if v := s.servers[r.server]; v != nil {
+		v.used = max(0, v.used-r.bytes)
+	}
+}
 
 // release notes handles to be given up; their room counts as free at once, since the server is told
 // before it gets its next call.
@@ -184,10 +222,7 @@
 	}
 	for h, r := range s.handles {
 		if now.After(r.until) {
-			delete(s.handles, h)
-			if v := s.servers[r.server]; v != nil {
-				v.used = max(0, v.used-r.bytes)
-			}
+			s.forget(h)
 		}
 	}
 	for h, at := range s.early {
--- a/src/batch/scheduler_test.go
+++ b/src/batch/scheduler_test.go
@@ -59,6 +59,15 @@
 	return nil
 }
 
+// resultsOf lists the results of a job as its owner tells of them.
+func resultsOf(d *Done, bytes float64) []HeldResult {
+	var out []HeldResult
+	for i, h := range d.Handles {
+		out = append(out, HeldResult{Server: d.Servers[i], Handle: h, Bytes: bytes, Left: 3 * time.Second})
+	}
+	return out
+}
+
 func failedOf(a Actions) *Failed {
 	for _, r := range a.Replies {
 		if r.Message.Failed != nil {
@@ -112,7 +121,7 @@
 	if len(a.Calls) != 0 {
 		t.Fatal("a call was made without room for its results")
 	}
-	s.Free(start.Add(310*time.Millisecond), doneOf(a, "a").Handles)
+	s.Free(start.Add(310*time.Millisecond), resultsOf(doneOf(a, "a"), 200))
 	b := s.Tick(start.Add(320 * time.Millisecond))
 	if len(b.Calls) != 1 || len(b.Calls[0].Free) != 4 {
 		t.Fatalf("room that was given up was not used, or the server not told first: %+v", b)
@@ -306,7 +315,7 @@
 	first.ResultBytes = 240
 	c := s.Submit(start, first, "").Calls[0]
 	a := s.CallEnded(start.Add(300*time.Millisecond), c.N, CallDone, made(c))
-	handles := doneOf(a, "a").Handles
+	given := resultsOf(doneOf(a, "a"), 240)
 	s.Submit(start.Add(300*time.Millisecond), &Job{ID: JobID{Box: "b", N: 1}, Pool: "rerank", Pieces: 1, Deadline: start.Add(time.Minute), Due: start.Add(time.Second)}, "")
 	waiting := testJob("w", 1, 1)
 	s.Submit(start.Add(300*time.Millisecond), waiting, "")
@@ -317,7 +326,7 @@
 	if len(h.Held) != 4 || len(h.Busy) != 1 {
 		t.Fatalf("handed over %d results and %d calls, want 4 and 1", len(h.Held), len(h.Busy))
 	}
-	next.Free(start.Add(310*time.Millisecond), handles[:1]) // overtakes the handover
+	next.Free(start.Add(310*time.Millisecond), given[:1]) // overtakes the handover
 	next.TakeOver(start.Add(311*time.Millisecond), h)
 	big := testJob("n", 1, 1)
 	big.ResultBytes, big.Deadline = 240, start.Add(time.Minute)
@@ -332,6 +341,53 @@
 	}
 }
 
+// A scheduler whose pool another box has is asked again when that box is not there: it must still know
+// what takes up room.
+func TestAHandoverIsToldOnceAndTheGiverGoesOnCounting(t *testing.T) {
+	s := testScheduler(1)
+	c := s.Submit(start, sized("a", 1, 4, 240), "").Calls[0]
+	s.CallEnded(start.Add(300*time.Millisecond), c.N, CallDone, made(c))
+	if h, _ := s.HandOver(start.Add(310*time.Millisecond), "next"); len(h.Held) != 4 {
+		t.Fatalf("handed over %d results, want 4", len(h.Held))
+	}
+	if h, _ := s.HandOver(start.Add(350*time.Millisecond), "next"); !h.Empty() {
+		t.Fatal("the same results were handed over twice")
+	}
+	if h, _ := s.HandOver(start.Add(390*time.Millisecond), "third"); len(h.Held) != 4 {
+		t.Fatal("a third scheduler was told nothing")
+	}
+	big := sized("b", 1, 1, 240)
+	big.Deadline = start.Add(time.Minute)
+	s.Submit(start.Add(400*time.Millisecond), big, "next")
+	if a := s.Submit(start.Add(410*time.Millisecond), big, ""); len(a.Calls) != 0 {
+		t.Fatal("room that was handed over counts as free, though the owner came back")
+	}
+	s.TakeOver(start.Add(420*time.Millisecond), Handover{Pool: "rerank"})
+	if a := s.Tick(start.Add(430 * time.Millisecond)); len(a.Calls) != 1 {
+		t.Fatal("results that the other scheduler no longer knows of still take up room")
+	}
+}
+
+func TestResultsOfASchedulerThatIsGoneCountAndAreGivenUp(t *testing.T) {
+	s := testScheduler(1)
+	held := []HeldResult{{Server: "s0", Handle: "h1", Bytes: 480, Left: 3 * time.Second}, {Server: "s0", Handle: "h2", Bytes: 480, Left: 3 * time.Second}}
+	s.Hold(start, held)
+	s.Hold(start, held[:1]) // another message of the same owner
+	big := sized("b", 1, 1, 400)
+	if a := s.Submit(start, big, ""); len(a.Calls) != 0 {
+		t.Fatal("room that an owner's results take up was used")
+	}
+	s.Free(start.Add(time.Millisecond), held[:1])
+	a := s.Tick(start.Add(40 * time.Millisecond))
+	if len(a.Calls) != 1 || len(a.Calls[0].Free) != 1 || a.Calls[0].Free[0] != "h1" {
+		t.Fatalf("the room of a result that was given up is not used: %+v", a.Calls)
+	}
+	s.Free(start.Add(50*time.Millisecond), []HeldResult{{Server: "s0", Handle: "never heard of", Bytes: 1}})
+	if a := s.Tick(start.Add(80 * time.Millisecond)); len(a.Frees) != 1 || a.Frees[0].Handles[0] != "never heard of" {
+		t.Fatalf("the server was not told of a result that this scheduler never heard of: %+v", a.Frees)
+	}
+}
+
 func TestWaitGrowsWithTheBacklog(t *testing.T) {
 	s := testScheduler(2)
 	idle := s.Wait(start)
@@ -391,7 +447,7 @@
 							rt.Fatalf("job %v got %q as piece %d", d.ID, h, i)
 						}
 					}
-					s.Free(now, d.Handles)
+					s.Free(now, resultsOf(d, 10))
 				}
 				if f := r.Message.Failed; f != nil {
 					ends[f.ID]++
--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/stilemast/stilemast/src/core"
+)
 
 // Tunables of admission.
 const (
@@ -89,6 +93,7 @@
 	formedAfter    = 4 * time.Second  // that the oldest box runs until all know one another
 	formingFor     = time.Second      // after its start a box waits so long to meet a box that may schedule
 	formingPace    = 10 * time.Millisecond
+	heardLately    = 2 * core.NewsEvery      // a box heard of within this time is not taken for silent on another's word
 	hintLife       = 1500 * time.Millisecond // that the word of a scheduler on who follows it counts
 	shunFor        = 3 * time.Second         // that a box which did not answer is passed over
 	rosterLife     = 100 * time.Millisecond  // for which the schedulers once chosen are kept
@@ -98,6 +103,9 @@
 // them by then is given up while its caller still has time to come back.
 const stagePart = 0.45
 
+// resultsPerMessage bounds the results of which one message tells a scheduler.
+const resultsPerMessage = 500
+
 // maxPieces bounds the pieces of one stage of one request.
 const maxPieces = 4096
 
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -288,6 +288,29 @@
 	return f.addresses[box]
 }
 
+// boxAt names the box at an address, "" for none.
+func (f *fleet) boxAt(address string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.core.Each() {
+		if m.Address() == address {
+			return m.ID().Name
+		}
+	}
+	return ""
+}
+
+// refused passes a box over whose process has ended; false when it was passed over already.
+func (f *fleet) refused(now time.Time, box string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Before(f.roster.silent[box]) {
+		return false
+	}
+	f.roster.shun(now, box)
+	return true
+}
+
 // stateOf is what this box thinks of another.
 func (f *fleet) stateOf(box string) core.MemberState {
 	f.mu.Lock()
--- a/src/gateway/fleet_test.go
+++ b/src/gateway/fleet_test.go
@@ -34,6 +34,8 @@
 	catalog *catalog.Catalog
 	servers []catalog.Server
 	reads   map[string]int // store calls by box
+	refuses bool           // whether the address of a killed box refuses connections, as that of a process does
+	held    int            // messages that told a scheduler of results
 	lists   int            // whole lists of servers that one box gave another
 
 	runPieces func(ctx context.Context, box string, s catalog.Server, items []batch.Item) (batch.CallOutcome, []batch.ItemResult)
@@ -147,6 +149,21 @@
 	f.lost[addressOf(name)] = lost
 }
 
+// refusal says whether an address refuses connections: no process listens there.
+func (f *testFleet) refusal(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.refuses && f.lost[address]
+}
+
+func (f *testFleet) count(m batch.Message) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m.Held != nil {
+		f.held += len(m.Held.Results)
+	}
+}
+
 // reach gives the box at an address unless a message can't get there.
 func (f *testFleet) reach(from, to string) *Gateway {
 	f.mu.Lock()
@@ -160,14 +177,21 @@
 func (f *testFleet) peers(from string) port.Peers {
 	later := func(to string, deliver func(*Gateway)) {
 		go func() {
-			if g := f.reach(from, to); g != nil && wait(f.ctx, time.Millisecond) {
+			g := f.reach(from, to)
+			if g != nil && wait(f.ctx, time.Millisecond) {
 				deliver(g)
 			}
+			if g == nil && f.refusal(to) {
+				f.box(strings.TrimSuffix(from, ":1")).TakeRefusal(to)
+			}
 		}()
 	}
 	return port.Peers{
-		Beat:  func(to string, b core.Beat) { later(to, func(g *Gateway) { g.TakeBeat(b) }) },
-		Batch: func(to string, m batch.Message) { later(to, func(g *Gateway) { g.TakeBatch(m) }) },
+		Beat: func(to string, b core.Beat) { later(to, func(g *Gateway) { g.TakeBeat(b) }) },
+		Batch: func(to string, m batch.Message) {
+			f.count(m)
+			later(to, func(g *Gateway) { g.TakeBatch(m) })
+		},
 		Ask: func(ctx context.Context, to string, q port.Question) (port.Answer, error) {
 			g := f.reach(from, to)
 			if g == nil || !wait(ctx, 2*time.Millisecond) {
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -55,6 +55,7 @@
 	desk      desk // jobs that this box schedules
 	waiting   waiting
 	estimates estimates
+	holdings  holdings
 
 	stages     context.Context // ends when no more stages are waited for
 	endStages  context.CancelFunc
@@ -112,6 +113,7 @@
 	g.desk.init(g)
 	g.waiting.init(g)
 	g.estimates.init()
+	g.holdings.init(g)
 }
 
 func (g *Gateway) now() time.Time { return g.Clock() }
@@ -238,7 +240,7 @@
 // TakeBatch takes another box's message on jobs.
 func (g *Gateway) TakeBatch(m batch.Message) {
 	g.fleet.heardFrom(m.From, m.Address)
-	if m.Submit != nil || m.Withdraw != nil || m.Free != nil || m.Handover != nil {
+	if m.Submit != nil || m.Withdraw != nil || m.Free != nil || m.Held != nil || m.Handover != nil {
 		g.desk.take(m)
 		return
 	}
--- a/src/gateway/owner.go
+++ b/src/gateway/owner.go
@@ -67,6 +67,30 @@
 	}
 }
 
+// lost tells the jobs that wait for a scheduler that it is not there any more.
+func (w *waiting) lost(box string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for n, c := range w.jobs {
+		m := batch.Message{From: box, Failed: &batch.Failed{ID: batch.JobID{N: n}, Reason: batch.Unreachable}}
+		select {
+		case c <- m:
+		default:
+		}
+	}
+}
+
+// TakeRefusal takes the word that an address of a box refuses connections: its process has ended. What
+// waits there goes elsewhere at once; the box counts again when it is heard of.
+func (g *Gateway) TakeRefusal(address string) {
+	box := g.fleet.boxAt(address)
+	if box == "" || !g.fleet.refused(g.now(), box) {
+		return
+	}
+	g.Log.Warn("box refuses connections", "box_address", address, "peer", box)
+	g.waiting.lost(box)
+}
+
 // tell sends a message on jobs to a box, this one included.
 func (g *Gateway) tell(box string, m batch.Message) {
 	m.From, m.Address = g.ID.Name, g.Settings.Address
@@ -88,7 +112,7 @@
 	avoid := map[string]bool{}
 	g.awaitFormed(ctx)
 	box := g.schedulerOf(j.Pool, avoid)
-	g.tell(box, batch.Message{Submit: j.Submission(g.now())})
+	g.submit(box, j, "")
 	timer := time.NewTimer(ackPatience)
 	defer timer.Stop()
 	accepted, silent := false, 0
@@ -113,8 +137,14 @@
 					g.fleet.moved(g.now(), j.Pool, to)
 				}
 				accepted, silent = false, 0
-				g.tell(box, batch.Message{Submit: j.Submission(g.now())})
+				g.submit(box, j, "")
 				timer.Reset(ackPatience)
+			case m.Failed != nil && m.Failed.Reason == batch.Unreachable:
+				if m.From == box {
+					avoid[box] = true
+					box, accepted, silent = g.another(j, box, avoid, silentScheduler), false, 0
+					timer.Reset(ackPatience)
+				}
 			case m.Failed != nil:
 				return nil, m.Failed.Reason
 			case m.Reading != nil:
@@ -133,7 +163,7 @@
 				timer.Reset(ackPatience)
 				continue
 			}
-			g.tell(box, batch.Message{Submit: j.Submission(g.now())})
+			g.submit(box, j, "")
 			timer.Reset(ackPatience)
 		}
 	}
@@ -153,6 +183,10 @@
 	}
 	box := g.schedulerOf(j.Pool, avoid)
 	g.Log.Warn("scheduler changed", "request", j.Request, "pool", j.Pool, "from", from, "to", box, "cause", why)
-	g.tell(box, batch.Message{Submit: j.Submission(g.now())})
+	silent := ""
+	if why == silentScheduler {
+		silent = from
+	}
+	g.submit(box, j, silent)
 	return box
 }
--- a/src/gateway/roster.go
+++ b/src/gateway/roster.go
@@ -102,6 +102,17 @@
 	f.roster.shun(now, box)
 }
 
+// toldSilent takes another box's word that a scheduler did not answer it, unless this box heard of that
+// scheduler lately.
+func (f *fleet) toldSilent(now time.Time, box string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if box == "" || box == f.gateway.ID.Name || now.Sub(f.seen[box]) < heardLately || now.Before(f.roster.silent[box]) {
+		return
+	}
+	f.roster.shun(now, box)
+}
+
 // eligible lists the boxes that may do now what one box does for all. The fleet's lock is held.
 func (f *fleet) eligible(now time.Time) []string {
 	r := &f.roster
--- a/src/gateway/roster_test.go
+++ b/src/gateway/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -180,3 +181,56 @@
 		}
 	})
 }
+
+// The process of a scheduler ends with pieces at work. Its address refuses connections, so what waits there
+// goes to the next box at once, which hears of the results that still take up room.
+func TestAKilledSchedulerIsReplacedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 4)
+		f.refuses = true
+		f.send = func(ctx context.Context, _ string, _ *Call) (*Reply, error) {
+			return events(ctx, 1, 1, time.Second, io.EOF), nil // results are held for a second
+		}
+		settle()
+		lost := f.box("box0").schedulerOf("encode", nil)
+		var owner string
+		for i := range 4 {
+			if name := fmt.Sprint("box", i); name != lost {
+				owner = name
+			}
+		}
+		go f.ask(owner, "/draft/x", "first", nil)
+		time.Sleep(400 * time.Millisecond)
+		var second answerOf
+		var done sync.WaitGroup
+		done.Go(func() { second = f.ask(owner, "/draft/x", "second", nil) })
+		time.Sleep(50 * time.Millisecond)
+		f.kill(lost)
+		done.Wait()
+		// 50 ms, up to 200 ms to the next message, which finds nobody there, a call of 300 ms and two seconds of answer.
+		if limit := 2600 * time.Millisecond; !second.ended || second.took > limit {
+			t.Errorf("the request took %s, want less than %s: %+v", second.took, limit, second)
+		}
+		if f.held != 2 {
+			t.Errorf("the next scheduler was told of %d results, want 2", f.held)
+		}
+	})
+}
+
+func TestAnotherBoxesWordThatASchedulerIsSilentCountsUnlessItWasHeardOf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 3)
+		settle()
+		g := f.box("box0")
+		g.fleet.toldSilent(g.now(), "box1")
+		if !g.fleet.mayAsk(g.now(), "box1") {
+			t.Error("a box that was heard of a moment ago was passed over on another's word")
+		}
+		f.setLost("box1", true)
+		time.Sleep(2 * heardLately)
+		g.fleet.toldSilent(g.now(), "box1")
+		if g.fleet.mayAsk(g.now(), "box1") {
+			t.Error("a box that is not heard of is asked though another found it silent")
+		}
+	})
+}
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -160,6 +160,8 @@
 		d.withdraw(*m.Withdraw)
 	case m.Free != nil:
 		d.free(*m.Free)
+	case m.Held != nil:
+		d.hold(*m.Held)
 	case m.Handover != nil:
 		d.takeOver(*m.Handover)
 	}
@@ -172,6 +174,7 @@
 		return
 	}
 	now := d.gateway.now()
+	d.gateway.fleet.toldSilent(now, j.Silent)
 	elsewhere := d.gateway.schedulerOf(j.Pool, nil)
 	if elsewhere == d.gateway.ID.Name {
 		elsewhere = ""
@@ -208,7 +211,17 @@
 		return
 	}
 	s.mu.Lock()
-	s.core.Free(d.gateway.now(), f.Handles)
+	s.core.Free(d.gateway.now(), f.Results)
+	s.mu.Unlock()
+}
+
+func (d *desk) hold(h batch.Held) {
+	s := d.get(h.Pool)
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	s.core.Hold(d.gateway.now(), h.Results)
 	s.mu.Unlock()
 }
 
--- a/src/gateway/stages.go
+++ b/src/gateway/stages.go
@@ -53,7 +53,7 @@
 	r.freed[stage] = true
 	r.mu.Unlock()
 	g, pool := r.gateway, r.pipeline.Stages[stage].Pool
-	g.tell(g.schedulerOf(pool, nil), batch.Message{Free: &batch.Free{Pool: pool, Handles: handles}})
+	g.tell(g.schedulerOf(pool, nil), batch.Message{Free: &batch.Free{Pool: pool, Results: g.holdings.take(g.now(), pool, handles)}})
 }
 
 // freeAll gives up whatever is still held.
@@ -204,6 +204,7 @@
 	s.results.handles[i], s.results.domains[i] = done.Handles, done.Domain
 	s.results.expires[i] = g.now().Add(s.lifeOf(i))
 	s.results.mu.Unlock()
+	g.holdings.add(st.Pool, done, j.ResultBytes, g.now().Add(s.lifeOf(i)))
 	s.freeRead(i)
 	g.Log.Info("stage made", "request", s.request.ID, "stage", i, "pool", st.Pool, "pieces", j.Pieces, "domain", done.Domain, "took_ms", g.now().Sub(began).Milliseconds(), "slack_ms", j.Due.Sub(g.now()).Milliseconds())
 	return 0
--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -128,6 +128,7 @@
 		Log:      n.Log,
 		Watch:    set.Watcher(),
 	}
+	n.peers.Refused = n.gateway.TakeRefusal
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.gateway.Init()
--- a/src/peer/client.go
+++ b/src/peer/client.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -31,6 +33,8 @@
 type Client struct {
 	TLS  *tls.Config // nil speaks plain TCP
 	Sent *atomic.Int64
+	// Refused is told of an address that refuses connections: no process listens there. May be nil.
+	Refused func(address string)
 
 	mu     sync.Mutex
 	lines  map[string]chan *Message
@@ -116,9 +120,11 @@
 		if conn == nil {
 			fresh, err := c.dial(context.Background(), address)
 			if err != nil {
+				c.noteRefusal(address, err)
 				return nil
 			}
 			conn = fresh
+			go c.watchLine(address, conn)
 		}
 		_ = conn.SetWriteDeadline(time.Now().Add(beatPatience))
 		n, err := WriteFrame(conn, m)
@@ -132,6 +138,27 @@
 	return nil
 }
 
+// watchLine waits until the other side ends a heartbeat connection, on which it never writes, and then
+// looks whether a process listens there still: a box that was killed is noticed without a time-out.
+func (c *Client) watchLine(address string, conn net.Conn) {
+	var b [1]byte
+	if _, err := conn.Read(b[:]); errors.Is(err, net.ErrClosed) {
+		return // by this side
+	}
+	probe, err := c.dial(context.Background(), address)
+	if err != nil {
+		c.noteRefusal(address, err)
+		return
+	}
+	_ = probe.Close()
+}
+
+func (c *Client) noteRefusal(address string, err error) {
+	if c.Refused != nil && errors.Is(err, syscall.ECONNREFUSED) {
+		c.Refused(address)
+	}
+}
+
 // open connects and sends one message; a failure before the first byte is a NotConnected.
 func (c *Client) open(ctx context.Context, address string, m *Message) (net.Conn, func() bool, error) {
 	conn, err := c.dial(ctx, address)
--- a/src/peer/client_test.go
+++ b/src/peer/client_test.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/stilemast/stilemast/src/core"
 )
 
 // fullListener gives an address whose queue of new connections is full: opening packets are dropped there, as
@@ -57,3 +59,29 @@
 		t.Errorf("given up after %s, by its caller; the packet is sent again after a second", time.Since(began))
 	}
 }
+
+func TestABoxWhoseProcessEndsIsNoticed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := make(chan string, 4)
+	c := NewClient(nil)
+	c.Refused = func(address string) { refused <- address }
+	defer c.Close()
+	c.Beat(l.Addr().String(), core.Beat{})
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	_ = conn.Close()
+	select {
+	case a := <-refused:
+		if a != l.Addr().String() {
+			t.Errorf("%s refuses, want %s", a, l.Addr())
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("nobody noticed that the box is gone, and no message is under way to find out")
+	}
+}
