Shared parts of prompts are copied from a server that keeps them; boxes tell one another what was read where

Not named as a source: who failed, rests, is slow or gone. Tests: source_test.go in balance and gateway; each fails without its part.

--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -70,7 +70,8 @@
 	resting map[string]*server // that rest, or rested a moment ago
 	scale   float64            // by which the loads that were told stand for all
 	servers map[string]*server
-	kept    map[string]map[string]time.Time // prompt part to servers that read it, and when
+	kept    map[uint64]map[uint64]time.Time // hash of a prompt part to those of servers that read it, and when
+	fresh   []freshRead                     // of which other boxes are still told
 	picks   uint64
 	popular map[string]float64 // tokens asked under a first prompt part, decaying
 	asked   float64            // tokens asked in all, decaying
@@ -82,7 +83,7 @@
 
 // NewPool knows no server yet.
 func NewPool(box, domain string) *Pool {
-	return &Pool{Box: box, Domain: domain, salt: catalog.Hash(box), words: map[string]word{}, names: map[uint64]*server{}, busy: map[string]*server{}, resting: map[string]*server{}, servers: map[string]*server{}, kept: map[string]map[string]time.Time{}, popular: map[string]float64{}}
+	return &Pool{Box: box, Domain: domain, salt: catalog.Hash(box), words: map[string]word{}, names: map[uint64]*server{}, busy: map[string]*server{}, resting: map[string]*server{}, servers: map[string]*server{}, kept: map[uint64]map[uint64]time.Time{}, popular: map[string]float64{}}
 }
 
 // Configure takes the servers that are listed and take new work.
--- a/src/balance/prompt.go
+++ b/src/balance/prompt.go
@@ -15,12 +15,12 @@
 }
 
 // keptParts is where the parts of one prompt were read, looked up once for the choice among many servers.
-type keptParts []map[string]time.Time
+type keptParts []map[uint64]time.Time
 
 func (p *Pool) keptParts(w *Wish) keptParts {
 	out := make(keptParts, len(w.Parts))
 	for i, part := range w.Parts {
-		out[i] = p.kept[part.ID]
+		out[i] = p.kept[catalog.Hash(part.ID)]
 	}
 	return out
 }
@@ -31,7 +31,7 @@
 	last := len(w.Parts) - 1
 	keeps := true
 	for i, part := range w.Parts {
-		keeps = keeps && (i < last && v.ID == home || wasRead(now, kept[i], v.ID))
+		keeps = keeps && (i < last && v.ID == home || wasRead(now, kept[i], v.hash))
 		if keeps {
 			continue
 		}
@@ -44,7 +44,7 @@
 }
 
 // wasRead says whether a server has read a part lately.
-func wasRead(now time.Time, servers map[string]time.Time, id string) bool {
+func wasRead(now time.Time, servers map[uint64]time.Time, id uint64) bool {
 	if len(servers) == 0 {
 		return false
 	}
@@ -145,19 +145,47 @@
 	p.Kept(now, id, w.Parts)
 }
 
-// Kept notes that a server keeps prompt parts.
+// Kept notes that a server keeps prompt parts, which it has read for this box.
 func (p *Pool) Kept(now time.Time, id string, parts []Part) {
-	for _, part := range parts {
-		m := p.kept[part.ID]
-		if m == nil {
-			if len(p.kept) >= keptMost {
-				p.forgetKept(now)
-			}
-			m = map[string]time.Time{}
-			p.kept[part.ID] = m
+	server := catalog.Hash(id)
+	for i, part := range parts {
+		hash := catalog.Hash(part.ID)
+		p.keeps(now, server, hash)
+		if i < len(parts)-1 {
+			p.fresh = append(p.fresh, freshRead{at: now, Read: Read{Part: hash, Server: server}})
+		}
+	}
+}
+
+// HearReads takes what another box says of prompt parts that servers have read.
+func (p *Pool) HearReads(now time.Time, reads []Read) {
+	for _, r := range reads {
+		if p.names[r.Server] != nil {
+			p.keeps(now, r.Server, r.Part)
+		}
+	}
+}
+
+// FreshReads lists the reads of shared prompt parts of which other boxes should be told now.
+func (p *Pool) FreshReads(now time.Time) []Read {
+	p.fresh = slices.DeleteFunc(p.fresh, func(r freshRead) bool { return now.Sub(r.at) > tellReads })
+	var out []Read
+	for _, r := range p.fresh {
+		out = append(out, r.Read)
+	}
+	return out
+}
+
+func (p *Pool) keeps(now time.Time, server, part uint64) {
+	m := p.kept[part]
+	if m == nil {
+		if len(p.kept) >= keptMost {
+			p.forgetKept(now)
 		}
-		m[id] = now
+		m = map[uint64]time.Time{}
+		p.kept[part] = m
 	}
+	m[server] = now
 }
 
 func (p *Pool) forgetKept(now time.Time) {
--- /dev/null
+++ b/src/balance/source_test.go
@@ -0,0 +1,96 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stilemast/stilemast/src/catalog"
+)
+
+// other gives a server that is not the one named.
+func other(id string) string {
+	if id == "s0" {
+		return "s1"
+	}
+	return "s0"
+}
+
+func TestAPromptIsCopiedFromTheServerThatReadIt(t *testing.T) {
+	p := testPool("a", 3)
+	w := &Wish{Parts: prompt("common", "book", "1")}
+	chosen := pick(t, p, w)
+	reader := other(chosen)
+	if s, ok := p.Source(start, chosen, w); ok {
+		t.Fatalf("copied from %s, though nobody read it and the chosen server is its home", s.ID)
+	}
+	p.HearReads(start, []Read{{Part: catalog.Hash("book"), Server: catalog.Hash(reader)}})
+	if s, ok := p.Source(start, chosen, w); !ok || s.ID != reader {
+		t.Errorf("copied from %q, want %s, which another box saw read it", s.ID, reader)
+	}
+	if _, ok := p.Source(start.Add(keptLife), chosen, w); ok {
+		t.Error("copied from a server that read it long ago")
+	}
+	p.Kept(start, chosen, w.Parts)
+	if _, ok := p.Source(start, chosen, w); ok {
+		t.Error("copied to a server that keeps it")
+	}
+}
+
+func TestAPromptIsCopiedFromItsHomeWhenNobodyIsKnownToHaveReadIt(t *testing.T) {
+	p := testPool("a", 3)
+	w := &Wish{Parts: prompt("common", "book", "1")}
+	home := pick(t, p, w)
+	if s, ok := p.Source(start, other(home), w); !ok || s.ID != home {
+		t.Errorf("copied from %q, want its home %s", s.ID, home)
+	}
+	small := &Wish{Parts: []Part{{ID: "common", Tokens: leastCopied - 1}, {ID: "1", Tokens: 9000}}}
+	if _, ok := p.Source(start, other(p.home(small)), small); ok {
+		t.Error("a few tokens were copied")
+	}
+}
+
+// A source that is gone, fails or is slow would hold the request up.
+func TestNothingIsCopiedFromAServerThatMayNotAnswer(t *testing.T) {
+	for name, spoil := range map[string]func(p *Pool, reader string){
+		"broken":  func(p *Pool, reader string) { p.Ended(start, reader, &Wish{}, Broken) },
+		"resting": func(p *Pool, reader string) { p.Hear(start, "b", []Note{{Server: catalog.Hash(reader), Rests: true}}) },
+		"slow": func(p *Pool, reader string) {
+			for range 20 {
+				p.Pace(reader, 10*time.Second, time.Second)
+			}
+		},
+		"gone": func(p *Pool, reader string) {
+			var left []catalog.Server
+			for id, v := range p.servers {
+				if id != reader {
+					left = append(left, v.Server)
+				}
+			}
+			p.Configure(left)
+		},
+	} {
+		p := testPool("a", 2)
+		w := &Wish{Parts: prompt("common", "book", "1")}
+		chosen := pick(t, p, w)
+		reader := other(chosen)
+		p.HearReads(start, []Read{{Part: catalog.Hash("book"), Server: catalog.Hash(reader)}})
+		if _, ok := p.Source(start, chosen, w); !ok {
+			t.Fatal("nothing is copied though the reader is sound")
+		}
+		spoil(p, reader)
+		if s, ok := p.Source(start, chosen, w); ok && s.ID == reader {
+			t.Errorf("%s: copied from it", name)
+		}
+	}
+}
+
+func TestReadsAreToldForAWhile(t *testing.T) {
+	p := testPool("a", 2)
+	p.Kept(start, "s0", prompt("common", "book", "own"))
+	if r := p.FreshReads(start.Add(tellReads)); len(r) != 2 {
+		t.Errorf("%d reads are told, want those of the two shared parts", len(r))
+	}
+	if r := p.FreshReads(start.Add(tellReads + 1)); len(r) != 0 {
+		t.Errorf("%d reads are told for ever", len(r))
+	}
+}
--- a/src/core/rumour.go
+++ b/src/core/rumour.go
@@ -40,6 +40,12 @@
 	Resting  bool   `msgpack:"r"` // it failed there lately
 }
 
+// ReadNote says that a server has read a shared part of prompts; both are named by their hashes.
+type ReadNote struct {
+	Part   uint64 `msgpack:"p"`
+	Server uint64 `msgpack:"s"`
+}
+
 // WaitNote says how long a piece waits in a pool, as its scheduler expects.
 type WaitNote struct {
 	Pool uint64        `msgpack:"p"`
@@ -60,6 +66,7 @@
 	Leavings []LeavingNote `msgpack:"v,omitempty"`
 	Backends []BackendNote `msgpack:"b,omitempty"`
 	Waits    []WaitNote    `msgpack:"t,omitempty"`
+	Reads    []ReadNote    `msgpack:"e,omitempty"`
 }
 
 // BeatTo is a heartbeat to be sent.
--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -121,6 +121,7 @@
 	now := g.now()
 	e.mu.Lock()
 	s, why, ok := e.picker.Pick(now, &v.wish)
+	source, _ := e.picker.Source(now, s.ID, &v.wish)
 	e.mu.Unlock()
 	if !ok {
 		return over, refusal(code.BackendsDown, "pool", failureReturn, "no server of %s is left to be tried", v.pool), false
@@ -129,7 +130,7 @@
 	handles, _, _ := v.made.final()
 	c := &Call{
 		Server: s, Request: v.request, Left: v.deadline.Sub(now), Workspace: v.workspace,
-		Urgency: min(v.priority, priorityHigher), Inputs: handles, LastEvent: v.lastEvent, Fresh: !v.repeatable(),
+		Urgency: min(v.priority, priorityHigher), Inputs: handles, Source: source.Address, LastEvent: v.lastEvent, Fresh: !v.repeatable(),
 	}
 	if c.LastEvent == "" {
 		c.LastEvent = v.request.LastEvent
--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -34,6 +34,7 @@
 	waitLife     = 1500 * time.Millisecond // a scheduler's note on its wait counts this long
 	seenLately   = 60 * time.Second        // a box heard of this lately may be alive, for the shared budget
 	notesPerBeat = 64
+	readsPerBeat = 48 // 18 bytes each
 	namesPerLine = 8
 	announceTo   = 6               // boxes of a large fleet that hear of a change at once
 	unsureFor    = 5 * time.Second // after its start a box does not know how many there are
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -134,10 +134,10 @@
 
 // news fills heartbeats with what other parts of the box tell.
 func (g *Gateway) news(now time.Time) func(*core.Beat) {
-	loads, waits := g.loadNotes(now), g.desk.waits(now)
+	loads, waits, reads := g.loadNotes(now), g.desk.waits(now), g.readNotes(now)
 	return func(b *core.Beat) {
 		g.published.say(now, b)
-		b.Backends, b.Waits = loads, waits
+		b.Backends, b.Waits, b.Reads = loads, waits, reads
 	}
 }
 
@@ -160,6 +160,19 @@
 	return out[:min(len(out), notesPerBeat)]
 }
 
+// readNotes lists the latest reads of shared prompt parts, as many as a beat may carry.
+func (g *Gateway) readNotes(now time.Time) []core.ReadNote {
+	var out []core.ReadNote
+	for _, p := range g.pools.list() {
+		p.mu.Lock()
+		for _, r := range p.picker.FreshReads(now) {
+			out = append(out, core.ReadNote{Part: r.Part, Server: r.Server})
+		}
+		p.mu.Unlock()
+	}
+	return out[max(0, len(out)-readsPerBeat):]
+}
+
 // TakeBeat takes a heartbeat of another box.
 func (g *Gateway) TakeBeat(m core.Beat) {
 	f := &g.fleet
@@ -190,10 +203,15 @@
 	for i, n := range m.Backends {
 		notes[i] = balance.Note{Server: n.Server, Load: balance.Load{Requests: int(n.Requests), Tokens: int(n.Tokens)}, Rests: n.Resting}
 	}
+	reads := make([]balance.Read, len(m.Reads))
+	for i, r := range m.Reads {
+		reads[i] = balance.Read{Part: r.Part, Server: r.Server}
+	}
 	for _, e := range g.pools.list() {
 		e.mu.Lock()
 		e.picker.Boxes = boxes
 		e.picker.Hear(now, m.From.ID.Name, notes)
+		e.picker.HearReads(now, reads)
 		e.mu.Unlock()
 	}
 }
--- a/src/gateway/ports.go
+++ b/src/gateway/ports.go
@@ -53,7 +53,8 @@
 	Urgency   int
 	Inputs    []string // handles of stage results
 	LastEvent string
-	Fresh     bool // on a new connection, for what can't be sent again
+	Source    string // address of a server that keeps shared parts of the prompt, "" for none
+	Fresh     bool   // on a new connection, for what can't be sent again
 }
 
 // Reply is the head of a server's answer. Close must be called.
--- /dev/null
+++ b/src/gateway/source_test.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stilemast/stilemast/src/balance"
+	"github.com/stilemast/stilemast/src/catalog"
+)
+
+// One box has a prompt read elsewhere than at its home, which is full there. Another box sends the next such
+// request home, and names the server that keeps the prompt: it knows of it from the first box alone.
+func TestABoxNamesTheServerThatReadAPromptForAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 3)
+		var mu sync.Mutex
+		var calls []*Call
+		f.send = func(ctx context.Context, _ string, c *Call) (*Reply, error) {
+			mu.Lock()
+			calls = append(calls, c)
+			mu.Unlock()
+			return events(ctx, 1, 1, time.Millisecond, io.EOF), nil
+		}
+		for i := range f.servers {
+			f.servers[i].Address = "at-" + f.servers[i].ID
+		}
+		settle()
+		prompt := func(id string) []balance.Part {
+			return []balance.Part{{ID: "common", Tokens: 1000}, {ID: "book", Tokens: 4000}, {ID: id, Tokens: 100}}
+		}
+		ask := func(r *Request) { r.Pieces, r.Parts = []int{0}, prompt(r.ID) }
+		first := f.box("box0")
+		p := first.pools.get("model")
+		p.mu.Lock()
+		wish := balance.Wish{Parts: prompt("none")}
+		home, _, _ := p.picker.Pick(first.now(), &wish)
+		p.picker.Ended(first.now(), home.ID, &wish, balance.Dropped)
+		p.picker.Hear(first.now(), "busy", []balance.Note{{Server: catalog.Hash(home.ID), Load: balance.Load{Requests: 500}}})
+		p.mu.Unlock()
+		f.ask("box0", "/draft/x", "one", ask)
+		time.Sleep(300 * time.Millisecond)
+		f.ask("box1", "/draft/x", "two", ask)
+		if len(calls) != 2 || calls[0].Server.ID == home.ID {
+			t.Fatalf("%d calls, the first at the full server", len(calls))
+		}
+		if calls[1].Server.ID != home.ID || calls[1].Source != calls[0].Server.Address {
+			t.Errorf("the second request went to %s and names %q, want %s and %q", calls[1].Server.ID, calls[1].Source, home.ID, calls[0].Server.Address)
+		}
+	})
+}
