--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -15,6 +15,7 @@
 	InputBytes  float64         // size of the inputs
 	Exclude     map[string]bool // servers tried already
 	LeastLoaded bool            // ignore prompts and places
+	Makers      map[string]int  // servers by domain that make its large inputs; nil when it has none
 }
 
 // Tokens counts the prompt's tokens.
@@ -257,3 +258,12 @@
 	}
 	return cost * max(1, v.pace)
 }
+
+// Domains counts the servers of each failure domain.
+func (p *Pool) Domains() map[string]int {
+	out := map[string]int{}
+	for _, v := range p.servers {
+		out[v.Domain]++
+	}
+	return out
+}
--- a/src/balance/balance_test.go
+++ b/src/balance/balance_test.go
@@ -208,3 +208,45 @@
 		t.Errorf("%d requests by old words", n)
 	}
 }
+
+// homesOf gives the homes of many prompts, by prompt and counted by domain.
+func homesOf(p *Pool, makers map[string]int) (homes map[string]string, domains map[string]int) {
+	homes, domains = map[string]string{}, map[string]int{}
+	for i := range 400 {
+		book := fmt.Sprint("book", i)
+		w := &Wish{Parts: prompt(fmt.Sprint("common", i%40), book, "own"), Makers: makers}
+		homes[book] = p.home(w)
+		domains[p.servers[homes[book]].Domain]++
+	}
+	return homes, domains
+}
+
+// Large inputs are best read where they can be made: as many prompts belong to a domain as it has makers.
+func TestHomesFollowTheMakersOfLargeInputs(t *testing.T) {
+	p := testPool("a", 12)
+	p.popular, p.asked = map[string]float64{}, 1
+	for i := range 40 { // every first part is popular enough for all servers
+		p.popular[fmt.Sprint("common", i)] = 1
+	}
+	even, domains := homesOf(p, nil)
+	if n := domains["d0"]; n < 100 || n > 170 {
+		t.Errorf("without makers %v", domains)
+	}
+	two, domains := homesOf(p, map[string]int{"d0": 2, "d1": 1, "d2": 1})
+	if n := domains["d0"]; n < 170 || n > 230 {
+		t.Errorf("with half of the makers in d0: %v", domains)
+	}
+	_, domains = homesOf(p, map[string]int{"d0": 2, "d1": 1})
+	if n := domains["d2"]; n > 30 {
+		t.Errorf("without a maker in d2: %v", domains)
+	}
+	moved := 0
+	for book := range even {
+		if even[book] != two[book] {
+			moved++
+		}
+	}
+	if moved > 160 {
+		t.Errorf("%d of 400 homes moved though a sixth had to", moved)
+	}
+}
--- a/src/balance/constants.go
+++ b/src/balance/constants.go
@@ -15,6 +15,7 @@
 	bytesPerMs      = 27000.0                 // bytes of results from another domain that weigh as much as a ms
 	leastCopied     = 512                     // shared tokens for which a copy from another server is worth its set-up
 	tellReads       = 450 * time.Millisecond  // for which a read is told to other boxes: two rounds of news
+	leastMakers     = 0.05                    // that a domain without makers counts as, so that it has homes where it is the only one
 	popularitySpare = 2.0                     // servers for a popular prompt part, over its share of all tokens
 	popularityLife  = 5 * time.Second         // over which that share is measured
 	failurePause    = 600 * time.Millisecond  // after repeated failures; doubled with each further one
--- a/src/balance/prompt.go
+++ b/src/balance/prompt.go
@@ -66,18 +66,36 @@
 	n := max(1, min(len(p.servers), int(math.Ceil(popularitySpare*share*float64(len(p.servers))))))
 	first, deepest := catalog.Hash(w.Parts[0].ID), catalog.Hash(w.Parts[len(w.Parts)-2].ID)
 	least := p.rankOf(first, n)
-	best, rank := "", uint64(0)
+	best, rank := "", 0.0
 	for id, v := range p.servers {
 		if mix(first, v.hash) < least {
 			continue
 		}
-		if r := mix(deepest, v.hash); best == "" || r > rank || r == rank && id < best {
+		if r := p.weight(w, v.Domain) / exponential(mix(deepest, v.hash)); best == "" || r > rank || r == rank && id < best {
 			best, rank = id, r
 		}
 	}
 	return best
 }
 
+// weight is the part of homes that servers of a domain should have, over what they would have by their
+// number: as much as the domain has of the servers that make a request's large inputs.
+func (p *Pool) weight(w *Wish, domain string) float64 {
+	makers := 0
+	for _, n := range w.Makers {
+		makers += n
+	}
+	if makers == 0 {
+		return 1
+	}
+	return (float64(w.Makers[domain]) + leastMakers) / float64(makers)
+}
+
+// exponential turns a hash into an exponentially distributed number, for rendezvous hashing by weight.
+func exponential(hash uint64) float64 {
+	return -math.Log((float64(hash>>11) + 0.5) / (1 << 53))
+}
+
 // rankOf gives the rank of the n-th server by rendezvous hash with a key.
 func (p *Pool) rankOf(key uint64, n int) uint64 {
 	if n >= len(p.servers) {
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -141,7 +141,7 @@
 		v.refuse(err)
 		return
 	}
-	v.wish = balance.Wish{Parts: v.request.Parts, Exclude: map[string]bool{}}
+	v.wish = balance.Wish{Parts: v.request.Parts, Exclude: map[string]bool{}, Makers: g.makersOf(p)}
 	e.mu.Lock()
 	v.stages.domain = e.picker.HomeDomain(&v.wish)
 	e.mu.Unlock()
@@ -224,3 +224,21 @@
 func isSuccess(status int) bool {
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
+
+// makersOf counts, by domain, the servers that make a pipeline's largest results, those that the request
+// itself reads; nil when they are small.
+func (g *Gateway) makersOf(p *catalog.Pipeline) map[string]int {
+	pool, most := "", 0
+	for _, i := range p.Final() {
+		if n := p.Stages[i].ResultBytes; n >= largeResults && n > most {
+			pool, most = p.Stages[i].Pool, n
+		}
+	}
+	if pool == "" {
+		return nil
+	}
+	e := g.pools.get(pool)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.picker.Domains()
+}
