--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -121,12 +121,15 @@
 	now := g.now()
 	e.mu.Lock()
 	s, why, ok := e.picker.Pick(now, &v.wish)
-	source, _ := e.picker.Source(now, s.ID, &v.wish)
+	source, copied := e.picker.Source(now, s.ID, &v.wish)
 	e.mu.Unlock()
 	if !ok {
 		return over, refusal(code.BackendsDown, "pool", failureReturn, "no server of %s is left to be tried", v.pool), false
 	}
 	v.wish.Exclude[s.ID] = true
+	if copied {
+		why += ", copies from " + source.ID
+	}
 	handles, _, _ := v.made.final()
 	c := &Call{
 		Server: s, Request: v.request, Left: v.deadline.Sub(now), Workspace: v.workspace,
--- a/src/gateway/stages.go
+++ b/src/gateway/stages.go
@@ -171,10 +171,31 @@
 	if s.request.Pieces[i] == 0 {
 		return 0
 	}
+	g, ready := s.gateway, s.gateway.now()
 	s.awaitPartners(ctx, i)
-	g, began := s.gateway, s.gateway.now()
+	began := g.now()
 	s.expectEnd(i, began.Add(s.ahead(began, i)))
-	rest := s.rest(i)
+	j := s.job(i)
+	done, reason := g.runJob(ctx, j, func() { s.freeRead(i) })
+	if done == nil {
+		if reason != batch.Stopped {
+			g.Log.Warn("stage failed", "request", s.request.ID, "stage", i, "pool", st.Pool, "reason", reason.String(), "took_ms", g.now().Sub(began).Milliseconds())
+		}
+		return reason
+	}
+	s.results.mu.Lock()
+	s.results.handles[i], s.results.domains[i] = done.Handles, done.Domain
+	s.results.expires[i] = g.now().Add(s.lifeOf(i))
+	s.results.mu.Unlock()
+	g.holdings.add(st.Pool, done, j.ResultBytes, g.now().Add(s.lifeOf(i)))
+	s.freeRead(i)
+	g.Log.Info("stage made", "request", s.request.ID, "stage", i, "pool", st.Pool, "pieces", j.Pieces, "domain", done.Domain, "took_ms", g.now().Sub(began).Milliseconds(), "held_ms", began.Sub(ready).Milliseconds(), "slack_ms", j.Due.Sub(g.now()).Milliseconds())
+	return 0
+}
+
+// job describes the work on a stage to its pool's scheduler.
+func (s *stageRun) job(i int) *batch.Job {
+	st, rest := s.pipeline.Stages[i], s.rest(i)
 	j := &batch.Job{
 		Pool: st.Pool, Request: s.request.ID, Class: s.pipeline.Name + "/" + st.Pool + "/" + string(rune('0'+i%10)),
 		Stage: i, Pieces: s.request.Pieces[i], ResultBytes: float64(st.ResultBytes), Priority: s.priority,
@@ -183,35 +204,21 @@
 	var expires time.Time
 	var each float64
 	j.Inputs, j.InputDomain, each, expires = s.inputs(i)
-	j.CrossBytes = each * float64(j.Pieces)
+	j.CrossBytes = each * float64(j.Pieces) // every piece reads all inputs
 	if !expires.IsZero() && expires.Before(j.Deadline) {
 		j.Deadline = expires
 	}
 	if len(j.Inputs) == 0 {
 		j.Key = s.request.PieceKey
 	}
-	if j.InputDomain == "" && len(s.followers[i]) == 0 && j.ResultBytes*float64(j.Pieces) >= largeResults {
-		j.InputDomain, j.CrossBytes = s.domain, j.ResultBytes*float64(j.Pieces)
-	}
-	done, reason := g.runJob(ctx, j, func() { s.freeRead(i) })
-	if done == nil {
-		if reason != batch.Stopped {
-			g.Log.Warn("stage failed", "request", s.request.ID, "stage", i, "pool", st.Pool, "reason", reason.String(), "took_ms", g.now().Sub(began).Milliseconds())
-		}
-		return reason
+	if made := j.ResultBytes * float64(j.Pieces); j.InputDomain == "" && len(s.followers[i]) == 0 && made >= largeResults {
+		j.InputDomain, j.CrossBytes = s.domain, made
 	}
-	s.results.mu.Lock()
-	s.results.handles[i], s.results.domains[i] = done.Handles, done.Domain
-	s.results.expires[i] = g.now().Add(s.lifeOf(i))
-	s.results.mu.Unlock()
-	g.holdings.add(st.Pool, done, j.ResultBytes, g.now().Add(s.lifeOf(i)))
-	s.freeRead(i)
-	g.Log.Info("stage made", "request", s.request.ID, "stage", i, "pool", st.Pool, "pieces", j.Pieces, "domain", done.Domain, "took_ms", g.now().Sub(began).Milliseconds(), "slack_ms", j.Due.Sub(g.now()).Milliseconds())
-	return 0
+	return j
 }
 
-// inputs lists the handles that a stage's pieces need, the domain where the most of them lie and when
-// the first of them is lost by age, less what a call may take to come to its turn.
+// inputs lists the handles that a stage's pieces need, the domain where the most of them lie, their size in
+// bytes and when the first of them is lost by age, less what a call may take to come to its turn.
 func (s *stageRun) inputs(i int) (handles []string, domain string, size float64, expires time.Time) {
 	r := s.results
 	r.mu.Lock()
