--- a/src/gateway/outage_test.go
+++ b/src/gateway/outage_test.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,3 +69,59 @@
 		}
 	})
 }
+
+// A box that has read that a server leaves sends it nothing more, also while the store is away, and nobody
+// brings the server back by an older word.
+func TestALeavingServerGetsNothingInAnOutageOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 4)
+		var mu sync.Mutex
+		arrived := map[string]int{}
+		f.send = func(_ context.Context, _ string, c *Call) (*Reply, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			arrived[c.Server.ID]++
+			return textReply(http.StatusOK, "ok"), nil
+		}
+		settle()
+		leaving := append([]catalog.Server(nil), f.servers...)
+		leaving[1].Draining = true
+		f.setStore(true, leaving)
+		time.Sleep(500 * time.Millisecond)
+		f.setStore(false, leaving)
+		f.kill("box3")
+		f.start("box3") // knows the list from the others alone
+		for i := range 60 {
+			time.Sleep(200 * time.Millisecond)
+			f.ask(fmt.Sprint("box", i%4), "/look/x", fmt.Sprint("r", i), func(r *Request) { r.Pieces = nil })
+		}
+		if n := arrived[leaving[1].ID]; n > 0 {
+			t.Errorf("the leaving server got %d requests while the store was away", n)
+		}
+		if len(arrived) != 2 {
+			t.Errorf("requests went to %v, want both other servers", arrived)
+		}
+	})
+}
+
+// An outage of the store alone costs no request that needs no token, whether it may be repeated or not.
+func TestPublicRequestsAreServedThroughAnOutageOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 4)
+		c := testCatalog(2)
+		for i := range c.Pipelines {
+			c.Pipelines[i].Public = true
+		}
+		f.publish(c)
+		settle()
+		f.setStore(false, f.servers)
+		for i := range 80 {
+			time.Sleep(500 * time.Millisecond)
+			path := []string{"/look/x", "/stamp/x"}[i%2]
+			a := f.ask(fmt.Sprint("box", i%4), path, fmt.Sprint("r", i), func(r *Request) { r.Pieces, r.Token = nil, "" })
+			if a.status != http.StatusOK {
+				t.Errorf("%s after %d ms of the outage: %d %v", path, 500*i, a.status, a.refused)
+			}
+		}
+	})
+}
