--- /dev/null
+++ b/src/batch/forming_test.go
@@ -0,0 +1,68 @@
+package batch
+
+import (
+	"testing"
+	"time"
+)
+
+func TestUrgentFirstAndHopelessLast(t *testing.T) {
+	s := testScheduler(1)
+	busy := s.Submit(start, testJob("x", 1, 8), "").Calls[0]
+	hopeless, later, soon := testJob("h", 1, 4), testJob("l", 1, 4), testJob("s", 1, 4)
+	hopeless.Due = start.Add(100 * time.Millisecond)
+	soon.Due = start.Add(1500 * time.Millisecond)
+	for _, j := range []*Job{hopeless, later, soon} {
+		s.Submit(start, j, "")
+	}
+	c := s.CallEnded(start.Add(400*time.Millisecond), busy.N, CallDone, made(busy)).Calls[0]
+	if len(c.Items) != 8 || c.Items[0].Request != "s-1" || c.Items[4].Request != "l-1" {
+		t.Fatalf("wrong order: %+v", c.Items)
+	}
+}
+
+func TestWorkStaysNearItsInputsForAWhile(t *testing.T) {
+	s := testScheduler(2)
+	s.Submit(start, testJob("x", 1, 1), "") // takes s0, of d0
+	near := testJob("a", 1, 1)
+	near.InputDomain, near.CrossBytes = "d0", smallCross
+	if a := s.Submit(start, near, ""); len(a.Calls) != 0 {
+		t.Fatal("work left the domain of its inputs at once")
+	}
+	if a := s.Tick(start.Add(foreignAfter)); len(a.Calls) != 0 {
+		t.Fatal("work left its domain though it is not due for long")
+	}
+	hurried := testJob("b", 1, 1)
+	hurried.InputDomain, hurried.CrossBytes, hurried.Due = "d0", smallCross, start.Add(800*time.Millisecond)
+	s.Submit(start, hurried, "")
+	a := s.Tick(start.Add(foreignAfter))
+	if len(a.Calls) != 1 || a.Calls[0].Server.Domain != "d1" || a.Calls[0].Items[0].Request != "b-1" {
+		t.Fatal("work that is due soon waited for its domain")
+	}
+	s.CallEnded(start.Add(foreignAfterSlack), a.Calls[0].N, CallDone, made(a.Calls[0]))
+	if _, calls := s.Pending(); calls != 2 {
+		t.Fatal("work waited for its domain for ever")
+	}
+}
+
+func TestWorkWithSmallInputsGoesAnywhere(t *testing.T) {
+	s := testScheduler(2)
+	s.Submit(start, testJob("x", 1, 1), "") // takes s0, of d0
+	near := testJob("a", 1, 1)
+	near.InputDomain, near.CrossBytes = "d0", smallCross-1
+	if a := s.Submit(start, near, ""); len(a.Calls) != 1 || a.Calls[0].Server.Domain != "d1" {
+		t.Fatal("work whose inputs are small waited for their domain")
+	}
+}
+
+func TestABacklogDoesNotDriveWorkWithTimeLeftOutOfItsDomain(t *testing.T) {
+	s := testScheduler(2)
+	s.Submit(start, testJob("x", 1, 1), "") // takes s0, of d0
+	for n := range uint64(20) {
+		near := testJob("a", n, 2)
+		near.InputDomain, near.CrossBytes = "d0", smallCross
+		s.Submit(start, near, "")
+	}
+	if a := s.Tick(start.Add(foreignAfter)); len(a.Calls) != 0 {
+		t.Fatal("work that is not due for long left the domain of its inputs because much of it waits")
+	}
+}
--- a/src/batch/room_test.go
+++ b/src/batch/room_test.go
@@ -67,3 +67,38 @@
 		t.Fatalf("a job whose piece found no room failed: %s", f.Reason)
 	}
 }
+
+func TestRoomBoundsWhatIsMadeUntilResultsAreGivenUp(t *testing.T) {
+	s := testScheduler(1)
+	big := testJob("a", 1, 4)
+	big.ResultBytes = 200 // 4 of them leave no room for a fifth of 1000 x roomPart
+	c := s.Submit(start, big, "").Calls[0]
+	other := testJob("b", 1, 1)
+	other.ResultBytes = 200
+	s.Submit(start, other, "")
+	a := s.CallEnded(start.Add(300*time.Millisecond), c.N, CallDone, made(c))
+	if len(a.Calls) != 0 {
+		t.Fatal("a call was made without room for its results")
+	}
+	s.Free(start.Add(310*time.Millisecond), resultsOf(doneOf(a, "a"), 200))
+	b := s.Tick(start.Add(320 * time.Millisecond))
+	if len(b.Calls) != 1 || len(b.Calls[0].Free) != 4 {
+		t.Fatalf("room that was given up was not used, or the server not told first: %+v", b)
+	}
+}
+
+func TestResultsNobodyGivesUpStopCountingWhenTheyAreOld(t *testing.T) {
+	s := testScheduler(1)
+	big := testJob("a", 1, 4)
+	big.ResultBytes = 240
+	c := s.Submit(start, big, "").Calls[0]
+	s.CallEnded(start.Add(300*time.Millisecond), c.N, CallDone, made(c))
+	late := testJob("b", 1, 1)
+	late.ResultBytes, late.Deadline = 240, start.Add(time.Minute)
+	if a := s.Submit(start.Add(time.Second), late, ""); len(a.Calls) != 0 {
+		t.Fatal("a call was made without room")
+	}
+	if a := s.Tick(start.Add(4400 * time.Millisecond)); len(a.Calls) != 1 {
+		t.Fatal("the room of results that are lost by age was not used")
+	}
+}
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -195,34 +195,34 @@
 }
 
 func (d *desk) withdraw(w batch.Withdraw) {
-	s := d.get(w.Pool)
-	if s == nil {
-		return
-	}
-	s.mu.Lock()
-	a := s.core.Withdraw(d.gateway.now(), w.ID)
-	s.mu.Unlock()
-	d.carry(s, a)
+	d.with(w.Pool, func(now time.Time, s *batch.Scheduler) batch.Actions { return s.Withdraw(now, w.ID) })
 }
 
 func (d *desk) free(f batch.Free) {
-	s := d.get(f.Pool)
-	if s == nil {
-		return
-	}
-	s.mu.Lock()
-	s.core.Free(d.gateway.now(), f.Results)
-	s.mu.Unlock()
+	d.with(f.Pool, func(now time.Time, s *batch.Scheduler) batch.Actions {
+		s.Free(now, f.Results)
+		return batch.Actions{}
+	})
 }
 
 func (d *desk) hold(h batch.Held) {
-	s := d.get(h.Pool)
+	d.with(h.Pool, func(now time.Time, s *batch.Scheduler) batch.Actions {
+		s.Hold(now, h.Results)
+		return batch.Actions{}
+	})
+}
+
+// with has the scheduler of a pool do something under its lock, and carries out what follows; nothing when
+// the pool makes no pieces.
+func (d *desk) with(pool string, do func(now time.Time, s *batch.Scheduler) batch.Actions) {
+	s := d.get(pool)
 	if s == nil {
 		return
 	}
 	s.mu.Lock()
-	s.core.Hold(d.gateway.now(), h.Results)
+	a := do(d.gateway.now(), s.core)
 	s.mu.Unlock()
+	d.carry(s, a)
 }
 
 // carry carries a scheduler's actions out.
--- a/src/gateway/source_test.go
+++ b/src/gateway/source_test.go
@@ -25,9 +25,11 @@
 			mu.Unlock()
 			return events(ctx, 1, 1, time.Millisecond, io.EOF), nil
 		}
-		for i := range f.servers {
-			f.servers[i].Address = "at-" + f.servers[i].ID
+		addressed := append([]catalog.Server(nil), f.servers...)
+		for i := range addressed {
+			addressed[i].Address = "at-" + addressed[i].ID
 		}
+		f.setStore(true, addressed)
 		settle()
 		prompt := func(id string) []balance.Part {
 			return []balance.Part{{ID: "common", Tokens: 1000}, {ID: "book", Tokens: 4000}, {ID: id, Tokens: 100}}
