--- a/src/core/asking.go
+++ b/src/core/asking.go
@@ -1,9 +1,6 @@
 package core
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 // targets picks whom to ask now: the next of the round, and at times one that seems gone.
 func (m *Members) targets() []string {
@@ -38,12 +35,11 @@
 
 func (m *Members) newRound() []string {
 	var names []string
-	for n, e := range m.all {
-		if e.state != MemberDead && e.address != "" {
+	for _, n := range m.names {
+		if e := m.all[n]; e.state != MemberDead && e.address != "" {
 			names = append(names, n)
 		}
 	}
-	sort.Strings(names)
 	m.Rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 	return names
 }
@@ -54,15 +50,14 @@
 		return ""
 	}
 	var names []string
-	for n, e := range m.all {
-		if e.state == MemberDead && e.address != "" {
+	for _, n := range m.names {
+		if e := m.all[n]; e.state == MemberDead && e.address != "" {
 			names = append(names, n)
 		}
 	}
 	if len(names) == 0 {
 		return ""
 	}
-	sort.Strings(names)
 	return names[m.Rand.IntN(len(names))]
 }
 
@@ -72,6 +67,9 @@
 		e.asked = now
 	}
 	b := m.beat(now)
+	if e.state >= MemberSuspect && e.id.Incarnation != 0 { // it must hear of that to refute it
+		b.Rumours = append(b.Rumours, m.rumourOf(e))
+	}
 	m.sent[b.Seq] = sentBeat{to: name, at: now}
 	return BeatTo{Address: e.address, Beat: b}
 }
@@ -84,7 +82,7 @@
 // beat makes a message with this box's news.
 func (m *Members) beat(now time.Time) Beat {
 	m.seq++
-	b := Beat{From: m.self(now), Seq: m.seq, Rumours: m.take(now)}
+	b := Beat{From: m.self(now), Seq: m.seq, Digest: m.Digest(), Rumours: m.take(now)}
 	if m.Expect != nil {
 		m.Expect(&b)
 	}
@@ -106,7 +104,8 @@
 // Indirect lists questions to others about members that became suspects lately.
 func (m *Members) Indirect(now time.Time) []BeatTo {
 	var out []BeatTo
-	for name, e := range m.all {
+	for _, name := range m.names {
+		e := m.all[name]
 		if e.state != MemberSuspect || now.Sub(e.since) > HeartbeatEvery {
 			continue
 		}
--- a/src/core/constants.go
+++ b/src/core/constants.go
@@ -66,6 +66,12 @@
 	heartbeatFanout  = 3                      // boxes each beat goes to, whatever the fleet's size
 	rumoursPerBeat   = 12                     // members told about in one beat
 	rumourRepeats    = 3                      // times log2(fleet) that a fresh rumour is repeated
+	entriesPerNote   = 32                     // members told about in one step of an exchange of tables: some 3 KB, so that a seed on a link of 20 Mbit/s answers 300 boxes within half a second
+	formingFirst     = 2 * time.Second        // after its start, or the end of a partition, a box exchanges tables often: twice what 1,000 boxes took in virtual time
+	formingAgain     = 400 * time.Millisecond // and so long after an exchange that brought many new entries
+	formingSigns     = 4                      // new entries of one exchange that count as many
+	healFor          = 3 * time.Second        // after a life believed dead was found to be there, others' word on the dead counts
+	tellDeaths       = 10 * time.Second       // that a death is told in exchanges of tables; by then heartbeats have told it
 	suspectAfter     = 2 * time.Second        // silence before a direct question is asked
 	deadAfter        = 5 * time.Second        // silence before a member counts as gone
 	forgetAfter      = 10 * time.Minute       // time a dead member is remembered
--- a/src/core/member.go
+++ b/src/core/member.go
@@ -39,6 +39,8 @@
 	heard   time.Time // last direct answer
 	asked   time.Time // oldest unanswered beat, zero if none
 	listed  bool
+	left    bool   // this life said that it leaves
+	hash    uint32 // of its name
 	version uint64
 	started time.Time // of this life, as far as rumours tell; never before its true start by more than their way
 }
@@ -67,5 +69,13 @@
 // Version is the configuration it last said was in force.
 func (m *Member) Version() uint64 { return m.version }
 
+// serving is the state of a life that has answered.
+func (m *Member) serving() MemberState {
+	if m.left {
+		return MemberLeaving
+	}
+	return MemberAlive
+}
+
 // Usable says whether new work may be forwarded to it.
 func (m *Member) Usable() bool { return m.state == MemberAlive || m.state == MemberSuspect }
--- a/src/core/members.go
+++ b/src/core/members.go
@@ -1,8 +1,8 @@
 package core
 
 import (
-	"math/bits"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -12,7 +12,8 @@
 // within a bounded number of beats, and passes on fresh rumours with question and answer. Silence
 // makes a suspect; others are asked to ask it, which sees through one-way and partial cuts; a
 // suspect that hears of it refutes by raising its round. Only lasting silence makes it dead. Now
-// and then a dead or listed box is asked too, so that healed partitions join again.
+// and then a dead or listed box is asked too, so that healed partitions join again. Single changes
+// travel with the heartbeats; where whole tables differ they are exchanged (table.go).
 //
 // Cost. A fixed number of messages a beat, whatever the fleet's size; a rumour is repeated
 // O(log n) times. State is one Member a box.
@@ -26,12 +27,17 @@
 	Start  time.Time     // of this box
 
 	all     map[string]*Member
+	names   []string // of all, sorted
 	closed  map[BoxID]closedLife
 	round   []string // names still to be asked in this round
 	fresh   map[string]*hotRumour
 	seq     uint64
 	sent    map[uint64]sentBeat
 	changed bool
+
+	compared  comparedTable
+	formUntil time.Time // until then tables are exchanged often
+	healedAt  time.Time // when a life believed dead was last found to be there
 }
 
 // closedLife is an incarnation that stopped as planned and handed its ledger over.
@@ -76,7 +82,7 @@
 		e := m.all[b.Name]
 		if e == nil {
 			e = &Member{id: BoxID{Name: b.Name}, state: MemberSuspect, since: now, started: now}
-			m.all[b.Name] = e
+			m.add(e)
 		}
 		e.listed = true
 		if e.address == "" || e.state == MemberDead {
@@ -100,7 +106,8 @@
 
 // judge turns silence into suspicion, suspicion into death, and forgets the long dead.
 func (m *Members) judge(now time.Time) {
-	for name, e := range m.all {
+	for _, name := range slices.Clone(m.names) {
+		e := m.all[name]
 		switch e.state {
 		case MemberAlive, MemberLeaving:
 			if !e.asked.IsZero() && now.Sub(e.asked) > suspectAfter {
@@ -112,7 +119,7 @@
 			}
 		case MemberDead:
 			if !e.listed && now.Sub(e.since) > forgetAfter {
-				delete(m.all, name)
+				m.remove(name)
 			}
 		}
 	}
@@ -135,6 +142,7 @@
 	e.state = s
 	e.since = now
 	m.changed = true
+	m.compared.stale = true
 	m.spread(m.rumourOf(e))
 }
 
@@ -147,7 +155,23 @@
 	if r.ID.Incarnation == 0 {
 		return // nothing but the list ever spoke of it
 	}
-	m.fresh[r.ID.Name] = &hotRumour{rumour: r, left: rumourRepeats * (1 + bits.Len(uint(len(m.all))))}
+	m.fresh[r.ID.Name] = &hotRumour{rumour: r, left: m.repeatsOf()}
+}
+
+func (m *Members) add(e *Member) {
+	m.compared.stale = true
+	e.hash = nameHash(e.id.Name)
+	m.all[e.id.Name] = e
+	at, _ := slices.BinarySearch(m.names, e.id.Name)
+	m.names = slices.Insert(m.names, at, e.id.Name)
+}
+
+func (m *Members) remove(name string) {
+	m.compared.stale = true
+	delete(m.all, name)
+	if at, ok := slices.BinarySearch(m.names, name); ok {
+		m.names = slices.Delete(m.names, at, at+1)
+	}
 }
 
 // Heard is what a received beat meant to the rest of the box.
@@ -163,13 +187,22 @@
 	if b.From.ID.Name == m.Self.ID.Name {
 		return h
 	}
-	m.hear(now, b.From)
+	m.hear(now, b.From, byWord)
 	e := m.all[b.From.ID.Name]
+	if e.id == b.From.ID && e.state == MemberDead {
+		m.noteReturn(now)
+		m.hear(now, b.From, byWord)
+	}
 	if e.id == b.From.ID && !b.News {
 		e.version = b.Config.Version
 	}
 	for _, r := range b.Rumours {
-		m.hear(now, r)
+		m.hear(now, r, byWord)
+	}
+	if b.Table != nil {
+		if next := m.level(now, b.Table); next != nil {
+			h.Reply = append(h.Reply, BeatTo{Address: b.From.Address, Beat: Beat{From: m.self(now), News: true, Table: next}})
+		}
 	}
 	if b.News {
 		return h
@@ -184,6 +217,12 @@
 	}
 	reply := m.beat(now)
 	reply.Seq, reply.Answer = b.Seq, true
+	if reply.Digest != b.Digest && b.Digest != 0 {
+		reply.Table = &TableNote{Buckets: m.buckets()}
+	}
+	if e.id == b.From.ID && e.state >= MemberSuspect { // it must hear of that to refute it
+		reply.Rumours = append(reply.Rumours, m.rumourOf(e))
+	}
 	h.Reply = append(h.Reply, BeatTo{Address: b.From.Address, Beat: reply})
 	if t := m.all[b.AskFor]; b.AskFor != "" && t != nil && t.address != "" {
 		h.Reply = append(h.Reply, m.ask(now, b.AskFor))
@@ -198,8 +237,11 @@
 	}
 	e.heard = now
 	e.asked = time.Time{}
+	if e.state == MemberDead {
+		m.noteReturn(now)
+	}
 	if e.state == MemberSuspect || e.state == MemberDead {
-		m.set(now, e, MemberAlive)
+		m.set(now, e, e.serving())
 	}
 }
 
--- a/src/core/memberviews.go
+++ b/src/core/memberviews.go
@@ -1,7 +1,7 @@
 package core
 
 import (
-	"sort"
+	"slices"
 	"time"
 )
 
@@ -11,18 +11,17 @@
 // Each lists the members by name.
 func (m *Members) Each() []*Member {
 	out := make([]*Member, 0, len(m.all))
-	for _, e := range m.all {
-		out = append(out, e)
+	for _, n := range m.names {
+		out = append(out, m.all[n])
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].id.Name < out[j].id.Name })
 	return out
 }
 
 // Near lists where the usable members of a small fleet listen; a large one gives none.
 func (m *Members) Near() []string {
 	var out []string
-	for _, e := range m.all {
-		if e.Usable() && e.id.Incarnation != 0 && e.address != "" {
+	for _, n := range m.names {
+		if e := m.all[n]; e.Usable() && e.id.Incarnation != 0 && e.address != "" {
 			out = append(out, e.address)
 		}
 	}
@@ -46,16 +45,16 @@
 
 // Usable lists the names of members that take work, this box included unless it is leaving.
 func (m *Members) Usable() []string {
-	var out []string
-	if m.Self.State == MemberAlive {
-		out = append(out, m.Self.ID.Name)
-	}
-	for n, e := range m.all {
-		if e.Usable() && e.id.Incarnation != 0 {
+	out := make([]string, 0, len(m.names)+1)
+	for _, n := range m.names {
+		if e := m.all[n]; e.Usable() && e.id.Incarnation != 0 {
 			out = append(out, n)
 		}
 	}
-	sort.Strings(out)
+	if m.Self.State == MemberAlive {
+		at, _ := slices.BinarySearch(out, m.Self.ID.Name)
+		out = slices.Insert(out, at, m.Self.ID.Name)
+	}
 	return out
 }
 
--- a/src/core/rumour.go
+++ b/src/core/rumour.go
@@ -56,6 +56,8 @@
 type Beat struct {
 	From     Rumour        `msgpack:"f"`
 	Seq      uint64        `msgpack:"q"`
+	Digest   uint64        `msgpack:"d,omitempty"` // of the sender's table of members
+	Table    *TableNote    `msgpack:"m,omitempty"` // a step of an exchange of tables
 	Answer   bool          `msgpack:"a,omitempty"`
 	News     bool          `msgpack:"w,omitempty"` // tells of loads only and wants no answer
 	AskFor   string        `msgpack:"k,omitempty"` // box to be asked on the sender's behalf
@@ -103,35 +105,55 @@
 	return out
 }
 
-// hear takes one rumour: a later incarnation wins, then a later round, then the worse state.
-func (m *Members) hear(now time.Time, r Rumour) {
+// source is how an entry came.
+type source bool
+
+// An entry comes by word, and is then passed on with heartbeats, or with an exchange of tables, which
+// reaches the others as well.
+const (
+	byWord  source = false
+	byTable source = true
+)
+
+// hear takes one entry: a later incarnation wins, then a later round, then the worse state. It says
+// whether the entry was news.
+func (m *Members) hear(now time.Time, r Rumour, by source) bool {
 	if r.ID.Incarnation == 0 {
-		return
+		return false
 	}
 	if r.ID.Name == m.Self.ID.Name {
 		m.refute(r)
-		return
+		return false
 	}
 	if r.Successor != "" {
 		m.closed[r.ID] = closedLife{successor: r.Successor, at: now}
 	}
 	e := m.all[r.ID.Name]
 	if e == nil {
-		e = &Member{id: r.ID, address: r.Address, domain: r.Domain, state: r.State, round: r.Round, since: now, started: now.Add(-r.Up)}
-		m.all[r.ID.Name] = e
+		e = &Member{id: r.ID, address: r.Address, domain: r.Domain, state: r.State, round: r.Round, since: now, started: now.Add(-r.Up), left: r.State == MemberLeaving}
+		m.add(e)
 		m.changed = true
-		m.spread(r)
-		return
+		m.passOn(now, r, by)
+		return true
 	}
 	if started := now.Add(-r.Up); r.ID == e.id && started.Before(e.started) {
 		e.started = started
 	}
-	if !m.supersedes(r, e) {
-		return
+	if !m.supersedes(now, r, e) {
+		return false
 	}
+	m.compared.stale = true
 	newLife := r.ID.Incarnation > e.id.Incarnation
 	if newLife {
 		e.started = now.Add(-r.Up)
+		e.left = false
+	} else if e.state == MemberDead && r.State < MemberDead {
+		m.noteReturn(now)
+	}
+	if r.State == MemberLeaving {
+		e.left = true
+	} else if r.State == MemberAlive && e.left {
+		r.State = MemberLeaving // a life that leaves never serves again
 	}
 	e.id, e.address, e.domain, e.round = r.ID, r.Address, r.Domain, r.Round
 	if newLife || r.State != MemberSuspect && r.State != MemberDead {
@@ -141,15 +163,26 @@
 		e.state, e.since = r.State, now
 		m.changed = true
 	}
-	m.spread(r)
+	m.passOn(now, r, by)
+	return true
+}
+
+// passOn repeats an entry with the heartbeats, unless tables carry it: they do while the fleet forms.
+func (m *Members) passOn(now time.Time, r Rumour, by source) {
+	if by == byWord && !m.Forming(now) {
+		m.spread(r)
+	}
 }
 
-func (m *Members) supersedes(r Rumour, e *Member) bool {
+func (m *Members) supersedes(now time.Time, r Rumour, e *Member) bool {
 	switch {
 	case r.ID.Incarnation != e.id.Incarnation:
 		return r.ID.Incarnation > e.id.Incarnation
 	case r.Round != e.round:
 		return r.Round > e.round
+	case e.state == MemberDead || r.State == MemberDead:
+		// After a partition the other side's word on its own boxes counts, and no side's on its deaths.
+		return (r.State > e.state) != m.healing(now) && r.State != e.state
 	}
 	return r.State > e.state
 }
--- /dev/null
+++ b/src/core/table_test.go
@@ -0,0 +1,317 @@
+package core
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// tablePace is the pace at which the boxes of a tableNet look what they should do, and bytesOfEntry
+// about what an entry takes in a message.
+const (
+	tablePace    = 50 * time.Millisecond
+	bytesOfEntry = 85
+)
+
+// tableNet is a fleet in virtual time whose boxes start at different moments and know only three seeds.
+type tableNet struct {
+	now     time.Time
+	step    int
+	nodes   map[string]*Members
+	starts  map[string]time.Time
+	order   []string
+	seeds   []string
+	cut     func(from, to string) bool
+	lives   uint64
+	sent    int // messages
+	entries int // in exchanges of tables
+	seed    uint64
+}
+
+func newTableNet(n int, spread time.Duration, seed uint64) *tableNet {
+	x := &tableNet{now: time.Unix(1_000_000, 0), nodes: map[string]*Members{}, starts: map[string]time.Time{}, cut: func(string, string) bool { return false }, seed: seed}
+	r := rand.New(rand.NewPCG(seed, 77))
+	for i := range n {
+		name := fmt.Sprintf("b%04d", i)
+		x.order = append(x.order, name)
+		x.starts[name] = x.now.Add(time.Duration(r.Int64N(int64(spread) + 1)))
+	}
+	x.seeds = x.order[:3]
+	return x
+}
+
+func (x *tableNet) start(name string) *Members {
+	x.lives++
+	m := NewMembers(Rumour{ID: BoxID{Name: name, Incarnation: x.lives}, Address: name, Domain: "d"}, rand.New(rand.NewPCG(x.seed, x.lives)))
+	m.Start = x.now
+	x.nodes[name] = m
+	return m
+}
+
+func (x *tableNet) deliver(from string, out []BeatTo) {
+	for _, o := range out {
+		x.sent++
+		if o.Beat.Table != nil {
+			x.entries += len(o.Beat.Table.Entries)
+		}
+		if to := x.nodes[o.Address]; to != nil && !x.cut(from, o.Address) {
+			x.deliver(o.Address, to.Receive(x.now, o.Beat).Reply)
+		}
+	}
+}
+
+// run plays the fleet for a while.
+func (x *tableNet) run(d time.Duration) {
+	for end := x.now.Add(d); x.now.Before(end); x.now = x.now.Add(tablePace) {
+		for i, n := range x.order {
+			m := x.nodes[n]
+			if m == nil && !x.starts[n].IsZero() && !x.now.Before(x.starts[n]) {
+				x.starts[n] = time.Time{}
+				m = x.start(n)
+			}
+			if m == nil {
+				continue
+			}
+			x.deliver(n, m.Seek(x.now))
+			x.deliver(n, x.introductions(m))
+			if (x.step+i)%int(HeartbeatEvery/tablePace) == 0 {
+				x.deliver(n, append(m.Tick(x.now), m.Indirect(x.now)...))
+			}
+		}
+		x.step++
+	}
+}
+
+// introductions asks the seeds that a box has not met, as gateways do.
+func (x *tableNet) introductions(m *Members) []BeatTo {
+	var out []BeatTo
+	if !m.Forming(x.now) {
+		return nil
+	}
+	for _, s := range x.seeds {
+		if s != m.Self.ID.Name && m.Find(s) == nil {
+			out = append(out, m.Introduce(x.now, s))
+		}
+	}
+	return out
+}
+
+// knowing counts the boxes that know exactly the living ones as usable.
+func (x *tableNet) knowing() int {
+	var living []string
+	for _, n := range x.order {
+		if m := x.nodes[n]; m != nil && m.Self.State == MemberAlive {
+			living = append(living, n)
+		}
+	}
+	know := 0
+	for _, n := range living {
+		if slices.Equal(x.nodes[n].Usable(), living) {
+			know++
+		}
+	}
+	return know
+}
+
+// untilAllKnow plays until every living box knows every other, and gives how long that took.
+func (x *tableNet) untilAllKnow(most time.Duration) time.Duration {
+	began := x.now
+	for x.now.Sub(began) < most && x.knowing() < len(x.nodes) {
+		x.run(tablePace)
+	}
+	return x.now.Sub(began)
+}
+
+// Boxes that start together know one another at once, however many they are, and no one of them carries
+// the others' tables.
+func TestAFleetForms(t *testing.T) {
+	for _, c := range []struct {
+		boxes int
+		most  time.Duration
+	}{{6, 500 * time.Millisecond}, {295, 1500 * time.Millisecond}, {420, 1500 * time.Millisecond}, {1000, 1500 * time.Millisecond}} {
+		if c.boxes > 420 && testing.Short() {
+			continue
+		}
+		x := newTableNet(c.boxes, 300*time.Millisecond, 11)
+		x.run(300*time.Millisecond + tablePace) // the last one is up
+		took := x.untilAllKnow(10 * time.Second)
+		t.Logf("%d boxes: all know all %s after the last start; a box sent %d messages and %d KB of entries", c.boxes, took, x.sent/c.boxes, x.entries*bytesOfEntry/1000/c.boxes)
+		if took > c.most {
+			t.Errorf("%d boxes took %s to know one another, want at most %s", c.boxes, took, c.most)
+		}
+	}
+}
+
+// A loss of all is a start like the first: nothing of the lives before comes back.
+func TestAFleetThatIsLostWholeFormsAgain(t *testing.T) {
+	x := newTableNet(120, 0, 12)
+	x.run(3 * time.Second)
+	clear(x.nodes)
+	for i, n := range x.order {
+		x.starts[n] = x.now.Add(time.Second + time.Duration(i)*2*time.Millisecond)
+	}
+	x.run(1300 * time.Millisecond)
+	if took := x.untilAllKnow(10 * time.Second); took > 1500*time.Millisecond {
+		t.Errorf("after the loss of all it took %s", took)
+	}
+	for n, m := range x.nodes {
+		for _, e := range m.Each() {
+			if e.ID().Incarnation <= 120 {
+				t.Fatalf("%s believes in a life of before the loss: %v", n, e.ID())
+			}
+		}
+	}
+}
+
+// Both sides of a partition hold the other for dead; they are one fleet again as soon as it has healed.
+func TestAPartitionHeals(t *testing.T) {
+	for _, c := range []struct {
+		boxes, side int
+	}{{12, 4}, {295, 98}, {295, 1}} {
+		for _, length := range []time.Duration{3500 * time.Millisecond, 9 * time.Second, 30 * time.Second} {
+			x := newTableNet(c.boxes, 0, 13)
+			x.run(4 * time.Second)
+			side := x.order[c.side]
+			x.cut = func(from, to string) bool { return (from < side) != (to < side) }
+			x.run(length)
+			x.cut = func(string, string) bool { return false }
+			took := x.untilAllKnow(20 * time.Second)
+			t.Logf("%d and %d boxes, apart for %s: healed after %s", c.side, c.boxes-c.side, length, took)
+			if took > 1500*time.Millisecond {
+				t.Errorf("%d boxes, %d of them apart for %s: one fleet again after %s", c.boxes, c.side, length, took)
+			}
+			x.run(8 * time.Second)
+			if n := x.knowing(); n != c.boxes {
+				t.Errorf("%d boxes, %d of them apart for %s: 8 s later only %d know all", c.boxes, c.side, length, n)
+			}
+		}
+	}
+}
+
+// In calm nothing is exchanged, and a single change costs no exchange of whole tables.
+func TestEqualTablesExchangeNothing(t *testing.T) {
+	x := newTableNet(295, 0, 14)
+	x.run(6 * time.Second)
+	x.entries, x.sent = 0, 0
+	x.run(5 * time.Second)
+	if x.entries > 0 {
+		t.Errorf("%d entries exchanged in calm", x.entries)
+	}
+	x.nodes["b0100"].Leave("")
+	x.run(5 * time.Second)
+	for n, m := range x.nodes {
+		if e := m.Find("b0100"); e != nil && e.State() != MemberLeaving {
+			t.Fatalf("%s holds a leaving box for %s", n, e.State())
+		}
+	}
+	if per := float64(x.entries) / 295; per > 20 {
+		t.Errorf("one change moved %.1f entries a box", per)
+	}
+}
+
+// A box that leaves stays leaving, also when it is suspected in between and answers.
+func TestALeavingBoxThatIsSuspectedStaysLeaving(t *testing.T) {
+	x := newTableNet(5, 0, 15)
+	x.run(3 * time.Second)
+	x.nodes["b0004"].Leave("")
+	x.run(time.Second)
+	x.cut = func(from, _ string) bool { return from == "b0004" }
+	x.run(4 * time.Second)
+	if s := x.nodes["b0000"].Find("b0004").State(); s < MemberSuspect {
+		t.Fatalf("a silent box is held for %s", s)
+	}
+	x.cut = func(string, string) bool { return false }
+	x.run(3 * time.Second)
+	for _, n := range x.order[:4] {
+		if s := x.nodes[n].Find("b0004").State(); s != MemberLeaving {
+			t.Errorf("%s holds it for %s", n, s)
+		}
+	}
+}
+
+// A box that was cut off beyond deadAfter hears that it is held for dead, and lives on.
+func TestAPausedBoxComesBack(t *testing.T) {
+	x := newTableNet(40, 0, 16)
+	x.run(3 * time.Second)
+	paused := x.nodes["b0020"]
+	delete(x.nodes, "b0020")
+	x.run(9 * time.Second)
+	x.nodes["b0020"] = paused
+	if took := x.untilAllKnow(10 * time.Second); took > 1500*time.Millisecond {
+		t.Errorf("a box that was paused is known again after %s", took)
+	}
+}
+
+// Views converge after any history of losses, restarts, partitions and planned leaving; no life that
+// ended is believed in at the end, and no life that left is used.
+func TestViewsConverge(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		n := rapid.IntRange(4, 24).Draw(r, "boxes")
+		x := newTableNet(n, 200*time.Millisecond, rapid.Uint64().Draw(r, "seed"))
+		x.run(time.Second)
+		left := map[BoxID]bool{}
+		for range rapid.IntRange(1, 8).Draw(r, "events") {
+			name := x.order[rapid.IntRange(0, n-1).Draw(r, "box")]
+			switch rapid.SampledFrom([]string{"kill", "restart", "leave", "cut", "heal", "wait"}).Draw(r, "event") {
+			case "kill":
+				if len(x.nodes) > 1 {
+					delete(x.nodes, name)
+				}
+			case "restart":
+				x.start(name)
+			case "leave":
+				if m := x.nodes[name]; m != nil {
+					m.Leave("")
+					left[m.Self.ID] = true
+				}
+			case "cut":
+				x.cut = func(from, to string) bool { return (from < name) != (to < name) }
+			case "heal":
+				x.cut = func(string, string) bool { return false }
+			}
+			x.run(time.Duration(rapid.IntRange(0, 7000).Draw(r, "ms")) * time.Millisecond)
+		}
+		x.cut = func(string, string) bool { return false }
+		x.run(25 * time.Second)
+		x.check(r, left)
+	})
+}
+
+func (x *tableNet) check(r *rapid.T, left map[BoxID]bool) {
+	var living []string
+	for _, n := range x.order {
+		if m := x.nodes[n]; m != nil && m.Self.State == MemberAlive {
+			living = append(living, n)
+		}
+	}
+	for n, m := range x.nodes {
+		for _, e := range m.Each() {
+			if left[e.ID()] && e.Usable() {
+				r.Fatalf("%s would use %v, which left", n, e.ID())
+			}
+			if now := x.nodes[e.ID().Name]; e.Usable() && (now == nil || now.Self.ID != e.ID()) {
+				r.Fatalf("%s would use %v, a life that ended", n, e.ID())
+			}
+		}
+		if m.Self.State != MemberAlive || !x.meets(n) {
+			continue
+		}
+		if got := m.Usable(); !slices.Equal(got, living) {
+			r.Fatalf("%s uses %v, want %v", n, got, living)
+		}
+	}
+}
+
+// meets says whether a box can have met the others: all that it begins with are the seeds.
+func (x *tableNet) meets(string) bool {
+	for _, s := range x.seeds {
+		if x.nodes[s] != nil {
+			return true
+		}
+	}
+	return false
+}
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -58,16 +58,21 @@
 	}
 }
 
-// introduce asks the seeds that this box has not met more often than heartbeats go, just after its start.
+// introduce asks, more often than heartbeats go, the seeds that this box has not met just after its
+// start, and members drawn by chance while the fleet forms.
 func (g *Gateway) introduce(context.Context) {
 	f := &g.fleet
 	now := g.now()
-	if now.Sub(g.startedAt) > introduceFor {
+	f.mu.Lock()
+	if !f.core.Forming(now) {
+		f.mu.Unlock()
 		return
 	}
-	f.mu.Lock()
 	f.core.Expect = g.news(now)
-	out := f.seedBeats(now)
+	out := f.core.Seek(now)
+	if now.Sub(g.startedAt) <= introduceFor {
+		out = append(out, f.seedBeats(now)...)
+	}
 	f.mu.Unlock()
 	g.send(out)
 }
@@ -190,11 +195,14 @@
 	}
 	f.mu.Unlock()
 	g.send(h.Reply)
-	g.published.hear(m, h.AskedAt)
-	g.takeLoads(now, m)
 	if changed {
 		g.membersChanged()
 	}
+	if m.Table != nil && m.News {
+		return // it tells of members only
+	}
+	g.published.hear(m, h.AskedAt)
+	g.takeLoads(now, m)
 }
 
 func (g *Gateway) takeLoads(now time.Time, m core.Beat) {
