A pool stays with the box that claims it; the start makes fewer store calls; members are logged together

At a start each box read both documents from the store at once. Each change of members was a log line on each box. Change: (1) a box that takes a pool's jobs claims the pool in its own entry of the members' table, with a term above every claim it knows; all send there while it lives. Two claimants agree by term, then hash, and one hands over. (2) Of boxes without a claim those schedule whose processor and link, as the settings tell (new [machine]), are at least half of the best. (3) In fleets over 16 boxes it takes two boxes' complaints to pass a scheduler over. (4) At a start seeds read the store, others wait 0.4 to 0.8 s for peers; the unconfirmed read in stages, and retry the more rarely the more boxes are ahead. (5) Changes of members are logged once a second. Tests: one assertion replaced: a pool handed over is now kept for good and every box must name the new scheduler (before: it had to be given back after a second, which the claim makes wrong). Fresh boxes of TestAfterALossOfAllBoxes are asked when they are ready, since they may wait for a seed.

--- a/src/catalog/catalog_test.go
+++ b/src/catalog/catalog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -118,6 +119,51 @@
 	}
 }
 
+// When nobody confirms, boxes begin to read one after the other: the first that finds the store spares
+// the rest their calls.
+func TestTheUnconfirmedReadInStages(t *testing.T) {
+	start := time.Unix(1000, 0)
+	var boxes []string
+	for i := range 300 {
+		boxes = append(boxes, "box"+strconv.Itoa(i))
+	}
+	reading := func(after time.Duration) int {
+		n := 0
+		for _, b := range boxes {
+			f := NewFeed(b)
+			f.Read(start, 1, "x")
+			if f.Reads(start.Add(after), boxes) {
+				n++
+			}
+		}
+		return n
+	}
+	all := selfReadAfter + selfReadSpread + 4*selfReadStep + time.Millisecond
+	for _, c := range []struct {
+		after time.Duration
+		most  int
+		least int
+	}{{time.Second, readers, readers}, {all, 4 * readers, 2 * readers}, {all + selfReadStep, 8 * readers, 4 * readers}, {all + mostStages*selfReadStep, 300, 300}} {
+		if n := reading(c.after); n > c.most || n < c.least {
+			t.Errorf("%d boxes read %s after the last confirmation, want %d to %d", n, c.after, c.least, c.most)
+		}
+	}
+}
+
+// At a start of all only the seeds read at once; the others wait a moment for their peers.
+func TestAFreshBoxWaitsForItsPeers(t *testing.T) {
+	start := time.Unix(1000, 0)
+	seed, other := NewFeed("seed"), NewFeed("other")
+	seed.Started, other.Started, seed.First = start, start, true
+	alone := []string{"other"} // all that it knows of
+	if !seed.Reads(start, []string{"seed"}) || other.Reads(start.Add(firstReadAfter), alone) {
+		t.Error("a seed waits, or another box does not")
+	}
+	if !other.Reads(start.Add(firstReadAfter+selfReadSpread+time.Millisecond), alone) {
+		t.Error("a box whose peers have nothing does not read")
+	}
+}
+
 func TestFewReadAndTheUnconfirmedReadThemselves(t *testing.T) {
 	var boxes []string
 	for i := range 300 {
@@ -130,7 +176,7 @@
 		if f.Reads(start.Add(time.Second), boxes) {
 			reading++
 		}
-		if !f.Reads(start.Add(selfReadAfter+selfReadSpread+5*selfReadStep+time.Millisecond), boxes) {
+		if !f.Reads(start.Add(selfReadAfter+selfReadSpread+(4+mostStages)*selfReadStep+time.Millisecond), boxes) {
 			t.Errorf("%s does not read though nobody confirms", b)
 		}
 	}
--- a/src/catalog/feed.go
+++ b/src/catalog/feed.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"math/bits"
 	"time"
 
 	"github.com/stilemast/stilemast/src/core"
@@ -14,6 +15,8 @@
 	smallFleet     = 16                      // boxes that tell one another all the time
 	selfReadSpread = 400 * time.Millisecond  // spread of that time over the boxes
 	pullPatience   = 600 * time.Millisecond  // for a peer to hand over a document
+	firstReadAfter = 400 * time.Millisecond  // that a fresh box waits for its peers to have the document: boxes start within 0.3 s of one another
+	mostStages     = 4                       // doublings of the boxes ahead that make a box wait longer
 )
 
 // Feed decides how one published document reaches this box: by reading the platform or from peers.
@@ -22,11 +25,14 @@
 // The first few living boxes by rendezvous hash read; the others hear of revisions by heartbeat and
 // pull a state that is newer. A statement in answer to a question sent at t that gives the age a
 // confirms the same content as of t-a, whatever clocks and pauses do. A box that nobody confirms
-// reads by itself, and one that the platform turns away lives on its peers.
+// reads by itself, the later the more boxes are ahead of it, and one that the platform turns away lives
+// on its peers. At a start of all only the seeds, which all boxes ask, read at once.
 //
 // Cost. A constant number of readers; one pull for each box and change. Not safe for concurrent use.
 type Feed struct {
-	Self string
+	Self    string
+	Started time.Time // of this box
+	First   bool      // this box is one of those that every other begins with
 
 	asOf      uint64
 	digest    string
@@ -131,23 +137,38 @@
 // Reads says whether this box should read the platform now: it is among the first of the living, or
 // nobody has confirmed its content for a while.
 func (f *Feed) Reads(now time.Time, living []string) bool {
-	own := Hash("reader", f.Self)
-	ahead := 0
-	for _, box := range living {
-		if box != f.Self && Hash("reader", box) > own {
-			ahead++
-		}
+	ahead := f.Ahead(living)
+	if f.asOf == 0 {
+		return f.First || now.Sub(f.Started) > firstReadAfter+f.spread()
 	}
-	if ahead < readers || f.asOf == 0 {
+	if ahead < readers {
 		return true
 	}
-	patience := selfReadAfter + time.Duration(own%uint64(selfReadSpread))
-	for n := len(living); n > smallFleet; n /= 2 {
-		patience += selfReadStep
-	}
+	patience := selfReadAfter + f.spread()
+	patience += time.Duration(doublings(len(living)/smallFleet)+min(mostStages, doublings(ahead/readers))) * selfReadStep
 	last := f.confirmed
 	if f.news.After(last) {
 		last = f.news
 	}
 	return now.Sub(last) > patience
 }
+
+// Ahead counts the living boxes that read before this one.
+func (f *Feed) Ahead(living []string) int {
+	own := Hash("reader", f.Self)
+	ahead := 0
+	for _, box := range living {
+		if box != f.Self && Hash("reader", box) > own {
+			ahead++
+		}
+	}
+	return ahead
+}
+
+// spread is a time of this box's own, so that not all read at the same moment.
+func (f *Feed) spread() time.Duration {
+	return time.Duration(Hash("reader", f.Self) % uint64(selfReadSpread))
+}
+
+// doublings is how often one is doubled to reach a number; 0 below two.
+func doublings(n int) int { return max(0, bits.Len(uint(max(n, 0)))-1) }
--- a/src/config/gateway.go
+++ b/src/config/gateway.go
@@ -21,6 +21,7 @@
 	Fleet         GatewayFleet          `toml:"fleet"`
 	Retry         GatewayRetry          `toml:"retry"`
 	Policy        GatewayPolicySettings `toml:"policy"`
+	Machine       GatewayMachine        `toml:"machine"`
 	MemoryMB      int                   `toml:"memory_mb"` // that the process may use, 0 for no limit
 	StopWithin    Duration              `toml:"stop_within"`
 	LogLevel      string                `toml:"log_level"`
@@ -44,6 +45,14 @@
 	Seeds []string `toml:"seeds"`
 }
 
+// GatewayMachine tells what the process's machine can do, 0 where that is not known. Work that one box
+// does for all goes to boxes that can carry it.
+type GatewayMachine struct {
+	CPU      float64 `toml:"cpu"`       // cores, as a part or a multiple of one
+	Speed    float64 `toml:"speed"`     // of such a core against an ordinary one
+	LinkMbps float64 `toml:"link_mbps"` // of its network link
+}
+
 // GatewayRetry bounds the repeated sends of all boxes together.
 type GatewayRetry struct {
 	Ratio  float64  `toml:"ratio"`
@@ -63,6 +72,7 @@
 		Mode:       ModeGateway,
 		Retry:      GatewayRetry{Ratio: 0.1, Window: Duration(10 * time.Second)},
 		Policy:     GatewayPolicySettings{Admission: true, SharedBatches: true},
+		Machine:    GatewayMachine{Speed: 1},
 		StopWithin: Duration(time.Minute),
 		LogLevel:   "info",
 	}
@@ -138,8 +148,24 @@
 	if s.MemoryMB < 0 || s.MemoryMB > 0 && s.MemoryMB < leastMemoryMB {
 		k.bad("memory_mb", "must be 0 or at least %d", leastMemoryMB)
 	}
+	k.within("machine.cpu", s.Machine.CPU, mostCores)
+	k.within("machine.speed", s.Machine.Speed, mostSpeed)
+	k.within("machine.link_mbps", s.Machine.LinkMbps, mostLinkMbps)
 	k.logLevel(s.LogLevel)
 	return k.fs
 }
 
-const leastMemoryMB = 64
+// Bounds of the settings of a process.
+const (
+	leastMemoryMB = 64
+	mostCores     = 4096 // above any machine; a larger figure is a wrong unit
+	mostSpeed     = 1000
+	mostLinkMbps  = 1e6
+)
+
+// within faults a figure that is not from 0 to a bound.
+func (k *checker) within(field string, v, most float64) {
+	if !(v >= 0 && v <= most) {
+		k.bad(field, "%g is not from 0 to %g", v, most)
+	}
+}
--- a/src/core/member.go
+++ b/src/core/member.go
@@ -41,8 +41,11 @@
 	listed  bool
 	left    bool   // this life said that it leaves
 	hash    uint32 // of its name
-	version uint64
-	started time.Time // of this life, as far as rumours tell; never before its true start by more than their way
+
+	capacity Capacity
+	claims   []Claim
+	version  uint64
+	started  time.Time // of this life, as far as rumours tell; never before its true start by more than their way
 }
 
 // ID is the member's name and incarnation.
--- a/src/core/members.go
+++ b/src/core/members.go
@@ -147,7 +147,10 @@
 }
 
 func (m *Members) rumourOf(e *Member) Rumour {
-	return Rumour{ID: e.id, Address: e.address, Domain: e.domain, State: e.state, Round: e.round, Successor: m.Successor(e.id)}
+	return Rumour{
+		ID: e.id, Address: e.address, Domain: e.domain, State: e.state, Round: e.round,
+		Capacity: e.capacity, Claims: e.claims, Successor: m.Successor(e.id),
+	}
 }
 
 // spread makes a rumour fresh: it will be repeated a few times log2 of the fleet.
--- a/src/core/memberviews.go
+++ b/src/core/memberviews.go
@@ -60,18 +60,23 @@
 
 // RunningMember is a member that takes work.
 type RunningMember struct {
-	Name    string
-	Address string
-	Up      time.Duration // how long it has been running
+	Name     string
+	Address  string
+	Up       time.Duration // how long it has been running
+	Capacity Capacity
+	claims   []Claim
 }
 
+// Term is the term of its claim to a pool, 0 for none.
+func (r RunningMember) Term(pool uint64) uint64 { return termOf(r.claims, pool) }
+
 // Running lists the members that take work, as Usable does, with what the choice among them needs.
 func (m *Members) Running(now time.Time) []RunningMember {
 	var out []RunningMember
 	for _, name := range m.Usable() {
-		r := RunningMember{Name: name, Address: m.Self.Address, Up: now.Sub(m.Start)}
+		r := RunningMember{Name: name, Address: m.Self.Address, Up: now.Sub(m.Start), Capacity: m.Self.Capacity, claims: m.Self.Claims}
 		if e := m.all[name]; e != nil {
-			r.Address, r.Up = e.address, e.Up(now)
+			r = RunningMember{Name: name, Address: e.address, Up: e.Up(now), Capacity: e.capacity, claims: e.claims}
 		}
 		out = append(out, r)
 	}
--- a/src/core/rumour.go
+++ b/src/core/rumour.go
@@ -15,6 +15,8 @@
 	State     MemberState `msgpack:"s"`
 	Round     uint64      `msgpack:"r"`
 	Successor string      `msgpack:"x,omitempty"` // who took over its ledger
+	Capacity  Capacity    `msgpack:"c"`
+	Claims    []Claim     `msgpack:"l,omitempty"` // of pools that it schedules
 	// Up is how long the member had been running when this was sent, as far as the sender knows.
 	Up time.Duration `msgpack:"u,omitempty"`
 }
@@ -130,7 +132,10 @@
 	}
 	e := m.all[r.ID.Name]
 	if e == nil {
-		e = &Member{id: r.ID, address: r.Address, domain: r.Domain, state: r.State, round: r.Round, since: now, started: now.Add(-r.Up), left: r.State == MemberLeaving}
+		e = &Member{
+			id: r.ID, address: r.Address, domain: r.Domain, state: r.State, round: r.Round, capacity: r.Capacity, claims: r.Claims,
+			since: now, started: now.Add(-r.Up), left: r.State == MemberLeaving,
+		}
 		m.add(e)
 		m.changed = true
 		m.passOn(now, r, by)
@@ -156,6 +161,7 @@
 		r.State = MemberLeaving // a life that leaves never serves again
 	}
 	e.id, e.address, e.domain, e.round = r.ID, r.Address, r.Domain, r.Round
+	e.capacity, e.claims = r.Capacity, r.Claims
 	if newLife || r.State != MemberSuspect && r.State != MemberDead {
 		e.asked = time.Time{}
 	}
--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -36,9 +36,11 @@
 	notesPerBeat = 64
 	readsPerBeat = 48 // 18 bytes each
 	namesPerLine = 8
-	announceTo   = 6               // boxes of a large fleet that hear of a change at once
-	unsureFor    = 5 * time.Second // after its start a box does not know how many there are
-	unsureBoxes  = 40              // and counts on so many
+
+	membersLogEvery = time.Second     // pace at which changes of the members are logged together
+	announceTo      = 6               // boxes of a large fleet that hear of a change at once
+	unsureFor       = 5 * time.Second // after its start a box does not know how many there are
+	unsureBoxes     = 40              // and counts on so many
 )
 
 // Paces of the background work.
@@ -61,8 +63,10 @@
 	watchWait    = time.Second             // that one watch waits at the store
 	readPatience = 1500 * time.Millisecond // for one read
 	readBackoff  = 150 * time.Millisecond  // after a failed read, doubled with each
-	maxBackoff   = time.Second
-	listPace     = 100 * time.Microsecond // that a reader waits after a change of the list, for each server in it
+	maxBackoff   = time.Second             // of the boxes that read first
+	backoffBoxes = 8                       // boxes ahead that add as much to it, so that a fleet of any size makes some 10 to 20 calls a second
+	mostBackoffs = 8                       // doublings
+	listPace     = 100 * time.Microsecond  // that a reader waits after a change of the list, for each server in it
 	mostListPace = 250 * time.Millisecond
 	recentLists  = 6                      // lists of servers that a box remembers, for differences to them
 	notReading   = 150 * time.Millisecond // pace at which a box asks itself whether to read
@@ -91,7 +95,10 @@
 	introduceFor   = 2 * time.Second
 	settledAfter   = 20 * time.Second // that a box runs before it takes a pool over from another
 	cohortSpread   = 3 * time.Second  // boxes that started within this time of the oldest may schedule at once
-	formedAfter    = 4 * time.Second  // that the oldest box runs until all know one another
+	formedAfter    = 2 * time.Second  // that the oldest box runs until all know one another: twice what 1,000 boxes took in virtual time
+	capablePart    = 0.5              // of the most that a box's machine can do, from which on a box may schedule
+	wordsFrom      = 16               // boxes from which on a scheduler is silent on the word of two; fewer hear of it themselves
+	wordLife       = time.Second      // for which the first word counts
 	formingFor     = time.Second      // after its start a box waits so long to meet a box that may schedule
 	formingPace    = 10 * time.Millisecond
 	heardLately    = 2 * core.NewsEvery      // a box heard of within this time is not taken for silent on another's word
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -23,6 +23,8 @@
 	seen      map[string]time.Time // boxes heard of, and when last
 	waits     map[uint64]waitNote  // by the hash of a pool
 	usableNow []string
+	logged    []string  // the usable boxes when they were last logged
+	loggedAt  time.Time // when that was
 	roster    roster
 }
 
@@ -33,12 +35,13 @@
 
 func (f *fleet) init(g *Gateway) {
 	f.gateway = g
-	self := core.Rumour{ID: g.ID, Address: g.Settings.Address, Domain: g.Settings.FailureDomain}
+	self := core.Rumour{ID: g.ID, Address: g.Settings.Address, Domain: g.Settings.FailureDomain, Capacity: g.Settings.Capacity}
 	f.core = core.NewMembers(self, g.Rand)
 	f.core.Start = g.startedAt
 	f.addresses, f.seen = map[string]string{}, map[string]time.Time{}
 	f.waits = map[uint64]waitNote{}
 	f.usableNow = []string{g.ID.Name}
+	f.logged = f.usableNow
 	f.roster.init()
 }
 
@@ -202,6 +205,9 @@
 		return // it tells of members only
 	}
 	g.published.hear(m, h.AskedAt)
+	if g.published.empty() {
+		g.pullPublished(f.gateway.stages) // without waiting for the next tick
+	}
 	g.takeLoads(now, m)
 }
 
@@ -233,19 +239,38 @@
 	f.roster.forget()
 	after := f.usableNow
 	f.mu.Unlock()
-	joined, lost := differences(before, after)
-	if len(joined) > 0 {
-		g.Log.Info("members joined", "members", len(after), "joined", len(joined), "names", firstOf(joined))
-	}
-	if len(lost) > 0 {
-		g.Log.Warn("members lost", "members", len(after), "lost", len(lost), "names", firstOf(lost))
-	}
+	_, lost := differences(before, after)
+	g.logMembers()
 	for _, b := range lost {
 		g.published.forget(b)
 	}
 	g.desk.handOverAll()
 }
 
+// logMembers tells of the members that joined or were lost since it last did, at most once in
+// membersLogEvery: while a large fleet forms each message brings some.
+func (g *Gateway) logMembers() {
+	f := &g.fleet
+	now := g.now()
+	f.mu.Lock()
+	if now.Sub(f.loggedAt) < membersLogEvery {
+		f.mu.Unlock()
+		return
+	}
+	joined, lost := differences(f.logged, f.usableNow)
+	members := len(f.usableNow)
+	if len(joined)+len(lost) > 0 {
+		f.logged, f.loggedAt = f.usableNow, now
+	}
+	f.mu.Unlock()
+	if len(joined) > 0 {
+		g.Log.Info("members joined", "members", members, "joined", len(joined), "names", firstOf(joined))
+	}
+	if len(lost) > 0 {
+		g.Log.Warn("members lost", "members", members, "lost", len(lost), "names", firstOf(lost))
+	}
+}
+
 // differences lists what only one of two sorted lists holds.
 func differences(before, after []string) (added, removed []string) {
 	for len(before) > 0 || len(after) > 0 {
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -29,6 +29,7 @@
 	Address       string   // where other boxes reach this one
 	FailureDomain string   // where it stands
 	Seeds         []string // addresses of boxes to begin with; they may be gone
+	Capacity      core.Capacity
 	RetryRatio    float64
 	RetrySlack    float64
 	RetryWindow   time.Duration
@@ -138,6 +139,7 @@
 // tick watches for pauses of this process.
 func (g *Gateway) tick(context.Context) {
 	now := g.now()
+	g.logMembers()
 	last := time.Unix(0, g.lastTick.Swap(now.UnixNano()))
 	if now.Sub(last) > pauseLimit {
 		g.wokenAt.Store(now.UnixNano())
--- a/src/gateway/published.go
+++ b/src/gateway/published.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -39,6 +40,10 @@
 	p.gateway = g
 	p.catalogs = catalog.NewFeed(g.ID.Name)
 	p.lists = catalog.NewFeed(g.ID.Name)
+	for _, f := range []*catalog.Feed{p.catalogs, p.lists} {
+		f.Started = g.startedAt
+		f.First = len(g.Settings.Seeds) == 0 || slices.Contains(g.Settings.Seeds, g.Settings.Address)
+	}
 	p.servers = map[string]catalog.Server{}
 }
 
@@ -82,6 +87,13 @@
 	p.lists.Hear(now, b.From.ID.Name, b.List, askedAt)
 }
 
+// empty says whether this box has neither document yet, or lacks one.
+func (p *published) empty() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.catalogs.AsOf() == 0 || p.lists.AsOf() == 0
+}
+
 func (p *published) forget(box string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/src/gateway/reading.go
+++ b/src/gateway/reading.go
@@ -22,7 +22,7 @@
 func (r *reader) wait(ctx context.Context) bool {
 	g := r.gateway
 	if r.failures > 0 {
-		d := min(maxBackoff, readBackoff<<min(r.failures-1, 4))
+		d := r.backoff()
 		sleep(ctx, d/2+time.Duration(catalog.Hash(g.ID.Name, strconv.Itoa(r.failures))%uint64(d)))
 	}
 	for ctx.Err() == nil {
@@ -38,6 +38,14 @@
 	return false
 }
 
+// backoff is the pause after a failed read. Boxes that many others read before ask more rarely: whichever
+// of them finds the store again, the rest hear of it, and every call counts while it is down.
+func (r *reader) backoff() time.Duration {
+	living := r.gateway.fleet.usable()
+	most := maxBackoff * time.Duration(1+r.feed.Ahead(living)/backoffBoxes)
+	return min(most, readBackoff<<min(r.failures-1, mostBackoffs))
+}
+
 // ended notes how a read went.
 func (r *reader) ended(err error) {
 	g := r.gateway
--- a/src/gateway/roster.go
+++ b/src/gateway/roster.go
@@ -6,18 +6,28 @@
 	"time"
 
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/core"
 )
 
-// roster ranks the boxes that may schedule a pool. All boxes come to the same answer without a
-// message: the first by rendezvous hash among the eligible ones. A box that has just started is not
-// settled: it knows neither the members nor the results that lie at the servers, and each change of
-// scheduler costs work. It is guarded by the fleet's lock.
+// roster ranks the boxes that may schedule a pool. A pool stays with the box that claims it
+// (core.Claim); one that nobody claims goes to the first by rendezvous hash among the eligible boxes, to
+// which all boxes come without a message. A box that has just started is not settled: it knows neither
+// the members nor the results that lie at the servers, and each change of scheduler costs work. It is
+// guarded by the fleet's lock.
 type roster struct {
-	boxes  []string             // that are eligible
-	chosen map[string]string    // scheduler by pool
-	until  time.Time            // when both are worked out anew
-	silent map[string]time.Time // boxes that did not answer this box, and when they are asked again
-	hints  map[string]hint      // what schedulers said of who follows them, by pool
+	running []core.RunningMember // that take work
+	boxes   []string             // of them, those that are eligible
+	chosen  map[string]string    // scheduler by pool
+	until   time.Time            // when both are worked out anew
+	silent  map[string]time.Time // boxes that did not answer this box, and when they are asked again
+	hints   map[string]hint      // what schedulers said of who follows them, by pool
+	words   map[string]word      // the last complaint about a box that did not answer another
+}
+
+// word is one box's complaint that another did not answer it.
+type word struct {
+	from string
+	at   time.Time
 }
 
 // hint is the word of a scheduler that another box has its pool now. It goes before this box's own view,
@@ -28,7 +38,7 @@
 }
 
 func (r *roster) init() {
-	r.chosen, r.silent, r.hints = map[string]string{}, map[string]time.Time{}, map[string]hint{}
+	r.chosen, r.silent, r.hints, r.words = map[string]string{}, map[string]time.Time{}, map[string]hint{}, map[string]word{}
 }
 
 // forget has everything worked out anew.
@@ -53,23 +63,25 @@
 
 // contender is a box that takes work, as the choice of schedulers sees it.
 type contender struct {
-	name string
-	up   time.Duration // how long it has been running
-	seed bool          // it is one of the boxes that every box begins with
+	name     string
+	up       time.Duration // how long it has been running
+	seed     bool          // it is one of the boxes that every box begins with
+	capacity core.Capacity
 }
 
 // eligible lists the boxes that may schedule: those that have been running for a while or that started
-// with the oldest. Just after a start or a loss of all boxes few know one another; then the seeds
-// schedule, which every box meets first.
+// with the oldest, and whose machines can do about as much as the best. Just after a start or a loss of
+// all boxes few know one another; then the seeds schedule, which every box meets first.
 func eligible(all []contender) []string {
-	var settled, seeds []string
+	var settled []contender
+	var seeds []string
 	oldest := time.Duration(0)
 	for _, c := range all {
 		oldest = max(oldest, c.up)
 	}
 	for _, c := range all {
 		if c.up >= settledAfter || oldest-c.up <= cohortSpread {
-			settled = append(settled, c.name)
+			settled = append(settled, c)
 		}
 		if c.seed {
 			seeds = append(seeds, c.name)
@@ -78,7 +90,28 @@
 	if oldest < formedAfter && len(seeds) > 0 {
 		return seeds
 	}
-	return settled
+	return capable(settled)
+}
+
+// capable names the boxes whose machines have at least capablePart of the most that one of them has, of
+// the processor and of the link; all of them when no machine has that of both.
+func capable(all []contender) []string {
+	var most core.Capacity
+	for _, c := range all {
+		most.CPU, most.Link = max(most.CPU, c.capacity.CPU), max(most.Link, c.capacity.Link)
+	}
+	enough := func(have, most uint32) bool { return float64(have) >= capablePart*float64(most) }
+	var out, names []string
+	for _, c := range all {
+		names = append(names, c.name)
+		if enough(c.capacity.CPU, most.CPU) && enough(c.capacity.Link, most.Link) {
+			out = append(out, c.name)
+		}
+	}
+	if len(out) == 0 {
+		return names
+	}
+	return out
 }
 
 // firstByHash ranks boxes for a pool by rendezvous hash; otherwise is given when there is none.
@@ -103,14 +136,71 @@
 }
 
 // toldSilent takes another box's word that a scheduler did not answer it, unless this box heard of that
-// scheduler lately.
-func (f *fleet) toldSilent(now time.Time, box string) {
+// scheduler lately. In a large fleet boxes hear of one another rarely, and one word may come of a lost
+// message: it takes those of two boxes.
+func (f *fleet) toldSilent(now time.Time, box, from string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if box == "" || box == f.gateway.ID.Name || now.Sub(f.seen[box]) < heardLately || now.Before(f.roster.silent[box]) {
+	r := &f.roster
+	if box == "" || box == f.gateway.ID.Name || now.Sub(f.seen[box]) < heardLately || now.Before(r.silent[box]) {
 		return
 	}
-	f.roster.shun(now, box)
+	last, told := r.words[box]
+	r.words[box] = word{from: from, at: now}
+	alone := !told || last.from == from || now.Sub(last.at) > wordLife
+	if alone && len(f.usableNow) > wordsFrom {
+		return
+	}
+	delete(r.words, box)
+	r.shun(now, box)
+}
+
+// claim makes this box the scheduler of a pool, and tells others at once.
+func (f *fleet) claim(pool string) {
+	f.mu.Lock()
+	if f.core.Self.State != core.MemberAlive || f.claims(pool) {
+		f.mu.Unlock()
+		return
+	}
+	f.core.Claim(catalog.Hash(pool))
+	delete(f.roster.hints, pool)
+	f.roster.forget()
+	f.mu.Unlock()
+	f.gateway.Log.Info("pool claimed", "pool", pool)
+	f.gateway.announce()
+}
+
+// claims says whether this box claims a pool. The fleet's lock is held.
+func (f *fleet) claims(pool string) bool {
+	hash := catalog.Hash(pool)
+	return slices.ContainsFunc(f.core.Self.Claims, func(c core.Claim) bool { return c.Pool == hash })
+}
+
+// disclaim gives a claim up.
+func (f *fleet) disclaim(pool string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.core.Disclaim(catalog.Hash(pool))
+	f.roster.forget()
+}
+
+// claimant is the running box whose claim to a pool counts, "" for none: that of the latest term, and of
+// two the first by hash, so that all boxes agree. The fleet's lock is held.
+func (f *fleet) claimant(now time.Time, pool string, avoid map[string]bool) string {
+	f.eligible(now) // brings the running boxes up to date
+	hash, latest := catalog.Hash(pool), uint64(0)
+	var best []string
+	for _, m := range f.roster.running {
+		t := m.Term(hash)
+		if t == 0 || t < latest || avoid[m.Name] || now.Before(f.roster.silent[m.Name]) {
+			continue
+		}
+		if t > latest {
+			best, latest = nil, t
+		}
+		best = append(best, m.Name)
+	}
+	return firstByHash(pool, best, nil, "")
 }
 
 // eligible lists the boxes that may do now what one box does for all. The fleet's lock is held.
@@ -119,9 +209,10 @@
 	if now.Before(r.until) {
 		return r.boxes
 	}
-	var all []contender
-	for _, m := range f.core.Running(now) {
-		all = append(all, contender{name: m.Name, up: m.Up, seed: slices.Contains(f.gateway.Settings.Seeds, m.Address)})
+	r.running = f.core.Running(now)
+	all := make([]contender, 0, len(r.running))
+	for _, m := range r.running {
+		all = append(all, contender{name: m.Name, up: m.Up, seed: slices.Contains(f.gateway.Settings.Seeds, m.Address), capacity: m.Capacity})
 	}
 	clear(r.chosen)
 	r.boxes, r.until = eligible(all), now.Add(rosterLife)
@@ -159,9 +250,17 @@
 func (f *fleet) schedulerOf(now time.Time, pool string, avoid map[string]bool) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	boxes := f.schedulers(now)
 	if len(avoid) > 0 {
-		return firstByHash(pool, boxes, avoid, f.gateway.ID.Name)
+		return f.choose(now, pool, avoid)
+	}
+	f.eligible(now)
+	box, ok := f.roster.chosen[pool]
+	if !ok {
+		box = f.choose(now, pool, nil)
+		f.roster.chosen[pool] = box
+	}
+	if box == f.gateway.ID.Name && f.claims(pool) {
+		return box
 	}
 	if h, ok := f.roster.hints[pool]; ok {
 		if now.Before(h.until) && !now.Before(f.roster.silent[h.box]) {
@@ -169,14 +268,18 @@
 		}
 		delete(f.roster.hints, pool)
 	}
-	box, ok := f.roster.chosen[pool]
-	if !ok {
-		box = firstByHash(pool, boxes, nil, f.gateway.ID.Name)
-		f.roster.chosen[pool] = box
-	}
 	return box
 }
 
+// choose gives the claimant of a pool, or the first by hash of those that may schedule. The fleet's lock
+// is held.
+func (f *fleet) choose(now time.Time, pool string, avoid map[string]bool) string {
+	if box := f.claimant(now, pool, avoid); box != "" {
+		return box
+	}
+	return firstByHash(pool, f.schedulers(now), avoid, f.gateway.ID.Name)
+}
+
 // forming says whether this box has just started and has not met the boxes that may schedule: what it
 // would choose now, no other box would.
 func (f *fleet) forming(now time.Time) bool {
--- a/src/gateway/roster_test.go
+++ b/src/gateway/roster_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/core"
 )
 
 func TestOnlySettledBoxesScheduleUnlessAllHaveJustStarted(t *testing.T) {
@@ -22,12 +23,15 @@
 		all  []contender
 		want []string
 	}{
-		{"a start of all without seeds", []contender{{"a", time.Second, false}, {"b", 1200 * time.Millisecond, false}}, []string{"a", "b"}},
-		{"a start of all", []contender{{"a", 2 * time.Second, false}, {"b", 2 * time.Second, true}, {"c", time.Second, true}}, []string{"b", "c"}},
-		{"all know one another", []contender{{"a", young, false}, {"b", young, true}, {"c", young, true}}, []string{"a", "b", "c"}},
-		{"one has come back", []contender{{"a", old, false}, {"b", old, false}, {"c", young, true}}, []string{"a", "b"}},
-		{"it has settled", []contender{{"a", old, false}, {"c", settledAfter, true}}, []string{"a", "c"}},
-		{"only one is old", []contender{{"a", 10 * time.Second, false}, {"b", 4 * time.Second, false}}, []string{"a"}},
+		{"a start of all without seeds", []contender{{name: "a", up: time.Second, seed: false}, {name: "b", up: 1200 * time.Millisecond, seed: false}}, []string{"a", "b"}},
+		{"a start of all", []contender{{name: "a", up: 1500 * time.Millisecond, seed: false}, {name: "b", up: 1500 * time.Millisecond, seed: true}, {name: "c", up: time.Second, seed: true}}, []string{"b", "c"}},
+		{"all know one another", []contender{{name: "a", up: young, seed: false}, {name: "b", up: young, seed: true}, {name: "c", up: young, seed: true}}, []string{"a", "b", "c"}},
+		{"one has come back", []contender{{name: "a", up: old, seed: false}, {name: "b", up: old, seed: false}, {name: "c", up: young, seed: true}}, []string{"a", "b"}},
+		{"it has settled", []contender{{name: "a", up: old, seed: false}, {name: "c", up: settledAfter, seed: true}}, []string{"a", "c"}},
+		{"a small machine", []contender{{name: "a", up: old, capacity: core.Capacity{CPU: 192, Link: 20}}, {name: "b", up: old, capacity: core.Capacity{CPU: 800, Link: 200}}, {name: "c", up: old, capacity: core.Capacity{CPU: 400, Link: 100}}}, []string{"b", "c"}},
+		{"no machine has the most of both", []contender{{name: "a", up: old, capacity: core.Capacity{CPU: 100, Link: 200}}, {name: "b", up: old, capacity: core.Capacity{CPU: 800, Link: 20}}}, []string{"a", "b"}},
+		{"a large machine has not settled", []contender{{name: "a", up: old, capacity: core.Capacity{CPU: 192, Link: 20}}, {name: "b", up: young, capacity: core.Capacity{CPU: 800, Link: 200}}}, []string{"a"}},
+		{"only one is old", []contender{{name: "a", up: 10 * time.Second, seed: false}, {name: "b", up: 4 * time.Second, seed: false}}, []string{"a"}},
 	} {
 		if got := eligible(c.all); !slices.Equal(got, c.want) {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
@@ -61,8 +65,11 @@
 		var done sync.WaitGroup
 		for i, n := range slices.Backward(names) { // the seeds come back last
 			f.start(n)
-			time.Sleep(20 * time.Millisecond) // it knows a configuration by then
+			time.Sleep(20 * time.Millisecond)
 			done.Go(func() {
+				for !f.box(n).Ready() {
+					time.Sleep(time.Millisecond)
+				}
 				if a := f.ask(n, "/draft/1", fmt.Sprint("r", i), nil); !a.ended {
 					t.Errorf("the request at %s: %+v", n, a)
 				}
@@ -223,13 +230,13 @@
 		f := newTestFleet(t, 3)
 		settle()
 		g := f.box("box0")
-		g.fleet.toldSilent(g.now(), "box1")
+		g.fleet.toldSilent(g.now(), "box1", "box2")
 		if !g.fleet.mayAsk(g.now(), "box1") {
 			t.Error("a box that was heard of a moment ago was passed over on another's word")
 		}
 		f.setLost("box1", true)
 		time.Sleep(2 * heardLately)
-		g.fleet.toldSilent(g.now(), "box1")
+		g.fleet.toldSilent(g.now(), "box1", "box2")
 		if g.fleet.mayAsk(g.now(), "box1") {
 			t.Error("a box that is not heard of is asked though another found it silent")
 		}
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -132,6 +132,7 @@
 	s.foreign = true
 	h, a := s.core.HandOver(now, next)
 	s.mu.Unlock()
+	g.fleet.disclaim(s.pool)
 	d.carry(s, a)
 	if !h.Empty() {
 		g.Log.Info("scheduler handed over", "pool", s.pool, "to", next, "results", len(h.Held), "calls", len(h.Busy), "jobs", len(a.Replies))
@@ -149,6 +150,7 @@
 	s.givenAt, s.foreign = now, false
 	s.core.TakeOver(now, h)
 	s.mu.Unlock()
+	d.gateway.fleet.claim(h.Pool)
 }
 
 // take serves a message of an owner.
@@ -174,7 +176,7 @@
 		return
 	}
 	now := d.gateway.now()
-	d.gateway.fleet.toldSilent(now, j.Silent)
+	d.gateway.fleet.toldSilent(now, j.Silent, j.ID.Box)
 	elsewhere := d.gateway.schedulerOf(j.Pool, nil)
 	if elsewhere == d.gateway.ID.Name {
 		elsewhere = ""
@@ -191,6 +193,9 @@
 	s.foreign = elsewhere != ""
 	a := s.core.Submit(now, j.Job(now), elsewhere)
 	s.mu.Unlock()
+	if elsewhere == "" {
+		d.gateway.fleet.claim(j.Pool)
+	}
 	d.carry(s, a)
 }
 
--- a/src/gateway/scheduling_test.go
+++ b/src/gateway/scheduling_test.go
@@ -207,7 +207,7 @@
 			}
 		}
 		next.TakeBatch(batch.Message{From: first, Handover: &batch.Handover{Pool: "encode"}})
-		for n := range uint64(6) { // each fills all servers for 300 ms
+		for n := range uint64(12) { // each fills all servers for 300 ms
 			next.TakeBatch(batch.Message{From: "box0", Submit: &batch.Submit{
 				ID: batch.JobID{Box: "box0", N: n}, Pool: "encode", Pieces: 12, DeadlineIn: time.Minute, DueIn: time.Second}})
 		}
@@ -223,8 +223,14 @@
 			t.Error("the pool was given back at once")
 		}
 		time.Sleep(handoverKeeps)
-		if waiting() > 0 {
-			t.Error("a pool that belongs to another box was kept for ever")
+		if waiting() == 0 {
+			t.Error("the pool was given back later")
+		}
+		for _, b := range []string{"box0", "box1", "box2"} {
+			if got := f.box(b).schedulerOf("encode", nil); got != next.ID.Name {
+				t.Errorf("%s has %s schedule, want %s, which was given the pool", b, got, next.ID.Name)
+			}
 		}
+		time.Sleep(4 * time.Second) // the calls end
 	})
 }
--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -31,6 +31,7 @@
 	sweepConnections = time.Second
 	memoryPart       = 0.7 // of the limit that the runtime's heap aims to stay within
 	collectPercent   = 60
+	milliCores       = 1000 // in a core
 )
 
 // Adapter connects the product to a platform.
@@ -118,6 +119,7 @@
 	n.gateway = &gateway.Gateway{
 		Settings: gateway.Settings{
 			Address: beats.Addr().String(), FailureDomain: s.FailureDomain, Seeds: s.Fleet.Seeds,
+			Capacity:   core.Capacity{CPU: uint32(s.Machine.CPU * s.Machine.Speed * milliCores), Link: uint32(s.Machine.LinkMbps)},
 			RetryRatio: s.Retry.Ratio, RetrySlack: s.Retry.Slack, RetryWindow: time.Duration(s.Retry.Window),
 			Admission: s.Policy.Admission, SharedBatches: s.Policy.SharedBatches,
 		},
