What is popular is measured over all boxes: homes of shared prompt parts agree in a large fleet

Cause: each box estimated the share of a first prompt part from the ten or so requests that it had seen in 5 s; each rare part looked like a tenth of all, got dozens of homes, and boxes disagreed on them. Hypothesis: counts told with the heartbeats give shares on which boxes agree, and fewer parts are read again.

--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -74,9 +74,7 @@
 	kept    map[uint64]map[uint64]time.Time // hash of a prompt part to those of servers that read it, and when
 	fresh   []freshRead                     // of which other boxes are still told
 	picks   uint64
-	popular map[string]float64 // tokens asked under a first prompt part, decaying
-	asked   float64            // tokens asked in all, decaying
-	decayed time.Time
+	asked   popularity
 	share   float64  // of failures in the whole pool, moving
 	salt    uint64   // of this box, for choices among servers that cost the same
 	ranks   []uint64 // scratch space
@@ -84,7 +82,7 @@
 
 // NewPool knows no server yet.
 func NewPool(box, domain string) *Pool {
-	return &Pool{Box: box, Domain: domain, salt: catalog.Hash(box), words: map[string]word{}, names: map[uint64]*server{}, busy: map[string]*server{}, resting: map[string]*server{}, servers: map[string]*server{}, kept: map[uint64]map[uint64]time.Time{}, popular: map[string]float64{}}
+	return &Pool{Box: box, Domain: domain, salt: catalog.Hash(box), words: map[string]word{}, names: map[uint64]*server{}, busy: map[string]*server{}, resting: map[string]*server{}, servers: map[string]*server{}, kept: map[uint64]map[uint64]time.Time{}, asked: newPopularity()}
 }
 
 // Configure takes the servers that are listed and take new work.
@@ -191,7 +189,7 @@
 func (p *Pool) Pick(now time.Time, w *Wish) (catalog.Server, string, bool) {
 	var best *server
 	bestCost, why := 0.0, ""
-	p.ask(now, w)
+	p.asked.note(now, w)
 	p.scale = p.unheard(now)
 	p.picks++
 	home, kept := p.home(w), p.keptParts(w)
--- a/src/balance/balance_test.go
+++ b/src/balance/balance_test.go
@@ -224,9 +224,9 @@
 // Large inputs are best read where they can be made: as many prompts belong to a domain as it has makers.
 func TestHomesFollowTheMakersOfLargeInputs(t *testing.T) {
 	p := testPool("a", 12)
-	p.popular, p.asked = map[string]float64{}, 1
+	p.asked.total = 1
 	for i := range 40 { // every first part is popular enough for all servers
-		p.popular[fmt.Sprint("common", i)] = 1
+		p.asked.own[catalog.Hash(fmt.Sprint("common", i))] = 1
 	}
 	even, domains := homesOf(p, nil)
 	if n := domains["d0"]; n < 100 || n > 170 {
@@ -250,3 +250,42 @@
 		t.Errorf("%d of 400 homes moved though a sixth had to", moved)
 	}
 }
+
+// In a large fleet a box is asked for so little that each part looks popular to it. What all boxes are
+// asked for tells which is, and boxes come to the same homes.
+func TestBoxesOfALargeFleetAgreeOnWhatIsPopular(t *testing.T) {
+	const boxes, parts = 120, 60
+	pools := make([]*Pool, boxes)
+	for i := range pools {
+		pools[i] = testPool(fmt.Sprint("box", i), 64)
+	}
+	ask := func(p *Pool, first string) { p.asked.note(start, &Wish{Parts: prompt(first, "book", "own")}) }
+	for i, p := range pools { // half of all is asked under one part
+		for n := range 3 {
+			ask(p, "common")
+			ask(p, fmt.Sprint("rare", (3*i+n)%parts))
+		}
+	}
+	rare, common := catalog.Hash("rare0"), catalog.Hash("common")
+	if n := pools[0].homes(rare); n < 8 {
+		t.Errorf("a box by itself holds a rare part for worth %d homes: this test shows nothing", n)
+	}
+	for i, p := range pools {
+		for j := 1; j <= 40; j++ { // those that it heard of lately
+			box := (i + 2*j) % boxes
+			total, told := pools[box].Asked(start)
+			p.HearAsked(start, fmt.Sprint("box", box), total, told)
+		}
+		if n := p.homes(common); n != 64 {
+			t.Errorf("box%d: %d homes of a part under which half is asked, want all 64", i, n)
+		}
+		if n := p.homes(rare); n > 4 {
+			t.Errorf("box%d: %d homes of a rare part", i, n)
+		}
+	}
+	p := pools[0]
+	p.asked.decay(start.Add(askLife + popularityLife))
+	if len(p.asked.words) > 0 || p.asked.toldAll > 0 || len(p.asked.told) > 0 {
+		t.Errorf("old words count still: %v", p.asked)
+	}
+}
--- a/src/balance/constants.go
+++ b/src/balance/constants.go
@@ -18,6 +18,8 @@
 	leastMakers     = 0.05                    // that a domain without makers counts as, so that it has homes where it is the only one
 	popularitySpare = 2.0                     // servers for a popular prompt part, over its share of all tokens
 	popularityLife  = 5 * time.Second         // over which that share is measured
+	askLife         = 10 * time.Second        // that another box's counts of what is asked for are used: a box of a fleet of 300 hears of half of the others in that time
+	askNotes        = 16                      // parts that one message tells of; a box of such a fleet is asked for some ten in popularityLife
 	failurePause    = 600 * time.Millisecond  // after repeated failures; doubled with each further one
 	maxDoublings    = 4
 	hardFailures    = 2    // broken exchanges in a row before a server rests
--- a/src/balance/prompt.go
+++ b/src/balance/prompt.go
@@ -59,13 +59,8 @@
 	if len(w.Parts) < 2 || len(p.servers) == 0 {
 		return ""
 	}
-	share := 0.0
-	if p.asked > 0 {
-		share = p.popular[w.Parts[0].ID] / p.asked
-	}
-	n := max(1, min(len(p.servers), int(math.Ceil(popularitySpare*share*float64(len(p.servers))))))
 	first, deepest := catalog.Hash(w.Parts[0].ID), catalog.Hash(w.Parts[len(w.Parts)-2].ID)
-	least := p.rankOf(first, n)
+	least := p.rankOf(first, p.homes(first))
 	best, rank := "", 0.0
 	for id, v := range p.servers {
 		if mix(first, v.hash) < least {
@@ -131,28 +126,6 @@
 	return ""
 }
 
-// ask counts the tokens of a request under its first prompt part.
-func (p *Pool) ask(now time.Time, w *Wish) {
-	if len(w.Parts) == 0 {
-		return
-	}
-	if since := now.Sub(p.decayed); since > popularityLife/10 {
-		f := math.Exp(-float64(since) / float64(popularityLife))
-		p.asked *= f
-		for id, n := range p.popular {
-			if n *= f; n < 1 {
-				delete(p.popular, id)
-			} else {
-				p.popular[id] = n
-			}
-		}
-		p.decayed = now
-	}
-	tokens := float64(w.Tokens())
-	p.asked += tokens
-	p.popular[w.Parts[0].ID] += tokens
-}
-
 // Read notes that a server has read a prompt: its load shrinks and its parts are kept there.
 func (p *Pool) Read(now time.Time, id string, w *Wish) {
 	v := p.servers[id]
--- a/src/core/rumour.go
+++ b/src/core/rumour.go
@@ -48,6 +48,14 @@
 	Server uint64 `msgpack:"s"`
 }
 
+// AskNote says how many prompt tokens a box was lately asked for in a pool, and under which first parts.
+type AskNote struct {
+	Pool   uint64   `msgpack:"p"` // hash of its name
+	Total  uint32   `msgpack:"n"`
+	Parts  []uint64 `msgpack:"i"` // hashes of the first prompt parts
+	Tokens []uint32 `msgpack:"t"` // of each
+}
+
 // WaitNote says how long a piece waits in a pool, as its scheduler expects.
 type WaitNote struct {
 	Pool uint64        `msgpack:"p"`
@@ -71,6 +79,7 @@
 	Backends []BackendNote `msgpack:"b,omitempty"`
 	Waits    []WaitNote    `msgpack:"t,omitempty"`
 	Reads    []ReadNote    `msgpack:"e,omitempty"`
+	Asked    []AskNote     `msgpack:"h,omitempty"`
 }
 
 // BeatTo is a heartbeat to be sent.
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sort"
 	"sync"
@@ -142,10 +143,43 @@
 
 // news fills heartbeats with what other parts of the box tell.
 func (g *Gateway) news(now time.Time) func(*core.Beat) {
-	loads, waits, reads := g.loadNotes(now), g.desk.waits(now), g.readNotes(now)
+	loads, waits, reads, asked := g.loadNotes(now), g.desk.waits(now), g.readNotes(now), g.askNotes(now)
 	return func(b *core.Beat) {
 		g.published.say(now, b)
-		b.Backends, b.Waits, b.Reads = loads, waits, reads
+		b.Backends, b.Waits, b.Reads, b.Asked = loads, waits, reads, asked
+	}
+}
+
+// askNotes tells which first prompt parts this box was asked for lately.
+func (g *Gateway) askNotes(now time.Time) []core.AskNote {
+	var out []core.AskNote
+	for _, p := range g.pools.list() {
+		p.mu.Lock()
+		total, parts := p.picker.Asked(now)
+		p.mu.Unlock()
+		if len(parts) == 0 {
+			continue
+		}
+		n := core.AskNote{Pool: catalog.Hash(p.name), Total: uint32(min(total, math.MaxUint32))}
+		for _, a := range parts {
+			n.Parts, n.Tokens = append(n.Parts, a.Part), append(n.Tokens, a.Tokens)
+		}
+		out = append(out, n)
+	}
+	return out
+}
+
+// hearAsked takes what another box was asked for.
+func (p *pool) hearAsked(now time.Time, box string, notes []core.AskNote) {
+	for _, n := range notes {
+		if n.Pool != catalog.Hash(p.name) || len(n.Parts) != len(n.Tokens) {
+			continue
+		}
+		parts := make([]balance.Asked, len(n.Parts))
+		for i, part := range n.Parts {
+			parts[i] = balance.Asked{Part: part, Tokens: n.Tokens[i]}
+		}
+		p.picker.HearAsked(now, box, float64(n.Total), parts)
 	}
 }
 
@@ -226,6 +260,7 @@
 		e.picker.Boxes = boxes
 		e.picker.Hear(now, m.From.ID.Name, notes)
 		e.picker.HearReads(now, reads)
+		e.hearAsked(now, m.From.ID.Name, m.Asked)
 		e.mu.Unlock()
 	}
 }
