Evacuated failure domains get nothing; servers that are cold after a start are spared

Change: the operator's prefix is read and watched whole, with as many calls as before; the catalog carries the evacuated failure domains and its digest names them, so that they spread like a version. Their servers are treated like leaving ones, for requests and pieces, at once and in the store's outages too. A server's entry tells how long it is cold; it gets nothing meanwhile unless half of the pool or more are cold, when requests spread. Ruled out: a rate a box for cold servers (shares of 10 a second over 59 boxes and up round to nothing).

--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -193,9 +193,10 @@
 	p.scale = p.unheard(now)
 	p.picks++
 	home, kept := p.home(w), p.keptParts(w)
+	sparing := p.fewCold(now)
 	for pass := range 2 {
 		for _, v := range p.servers {
-			if w.Exclude[v.ID] || pass == 0 && !v.usable(now) {
+			if w.Exclude[v.ID] || pass == 0 && (!v.usable(now) || sparing && v.cold(now)) {
 				continue
 			}
 			c := p.cost(now, v, w, kept, home) + p.jitter(v)
--- a/src/balance/balance_test.go
+++ b/src/balance/balance_test.go
@@ -285,7 +285,51 @@
 	}
 	p := pools[0]
 	p.asked.decay(start.Add(askLife + popularityLife))
-	if len(p.asked.words) > 0 || p.asked.toldAll > 0 || len(p.asked.told) > 0 {
-		t.Errorf("old words count still: %v", p.asked)
+	if len(p.asked.reports) > 0 || p.asked.toldAll > 0 || len(p.asked.told) > 0 {
+		t.Errorf("old reports count still: %v", p.asked)
+	}
+}
+
+// A server that has just started looks idle to every box at once; it gets nothing while it is cold, unless
+// most servers are.
+func TestColdServersAreSpared(t *testing.T) {
+	p := testPool("a", 6)
+	cold := func(n int) {
+		var list []catalog.Server
+		for i := range 6 {
+			s := catalog.Server{ID: fmt.Sprintf("s%d", i), Pool: "model", Domain: "d0", Slots: 64}
+			if i < n {
+				s.ColdUntil = start.Add(time.Second)
+			}
+			list = append(list, s)
+		}
+		p.Configure(list)
+	}
+	pickAll := func(now time.Time) map[string]int {
+		at := map[string]int{}
+		for range 60 {
+			s, _, _ := p.Pick(now, &Wish{LeastLoaded: true})
+			at[s.ID]++
+		}
+		for id, n := range at {
+			for range n {
+				p.Ended(now, id, &Wish{}, Good)
+			}
+		}
+		return at
+	}
+	cold(2)
+	if at := pickAll(start); at["s0"]+at["s1"] > 0 || len(at) != 4 {
+		t.Errorf("with two cold servers of six: %v", at)
+	}
+	if at := pickAll(start.Add(time.Second)); len(at) != 6 {
+		t.Errorf("when they are warm: %v", at)
+	}
+	cold(4)
+	if at := pickAll(start); len(at) != 6 {
+		t.Errorf("with four of six cold: %v", at)
+	}
+	if _, _, ok := p.Pick(start, &Wish{Exclude: map[string]bool{"s4": true, "s5": true}}); !ok {
+		t.Error("a request finds no server though cold ones are left")
 	}
 }
--- a/src/balance/health.go
+++ b/src/balance/health.go
@@ -11,6 +11,22 @@
 	return v.rests == 0 || !v.probing
 }
 
+// cold says whether a server bears little, since it has just started.
+func (v *server) cold(now time.Time) bool { return now.Before(v.ColdUntil) }
+
+// fewCold says whether cold servers can be passed over: fewer than half are. A cold server that looks
+// idle would get the next request of every box at once, and falls over; where most are cold, requests
+// spread over them.
+func (p *Pool) fewCold(now time.Time) bool {
+	n := 0
+	for _, v := range p.servers {
+		if v.cold(now) {
+			n++
+		}
+	}
+	return 2*n < len(p.servers)
+}
+
 // Outcome says how an exchange with a server ended.
 type Outcome uint8
 
--- a/src/balance/popularity.go
+++ b/src/balance/popularity.go
@@ -21,13 +21,13 @@
 	total   float64
 	decayed time.Time
 
-	words    map[string]askWord // of other boxes
-	told     map[uint64]float64 // sums of the words
-	toldAll  float64
-	expireAt time.Time
+	reports map[string]askReport // of other boxes
+	told    map[uint64]float64   // sums of the reports
+	toldAll float64
 }
 
-type askWord struct {
+// askReport is what another box told of its counts.
+type askReport struct {
 	at    time.Time
 	total float64
 	parts []Asked
@@ -40,7 +40,7 @@
 }
 
 func newPopularity() popularity {
-	return popularity{own: map[uint64]float64{}, words: map[string]askWord{}, told: map[uint64]float64{}}
+	return popularity{own: map[uint64]float64{}, reports: map[string]askReport{}, told: map[uint64]float64{}}
 }
 
 // note counts the tokens of a request under its first prompt part.
@@ -69,7 +69,7 @@
 		}
 	}
 	a.decayed = now
-	for box, w := range a.words {
+	for box, w := range a.reports {
 		if now.Sub(w.at) > askLife {
 			a.forget(box)
 		}
@@ -79,7 +79,7 @@
 // hear takes another box's counts in place of those that it told before.
 func (a *popularity) hear(now time.Time, box string, total float64, parts []Asked) {
 	a.forget(box)
-	a.words[box] = askWord{at: now, total: total, parts: parts}
+	a.reports[box] = askReport{at: now, total: total, parts: parts}
 	a.toldAll += total
 	for _, p := range parts {
 		a.told[p.Part] += float64(p.Tokens)
@@ -87,11 +87,11 @@
 }
 
 func (a *popularity) forget(box string) {
-	w, ok := a.words[box]
+	w, ok := a.reports[box]
 	if !ok {
 		return
 	}
-	delete(a.words, box)
+	delete(a.reports, box)
 	a.toldAll = max(0, a.toldAll-w.total)
 	for _, p := range w.parts {
 		if a.told[p.Part] -= float64(p.Tokens); a.told[p.Part] < 1 {
--- a/src/catalog/catalog.go
+++ b/src/catalog/catalog.go
@@ -5,7 +5,9 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -40,6 +42,21 @@
 	Pools      []Pool      `msgpack:"o"`
 	Workspaces []Workspace `msgpack:"w"`
 	Limits     Limits      `msgpack:"l"`
+	// Evacuated names the failure domains to whose servers the operator wants nothing sent, sorted. It
+	// changes without the version.
+	Evacuated []string `msgpack:"e,omitempty"`
+}
+
+// Digest names the content of a catalog: versions rise with all but Evacuated.
+func (c *Catalog) Digest() string {
+	return strings.Join(append([]string{strconv.FormatUint(c.Version, 10)}, c.Evacuated...), "/")
+}
+
+// WithEvacuated is the catalog with other evacuated failure domains.
+func (c *Catalog) WithEvacuated(domains []string) *Catalog {
+	out := *c
+	out.Evacuated = slices.Compact(slices.Sorted(slices.Values(domains)))
+	return &out
 }
 
 // Pipeline is a route of opaque requests through stages to a pool.
@@ -123,6 +140,10 @@
 	Domain   string `msgpack:"d"` // failure domain
 	Slots    int    `msgpack:"s"`
 	Draining bool   `msgpack:"r"`
+	// Cold is how long the server, when its entry was written, still bore little after its start.
+	Cold time.Duration `msgpack:"c,omitempty"`
+	// ColdUntil is when that ends on the clock of this process; set by the box that holds the entry.
+	ColdUntil time.Time `msgpack:"-"`
 }
 
 // Index answers questions about one catalog.
--- a/src/core/rumour.go
+++ b/src/core/rumour.go
@@ -119,11 +119,11 @@
 // source is how an entry came.
 type source bool
 
-// An entry comes by word, and is then passed on with heartbeats, or with an exchange of tables, which
+// An entry comes with a heartbeat, and is then passed on with others, or with an exchange of tables, which
 // reaches the others as well.
 const (
-	byWord  source = false
-	byTable source = true
+	byHeartbeat source = false
+	byTable     source = true
 )
 
 // hear takes one entry: a later incarnation wins, then a later round, then the worse state. It says
@@ -184,7 +184,7 @@
 
 // passOn repeats an entry with the heartbeats, unless tables carry it: they do while the fleet forms.
 func (m *Members) passOn(now time.Time, r Rumour, by source) {
-	if by == byWord && !m.Forming(now) {
+	if by == byHeartbeat && !m.Forming(now) {
 		m.spread(r)
 	}
 }
--- a/src/gateway/claim_test.go
+++ b/src/gateway/claim_test.go
@@ -145,7 +145,7 @@
 // In a large fleet one box's word that a scheduler is silent may come of a lost message; it takes two.
 func TestInALargeFleetASchedulerIsSilentOnTheWordOfTwo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t, wordsFrom+2)
+		f := newTestFleet(t, complaintsFrom+2)
 		time.Sleep(5 * time.Second)
 		g := f.box("box0")
 		f.setLost("box1", true)
@@ -155,7 +155,7 @@
 		if !g.fleet.mayAsk(g.now(), "box1") {
 			t.Error("a scheduler is passed over on the word of one box")
 		}
-		time.Sleep(2 * wordLife)
+		time.Sleep(2 * complaintLife)
 		g.fleet.toldSilent(g.now(), "box1", "box3")
 		if !g.fleet.mayAsk(g.now(), "box1") {
 			t.Error("a scheduler is passed over on an old word")
--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -97,8 +97,8 @@
 	cohortSpread   = 3 * time.Second  // boxes that started within this time of the oldest may schedule at once
 	formedAfter    = 2 * time.Second  // that the oldest box runs until all know one another: twice what 1,000 boxes took in virtual time
 	capablePart    = 0.5              // of the most that a box's machine can do, from which on a box may schedule
-	wordsFrom      = 16               // boxes from which on a scheduler is silent on the word of two; fewer hear of it themselves
-	wordLife       = time.Second      // for which the first word counts
+	complaintsFrom = 16               // boxes from which on a scheduler is silent on the complaints of two; fewer hear of it themselves
+	complaintLife  = time.Second      // for which the first complaint counts
 	formingFor     = time.Second      // after its start a box waits so long to meet a box that may schedule
 	formingPace    = 10 * time.Millisecond
 	heardLately    = 2 * core.NewsEvery      // a box heard of within this time is not taken for silent on another's word
--- /dev/null
+++ b/src/gateway/evacuation_test.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stilemast/stilemast/src/batch"
+	"github.com/stilemast/stilemast/src/catalog"
+)
+
+// domains has the servers of the fleet stand in two failure domains by turns.
+func (f *testFleet) domains() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := append([]catalog.Server(nil), f.servers...)
+	for i := range list {
+		list[i].Domain = fmt.Sprint("d", i/2%2)
+	}
+	f.servers = list
+	f.rev++
+}
+
+// evacuate has the operator empty failure domains, and take others back.
+func (f *testFleet) evacuate(domains, restored []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.catalog, f.restored = f.catalog.WithEvacuated(domains), restored
+	f.rev++
+}
+
+// While a failure domain is evacuated its servers get neither requests nor pieces, from any box, and the
+// version of the configuration stays; when it is taken back they do again.
+func TestAnEvacuatedFailureDomainGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 5)
+		f.streams(1)
+		var mu sync.Mutex
+		at := map[string]int{}
+		note := func(s catalog.Server) {
+			mu.Lock()
+			defer mu.Unlock()
+			at[s.Domain]++
+		}
+		send, run := f.send, f.runPieces
+		f.send = func(ctx context.Context, box string, c *Call) (*Reply, error) {
+			note(c.Server)
+			return send(ctx, box, c)
+		}
+		f.runPieces = func(ctx context.Context, box string, s catalog.Server, items []batch.Item) (batch.CallOutcome, []batch.ItemResult) {
+			note(s)
+			return run(ctx, box, s, items)
+		}
+		settle()
+		f.domains()
+		serve := func() map[string]int {
+			mu.Lock()
+			clear(at)
+			mu.Unlock()
+			var all sync.WaitGroup
+			for i := range 40 {
+				all.Go(func() {
+					if a := f.ask(fmt.Sprint("box", i%5), "/draft/x", fmt.Sprint("r", i), nil); !a.ended {
+						t.Errorf("r%d: %v", i, a.refused)
+					}
+				})
+			}
+			all.Wait()
+			mu.Lock()
+			defer mu.Unlock()
+			return at
+		}
+		time.Sleep(2 * time.Second)
+		if got := serve(); got["d0"] == 0 || got["d1"] == 0 {
+			t.Fatalf("before the evacuation: %v", got)
+		}
+		f.evacuate([]string{"d1"}, nil)
+		time.Sleep(1500 * time.Millisecond)
+		if got := serve(); got["d0"] == 0 || got["d1"] > 0 {
+			t.Errorf("during the evacuation of d1: %v", got)
+		}
+		f.start("box5") // knows it from its first document
+		time.Sleep(2 * time.Second)
+		if x := f.box("box5"); x.mayUse(f.servers[2].ID) || !x.mayUse(f.servers[0].ID) {
+			t.Error("a fresh box does not know of the evacuation")
+		}
+		f.evacuate(nil, []string{"d1"})
+		time.Sleep(1500 * time.Millisecond)
+		if got := serve(); got["d0"] == 0 || got["d1"] == 0 {
+			t.Errorf("after the evacuation: %v", got)
+		}
+	})
+}
+
+func TestAChangeOfTheOperator(t *testing.T) {
+	before := testCatalog(4).WithEvacuated([]string{"b", "a"})
+	for _, c := range []struct {
+		name   string
+		change CatalogChange
+		want   string
+	}{
+		{"nothing", CatalogChange{}, "4/a/b"},
+		{"one more", CatalogChange{Evacuated: []string{"c", "a"}}, "4/a/b/c"},
+		{"one taken back", CatalogChange{Restored: []string{"a", "x"}}, "4/b"},
+		{"a new configuration", CatalogChange{Catalog: testCatalog(5)}, "5/a/b"},
+	} {
+		if got := c.change.apply(before).Digest(); got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+	if got := (CatalogChange{Evacuated: []string{"a"}}).apply(nil); got != nil {
+		t.Errorf("a change of no configuration: %v", got)
+	}
+}
+
+// How long a server is cold runs from when its entry said so, also for a box that hears of it again.
+func TestAColdServerIsColdOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first := map[string]catalog.Server{"s": {ID: "s", Cold: 3 * time.Second}}
+	warm(now, nil, first)
+	again := map[string]catalog.Server{"s": {ID: "s", Cold: 3 * time.Second}}
+	warm(now.Add(2*time.Second), first, again)
+	if want := now.Add(3 * time.Second); !again["s"].ColdUntil.Equal(want) {
+		t.Errorf("cold until %s, want %s", again["s"].ColdUntil, want)
+	}
+	other := map[string]catalog.Server{"s": {ID: "s", Cold: 4 * time.Second}}
+	warm(now.Add(10*time.Second), again, other)
+	if want := now.Add(14 * time.Second); !other["s"].ColdUntil.Equal(want) {
+		t.Errorf("cold again until %s, want %s", other["s"].ColdUntil, want)
+	}
+	if catalog.Digest(first) == catalog.Digest(map[string]catalog.Server{"s": {ID: "s"}}) {
+		t.Error("a list tells nothing of a server that turned cold")
+	}
+}
--- a/src/gateway/fleet_test.go
+++ b/src/gateway/fleet_test.go
@@ -23,20 +23,21 @@
 // testFleet is some gateways in one process in virtual time, with messages that take a millisecond,
 // a store and servers that are functions.
 type testFleet struct {
-	t       *testing.T
-	ctx     context.Context
-	mu      sync.Mutex
-	boxes   map[string]*Gateway // by address
-	lost    map[string]bool     // addresses that neither send nor get messages
-	stop    map[string]context.CancelFunc
-	storeOK bool
-	rev     uint64
-	catalog *catalog.Catalog
-	servers []catalog.Server
-	reads   map[string]int // store calls by box
-	refuses bool           // whether the address of a killed box refuses connections, as that of a process does
-	held    int            // messages that told a scheduler of results
-	lists   int            // whole lists of servers that one box gave another
+	t        *testing.T
+	ctx      context.Context
+	mu       sync.Mutex
+	boxes    map[string]*Gateway // by address
+	lost     map[string]bool     // addresses that neither send nor get messages
+	stop     map[string]context.CancelFunc
+	storeOK  bool
+	rev      uint64
+	catalog  *catalog.Catalog
+	servers  []catalog.Server
+	reads    map[string]int // store calls by box
+	refuses  bool           // whether the address of a killed box refuses connections, as that of a process does
+	held     int            // messages that told a scheduler of results
+	restored []string       // failure domains of which an evacuation was taken back
+	lists    int            // whole lists of servers that one box gave another
 
 	runPieces func(ctx context.Context, box string, s catalog.Server, items []batch.Item) (batch.CallOutcome, []batch.ItemResult)
 	send      func(ctx context.Context, box string, c *Call) (*Reply, error)
@@ -250,15 +251,15 @@
 			_, s, rev := state()
 			return s, rev, nil
 		},
-		WatchCatalog: func(ctx context.Context, after uint64, d time.Duration) (*catalog.Catalog, uint64, error) {
+		WatchCatalog: func(ctx context.Context, after uint64, d time.Duration) (CatalogChange, uint64, error) {
 			if err := begin(ctx); err != nil {
-				return nil, 0, err
+				return CatalogChange{}, 0, err
 			}
 			if !changed(ctx, after, d) {
-				return nil, after, nil
+				return CatalogChange{}, after, nil
 			}
 			c, _, rev := state()
-			return c, rev, nil
+			return CatalogChange{Catalog: c, Evacuated: c.Evacuated, Restored: f.restored}, rev, nil
 		},
 		WatchServers: func(ctx context.Context, after uint64, d time.Duration) ([]ServerChange, uint64, error) {
 			if err := begin(ctx); err != nil {
--- a/src/gateway/ports.go
+++ b/src/gateway/ports.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/stilemast/stilemast/src/balance"
@@ -90,10 +91,34 @@
 	Removed string
 }
 
+// CatalogChange is what the operator changed since a revision.
+type CatalogChange struct {
+	Catalog   *catalog.Catalog // the newest configuration, without Evacuated; nil when it did not change
+	Evacuated []string         // failure domains to which nothing is to be sent any more
+	Restored  []string         // failure domains of which that no longer holds
+}
+
+// apply makes the catalog that holds after the change of another; before may be nil.
+func (c CatalogChange) apply(before *catalog.Catalog) *catalog.Catalog {
+	after := before
+	var domains []string
+	if before != nil {
+		domains = slices.Clone(before.Evacuated)
+	}
+	if c.Catalog != nil {
+		after = c.Catalog
+	}
+	if after == nil {
+		return nil
+	}
+	domains = slices.DeleteFunc(append(domains, c.Evacuated...), func(d string) bool { return slices.Contains(c.Restored, d) })
+	return after.WithEvacuated(domains)
+}
+
 // Store reads what the platform publishes. Each read names the store's revision that it shows.
 type Store struct {
 	Catalog      func(ctx context.Context) (*catalog.Catalog, uint64, error)
 	Servers      func(ctx context.Context) ([]catalog.Server, uint64, error)
-	WatchCatalog func(ctx context.Context, after uint64, wait time.Duration) (*catalog.Catalog, uint64, error)
+	WatchCatalog func(ctx context.Context, after uint64, wait time.Duration) (CatalogChange, uint64, error)
 	WatchServers func(ctx context.Context, after uint64, wait time.Duration) ([]ServerChange, uint64, error)
 }
--- a/src/gateway/published.go
+++ b/src/gateway/published.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"sort"
-	"strconv"
 	"sync"
 	"time"
 
@@ -138,7 +137,7 @@
 // it came from a peer.
 func (g *Gateway) takeCatalog(c *catalog.Catalog, asOf uint64, readAt time.Time, from string) {
 	p := &g.published
-	digest := strconv.FormatUint(c.Version, 10)
+	digest := c.Digest()
 	p.mu.Lock()
 	if p.held != nil && c.Version < p.held.Version {
 		p.mu.Unlock()
@@ -158,7 +157,7 @@
 	p.held = c
 	g.index.Store(catalog.NewIndex(c))
 	p.mu.Unlock()
-	g.Log.Info("configuration in force", "version", c.Version, "revision", asOf, "from", from, "pipelines", len(c.Pipelines), "workspaces", len(c.Workspaces))
+	g.Log.Info("configuration in force", "version", c.Version, "revision", asOf, "from", from, "pipelines", len(c.Pipelines), "workspaces", len(c.Workspaces), "evacuated", c.Evacuated)
 	g.logChanges(c.Version, catalog.ChangesOf(before, c))
 	g.applyServers(nil)
 	g.announce()
--- a/src/gateway/reading.go
+++ b/src/gateway/reading.go
@@ -70,6 +70,7 @@
 	defer g.background.Done()
 	r := &reader{gateway: g, document: port.DocumentConfig, feed: g.published.catalogs}
 	at := uint64(0)
+	var held *catalog.Catalog // as of at
 	for r.wait(ctx) {
 		began := g.now()
 		var c *catalog.Catalog
@@ -80,8 +81,12 @@
 			cancel()
 		} else {
 			one, cancel := context.WithTimeout(ctx, watchWait+readPatience)
-			c, at, err = g.Store.WatchCatalog(one, at, watchWait)
+			var change CatalogChange
+			change, at, err = g.Store.WatchCatalog(one, at, watchWait)
 			cancel()
+			if after := change.apply(held); after != nil && after.Digest() != held.Digest() {
+				c = after
+			}
 			began = g.now()
 		}
 		if err == ErrHistoryGone {
@@ -92,6 +97,7 @@
 		r.ended(err)
 		switch {
 		case c != nil:
+			held = c
 			g.takeCatalog(c, at, began, "store")
 		case at > 0:
 			g.confirmCatalog(began, at)
@@ -104,7 +110,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.held != nil {
-		p.catalogs.Read(at, asOf, strconv.FormatUint(p.held.Version, 10))
+		p.catalogs.Read(at, asOf, p.held.Digest())
 	}
 }
 
--- a/src/gateway/roster.go
+++ b/src/gateway/roster.go
@@ -15,17 +15,17 @@
 // the members nor the results that lie at the servers, and each change of scheduler costs work. It is
 // guarded by the fleet's lock.
 type roster struct {
-	running []core.RunningMember // that take work
-	boxes   []string             // of them, those that are eligible
-	chosen  map[string]string    // scheduler by pool
-	until   time.Time            // when both are worked out anew
-	silent  map[string]time.Time // boxes that did not answer this box, and when they are asked again
-	hints   map[string]hint      // what schedulers said of who follows them, by pool
-	words   map[string]word      // the last complaint about a box that did not answer another
+	running    []core.RunningMember // that take work
+	boxes      []string             // of them, those that are eligible
+	chosen     map[string]string    // scheduler by pool
+	until      time.Time            // when both are worked out anew
+	silent     map[string]time.Time // boxes that did not answer this box, and when they are asked again
+	hints      map[string]hint      // what schedulers said of who follows them, by pool
+	complaints map[string]complaint // the last complaint about a box that did not answer another
 }
 
-// word is one box's complaint that another did not answer it.
-type word struct {
+// complaint is one box's word that another did not answer it.
+type complaint struct {
 	from string
 	at   time.Time
 }
@@ -38,7 +38,7 @@
 }
 
 func (r *roster) init() {
-	r.chosen, r.silent, r.hints, r.words = map[string]string{}, map[string]time.Time{}, map[string]hint{}, map[string]word{}
+	r.chosen, r.silent, r.hints, r.complaints = map[string]string{}, map[string]time.Time{}, map[string]hint{}, map[string]complaint{}
 }
 
 // forget has everything worked out anew.
@@ -145,13 +145,13 @@
 	if box == "" || box == f.gateway.ID.Name || now.Sub(f.seen[box]) < heardLately || now.Before(r.silent[box]) {
 		return
 	}
-	last, told := r.words[box]
-	r.words[box] = word{from: from, at: now}
-	alone := !told || last.from == from || now.Sub(last.at) > wordLife
-	if alone && len(f.usableNow) > wordsFrom {
+	last, told := r.complaints[box]
+	r.complaints[box] = complaint{from: from, at: now}
+	alone := !told || last.from == from || now.Sub(last.at) > complaintLife
+	if alone && len(f.usableNow) > complaintsFrom {
 		return
 	}
-	delete(r.words, box)
+	delete(r.complaints, box)
 	r.shun(now, box)
 }
 
--- a/src/gateway/serverlist.go
+++ b/src/gateway/serverlist.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/stilemast/stilemast/src/catalog"
@@ -23,6 +24,7 @@
 	p := &g.published
 	digest := catalog.Digest(after)
 	p.mu.Lock()
+	warm(g.now(), p.servers, after)
 	changed := false
 	if readAt.IsZero() {
 		changed = p.lists.Pulled(asOf, digest)
@@ -45,6 +47,22 @@
 	g.announce()
 }
 
+// warm notes until when the cold servers of a list are cold. An entry that says what it said before is no
+// news.
+func warm(now time.Time, before, after map[string]catalog.Server) {
+	for id, s := range after {
+		if s.Cold <= 0 {
+			continue
+		}
+		if old := before[id]; old.Cold == s.Cold {
+			s.ColdUntil = old.ColdUntil
+		} else {
+			s.ColdUntil = now.Add(s.Cold)
+		}
+		after[id] = s
+	}
+}
+
 // poolsOf names the pools that a change touches.
 func poolsOf(before map[string]catalog.Server, change catalog.Difference) map[string]bool {
 	out := map[string]bool{}
@@ -80,7 +98,7 @@
 	defer p.applying.Unlock()
 	p.mu.Lock()
 	for _, s := range p.servers {
-		if !s.Draining && (touched == nil || touched[s.Pool]) {
+		if p.takes(s) && (touched == nil || touched[s.Pool]) {
 			by[s.Pool] = append(by[s.Pool], s)
 		}
 	}
@@ -95,7 +113,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, ok := p.servers[id]
-	return ok && !s.Draining
+	return ok && p.takes(s)
+}
+
+// takes says whether a server gets new work: it is not leaving, and its failure domain is not evacuated.
+// p.mu is held.
+func (p *published) takes(s catalog.Server) bool {
+	return !s.Draining && (p.held == nil || !slices.Contains(p.held.Evacuated, s.Domain))
 }
 
 // recentServers is a copy of a list that this box holds or held, nil when it is not known any more.
