--- a/src/core/table_test.go
+++ b/src/core/table_test.go
@@ -233,6 +233,24 @@
 	}
 }
 
+// An answer that comes after its box was suspected proves that the life is there, not that it serves.
+func TestALeavingBoxThatAnswersLateStaysLeaving(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	m := NewMembers(Rumour{ID: BoxID{Name: "a", Incarnation: 1}, Address: "a"}, rand.New(rand.NewPCG(1, 1)))
+	leaving := Rumour{ID: BoxID{Name: "b", Incarnation: 1}, Address: "b", State: MemberLeaving, Round: 1}
+	m.Receive(now, Beat{From: leaving, News: true})
+	question := m.ask(now, "b")
+	now = now.Add(suspectAfter + time.Millisecond)
+	m.Tick(now)
+	if s := m.Find("b").State(); s != MemberSuspect {
+		t.Fatalf("a silent box is held for %s", s)
+	}
+	m.Receive(now, Beat{From: leaving, Seq: question.Beat.Seq, Answer: true})
+	if s := m.Find("b").State(); s != MemberLeaving {
+		t.Errorf("a leaving box that answers late is held for %s", s)
+	}
+}
+
 // A box that was cut off beyond deadAfter hears that it is held for dead, and lives on.
 func TestAPausedBoxComesBack(t *testing.T) {
 	x := newTableNet(40, 0, 16)
