Sight: each document asked of another box leaves a line, a counter and a time; how far behind a box knows itself to be

Cause: the record can't tell whether pulls end by their own limit on an otherwise idle link or because many share one, since pull() returned without a word. Now: lines 'document pulled' and 'document pull failed' (from, took, bytes that came of how many, revision held, newest known, for how long), 'configuration in force' with the version before and how long it was known, counter and histogram of pulls, gauge config_behind_seconds. No decision changes. A test of frames compared an error by identity; ReadFrame now gives a typed error that wraps the same one and says how many bytes came; the test asks for both numbers and the cause, which is stricter.

--- a/src/catalog/feed.go
+++ b/src/catalog/feed.go
@@ -41,6 +41,8 @@
 	told      map[string]core.Statement
 	pulling   string
 	pullSince time.Time
+	newest    uint64    // the highest revision heard of whose content is not held
+	behind    time.Time // since when such a revision is known, zero for none
 }
 
 // NewFeed holds nothing yet.
@@ -60,6 +62,7 @@
 	}
 	changed := digest != f.digest
 	f.asOf, f.digest = asOf, digest
+	f.caughtUp()
 	f.confirm(at)
 	return changed
 }
@@ -72,6 +75,7 @@
 	}
 	changed := digest != f.digest
 	f.asOf, f.digest = asOf, digest
+	f.caughtUp()
 	return changed
 }
 
@@ -94,10 +98,17 @@
 // nobody asked for may have been long on its way and confirms nothing, but shows that somebody reads.
 func (f *Feed) Hear(now time.Time, from string, st core.Statement, askedAt time.Time) {
 	f.told[from] = st
+	if st.Version > f.asOf && st.Digest != f.digest {
+		f.newest = max(f.newest, st.Version)
+		if f.behind.IsZero() {
+			f.behind = now
+		}
+	}
 	if st.Version == 0 || st.Digest != f.digest {
 		return
 	}
 	f.asOf = max(f.asOf, st.Version)
+	f.caughtUp()
 	if at := now.Add(-st.Age); st.Age >= 0 && at.After(f.news) {
 		f.news = at
 	}
@@ -106,6 +117,22 @@
 	}
 }
 
+// Behind is since when this box has known of a newer content that it does not hold, zero when it knows of
+// none, and the revision of it.
+func (f *Feed) Behind() (since time.Time, newest uint64) {
+	if f.newest <= f.asOf {
+		return time.Time{}, 0
+	}
+	return f.behind, f.newest
+}
+
+// caughtUp forgets what was newer once it is held.
+func (f *Feed) caughtUp() {
+	if f.newest <= f.asOf {
+		f.behind, f.newest = time.Time{}, 0
+	}
+}
+
 // Forget drops what a box that is gone said.
 func (f *Feed) Forget(box string) { delete(f.told, box) }
 
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -75,6 +75,7 @@
 	Exchanged func(pool, outcome string, took time.Duration)
 	Batched   func(pool string, pieces int, outcome string, took time.Duration)
 	StoreRead func(document string, ok bool)
+	Pulled    func(document string, ok bool, took time.Duration) // from another box
 	Retried   func(pool string, allowed bool)
 }
 
@@ -252,5 +253,8 @@
 // ConfirmedAge is how long ago both published documents were last known to be the newest.
 func (g *Gateway) ConfirmedAge() time.Duration { return g.now().Sub(g.published.confirmedAt()) }
 
+// BehindFor is for how long this box has known of a newer configuration than it holds, 0 when it holds the newest known.
+func (g *Gateway) BehindFor() time.Duration { return g.published.catalogBehind(g.now()) }
+
 // Members counts the boxes that take work, as far as this one knows.
 func (g *Gateway) Members() int { return len(g.fleet.usable()) }
--- a/src/gateway/published.go
+++ b/src/gateway/published.go
@@ -63,6 +63,15 @@
 	return b
 }
 
+// catalogBehind is for how long this box has known of a newer configuration than it holds.
+func (p *published) catalogBehind(now time.Time) time.Duration {
+	since, _, _ := p.behind(port.DocumentConfig)
+	if since.IsZero() {
+		return 0
+	}
+	return now.Sub(since)
+}
+
 // catalogAge is how long ago the catalog was last known to be the newest.
 func (p *published) catalogAge(now time.Time) time.Duration {
 	p.mu.Lock()
@@ -143,6 +152,7 @@
 		p.mu.Unlock()
 		return
 	}
+	behindSince, _ := p.catalogs.Behind()
 	changed := false
 	if readAt.IsZero() {
 		changed = p.catalogs.Pulled(asOf, digest)
@@ -157,12 +167,20 @@
 	p.held = c
 	g.index.Store(catalog.NewIndex(c))
 	p.mu.Unlock()
-	g.Log.Info("configuration in force", "version", c.Version, "revision", asOf, "from", from, "pipelines", len(c.Pipelines), "workspaces", len(c.Workspaces), "evacuated", c.Evacuated)
+	g.Log.Info("configuration in force", "version", c.Version, "revision", asOf, "from", from, "pipelines", len(c.Pipelines), "workspaces", len(c.Workspaces), "evacuated", c.Evacuated, "held_version", versionOf(before), "behind_ms", milliseconds(g.now(), behindSince))
 	g.logChanges(c.Version, catalog.ChangesOf(before, c))
 	g.applyServers(nil)
 	g.announce()
 }
 
+// versionOf is a catalog's version, 0 for none.
+func versionOf(c *catalog.Catalog) uint64 {
+	if c == nil {
+		return 0
+	}
+	return c.Version
+}
+
 // logChanges says what a version changes; lists of names are shortened.
 func (g *Gateway) logChanges(version uint64, c catalog.Changes) {
 	line := []any{"version", version}
--- a/src/metrics/gateway.go
+++ b/src/metrics/gateway.go
@@ -24,6 +24,8 @@
 	pieces    *prometheus.HistogramVec
 	batched   *prometheus.HistogramVec
 	reads     *prometheus.CounterVec
+	pulls     *prometheus.CounterVec
+	pulled    *prometheus.HistogramVec
 	retries   *prometheus.CounterVec
 }
 
@@ -41,9 +43,11 @@
 			Help: "Pieces in one call.", Buckets: prometheus.ExponentialBuckets(1, 2, 8)}, []string{"pool"}),
 		batched: histograms("gateway_batch_seconds", "Time of one call that makes pieces.", "pool"),
 		reads:   counters("gateway_store_reads_total", "Reads of the platform's store.", "document", "ok"),
+		pulls:   counters("gateway_pulls_total", "Documents asked of other boxes.", "document", "ok"),
+		pulled:  histograms("gateway_pull_seconds", "Time of one document asked of another box.", "document"),
 		retries: counters("gateway_retries_total", "Repeated sends asked of the shared budget.", "pool", "allowed"),
 	}
-	s.registry.MustRegister(s.ended, s.took, s.first, s.exchanges, s.exchanged, s.batches, s.pieces, s.batched, s.reads, s.retries,
+	s.registry.MustRegister(s.ended, s.took, s.first, s.exchanges, s.exchanged, s.batches, s.pieces, s.batched, s.reads, s.pulls, s.pulled, s.retries,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -68,7 +72,11 @@
 			s.batched.WithLabelValues(pool).Observe(took.Seconds())
 		},
 		StoreRead: func(document string, ok bool) { s.reads.WithLabelValues(document, strconv.FormatBool(ok)).Inc() },
-		Retried:   func(pool string, allowed bool) { s.retries.WithLabelValues(pool, strconv.FormatBool(allowed)).Inc() },
+		Pulled: func(document string, ok bool, took time.Duration) {
+			s.pulls.WithLabelValues(document, strconv.FormatBool(ok)).Inc()
+			s.pulled.WithLabelValues(document).Observe(took.Seconds())
+		},
+		Retried: func(pool string, allowed bool) { s.retries.WithLabelValues(pool, strconv.FormatBool(allowed)).Inc() },
 	}
 }
 
@@ -80,6 +88,7 @@
 	gauge("running", "Requests that run and pieces that wait.", func() float64 { return float64(g.Running()) })
 	gauge("config_version", "Version in force.", func() float64 { return float64(g.Version()) })
 	gauge("config_confirmed_age_seconds", "Age of the last confirmation of the configuration and the list of servers.", func() float64 { return g.ConfirmedAge().Seconds() })
+	gauge("config_behind_seconds", "Time for which a newer configuration is known than is held.", func() float64 { return g.BehindFor().Seconds() })
 	gauge("members", "Boxes that take work.", func() float64 { return float64(g.Members()) })
 	gauge("server_connections_opened", "Connections opened to servers since the start.", func() float64 { return float64(dials()) })
 	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
--- a/src/peer/frame.go
+++ b/src/peer/frame.go
@@ -73,9 +73,12 @@
 	buf.Grow(min(n, readPiece))
 	got, err := io.CopyN(&buf, r, int64(n))
 	if err == io.EOF && got < int64(n) {
-		return nil, io.ErrUnexpectedEOF
+		err = io.ErrUnexpectedEOF
 	}
-	return buf.Bytes(), err
+	if err != nil {
+		return nil, &port.Interrupted{Got: int(got), Want: n, Cause: err}
+	}
+	return buf.Bytes(), nil
 }
 
 // DecodeMessage decodes a frame's body.
--- a/src/peer/frame_test.go
+++ b/src/peer/frame_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -55,7 +56,9 @@
 		t.Errorf("too long: %v", err)
 	}
 	cut := append(binary.BigEndian.AppendUint32(nil, 100), 1, 2, 3)
-	if _, err := ReadFrame(bytes.NewReader(cut)); err != io.ErrUnexpectedEOF {
+	var broken *port.Interrupted
+	_, err := ReadFrame(bytes.NewReader(cut))
+	if !errors.As(err, &broken) || broken.Got != 3 || broken.Want != 100 || broken.Cause != io.ErrUnexpectedEOF {
 		t.Errorf("cut off: %v", err)
 	}
 	if _, err := DecodeMessage([]byte{0x80}); code.Of(err).Code != code.FrameInvalid {
--- a/src/port/port.go
+++ b/src/port/port.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/stilemast/stilemast/src/batch"
@@ -138,6 +139,20 @@
 	Uses      []core.StageUse `msgpack:"u"`
 }
 
+// Interrupted is an answer of another box that broke off on its way.
+type Interrupted struct {
+	Got, Want int // bytes of it
+	Cause     error
+}
+
+// Error implements error.
+func (e *Interrupted) Error() string {
+	return fmt.Sprintf("%d of %d bytes came: %v", e.Got, e.Want, e.Cause)
+}
+
+// Unwrap gives the cause.
+func (e *Interrupted) Unwrap() error { return e.Cause }
+
 // Question is what boxes ask one another; exactly one field is set.
 type Question struct {
 	Pull     *Pull          `msgpack:"p"`
