A change of the configuration costs what changed: differences, parts, promised links, readers that can carry it

Mend: the catalog goes packed as the difference to what the asker holds (zstd with the earlier version as dictionary, the packer that the product's own documents have), packed once for all who ask; in parts of 32 kB with a limit for each part and none for the document, and what came is kept when the giver fails; a box promises at most 150 ms of half its link and names other holders instead of slowing all; holders are asked in proportion to their links; readers are boxes whose machines can carry it, in different failure domains; a box that knows it is behind reads by itself after 0.8 s. A failed pull of one document no longer ends that of the other. Not yet: reads of the store still end by a fixed time.

--- a/src/box/bench_test.go
+++ b/src/box/bench_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stilemast/stilemast/src/config"
 	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/pack"
 	"github.com/stilemast/stilemast/src/port"
 )
 
@@ -75,14 +76,14 @@
 		b.Run(fmt.Sprintf("whole/bytes=%d", len(after)), func(b *testing.B) {
 			n := 0
 			for b.Loop() {
-				n = len(pack(after, nil))
+				n = len(pack.Pack(after, nil))
 			}
 			b.ReportMetric(float64(n), "sent_bytes")
 		})
 		b.Run(fmt.Sprintf("difference/bytes=%d", len(after)), func(b *testing.B) {
 			n := 0
 			for b.Loop() {
-				n = len(pack(after, before))
+				n = len(pack.Pack(after, before))
 			}
 			b.ReportMetric(float64(n), "sent_bytes")
 		})
@@ -92,19 +93,21 @@
 func TestPackRoundTrip(t *testing.T) {
 	before, after := documentPair(t, true)
 	for _, base := range [][]byte{nil, before} {
-		p := &port.Pulled{Packed: pack(after, base)}
-		if base != nil {
-			p.Base = "x"
-		}
-		got, err := unpack(p, base)
+		got, err := pack.Unpack(pack.Pack(after, base), base)
 		if err != nil || !bytes.Equal(got, after) {
 			t.Errorf("base %t: %d bytes, %v", base != nil, len(got), err)
 		}
 	}
-	if _, err := unpack(&port.Pulled{Packed: []byte("hello")}, nil); err == nil {
+	if _, err := pack.Unpack([]byte("hello"), nil); err == nil {
 		t.Error("took what is not packed")
 	}
-	if n := len(pack(after, before)); n > 2000 {
+	if _, err := pack.Unpack(pack.Pack(after, before), bytes.ToUpper(before)); err == nil {
+		t.Error("took a difference to another version")
+	}
+	if _, err := pack.Unpack(pack.Pack(after, before), nil); err == nil {
+		t.Error("took a difference without what it differs from")
+	}
+	if n := len(pack.Pack(after, before)); n > 2000 {
 		t.Errorf("one changed weight travels as %d bytes", n)
 	}
 }
--- a/src/box/documents.go
+++ b/src/box/documents.go
@@ -5,11 +5,13 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/config"
 	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/pack"
 	"github.com/stilemast/stilemast/src/port"
 )
 
@@ -309,7 +311,7 @@
 	var raw []byte
 	a, err := d.box.Peers.Ask(ctx, address, port.Question{Pull: &q})
 	if err == nil && a.Pull != nil {
-		raw, err = unpack(a.Pull, d.base(a.Pull.Base))
+		raw, err = d.unpack(a.Pull)
 	}
 	if err != nil || a.Pull == nil || config.Digest(raw) != a.Pull.Digest {
 		d.mu.Lock()
@@ -324,6 +326,14 @@
 	d.offerList(raw, time.Time{})
 }
 
+func (d *documents) unpack(p *port.Pulled) ([]byte, error) {
+	base := d.base(p.Base)
+	if p.Base != "" && base == nil {
+		return nil, eris.New("the version it differs from is not here")
+	}
+	return pack.Unpack(p.Packed, base)
+}
+
 // base finds the document that a difference was made against.
 func (d *documents) base(digest string) []byte {
 	if c := d.box.Config(); c != nil && digest != "" && c.Digest() == digest {
@@ -366,7 +376,7 @@
 	d.packing.Lock()
 	defer d.packing.Unlock()
 	if d.lastPacked.Digest != p.Digest || d.lastPacked.Base != p.Base {
-		d.lastPacked = port.Pulled{Digest: p.Digest, Base: p.Base, Packed: pack(raw, base)}
+		d.lastPacked = port.Pulled{Digest: p.Digest, Base: p.Base, Packed: pack.Pack(raw, base)}
 	}
 	return d.lastPacked.Packed
 }
--- a/src/catalog/feed.go
+++ b/src/catalog/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"time"
 
 	"github.com/stilemast/stilemast/src/core"
@@ -9,12 +10,11 @@
 
 // Tunables of the spread of published documents.
 const (
-	readers        = 3                       // boxes that read the platform, however large the fleet
 	selfReadAfter  = 1400 * time.Millisecond // with no news this long, a box reads by itself
 	selfReadStep   = 600 * time.Millisecond  // more for each doubling of the fleet beyond smallFleet
 	smallFleet     = 16                      // boxes that tell one another all the time
 	selfReadSpread = 400 * time.Millisecond  // spread of that time over the boxes
-	pullPatience   = 600 * time.Millisecond  // for a peer to hand over a document
+	behindAfter    = 800 * time.Millisecond  // that a box which knows of newer content waits for peers before it reads by itself: with a read of a second and the spread it is within a bound of 3 s
 	firstReadAfter = 400 * time.Millisecond  // that a fresh box waits for its peers to have the document: boxes start within 0.3 s of one another
 	mostStages     = 4                       // doublings of the boxes ahead that make a box wait longer
 )
@@ -22,31 +22,38 @@
 // Feed decides how one published document reaches this box: by reading the platform or from peers.
 //
 // Idea. A document is known as of a revision of the platform's store, which orders all its states.
-// The first few living boxes by rendezvous hash read; the others hear of revisions by heartbeat and
-// pull a state that is newer. A statement in answer to a question sent at t that gives the age a
+// A few living boxes read (Readers); the others hear of revisions by heartbeat and pull a state that is
+// newer. A statement in answer to a question sent at t that gives the age a
 // confirms the same content as of t-a, whatever clocks and pauses do. A box that nobody confirms
 // reads by itself, the later the more boxes are ahead of it, and one that the platform turns away lives
-// on its peers. At a start of all only the seeds, which all boxes ask, read at once.
+// on its peers. One that knows of newer content and does not get it reads by itself soon. At a start of
+// all only the seeds, which all boxes ask, read at once.
 //
 // Cost. A constant number of readers; one pull for each box and change. Not safe for concurrent use.
 type Feed struct {
 	Self    string
-	Started time.Time // of this box
-	First   bool      // this box is one of those that every other begins with
+	Started time.Time         // of this box
+	First   bool              // this box is one of those that every other begins with
+	Chosen  []string          // the boxes that read first (Readers); nil ranks all by hash
+	Links   map[string]uint32 // Mbit/s of the boxes' links, as far as known
 
 	asOf      uint64
 	digest    string
 	confirmed time.Time
 	news      time.Time // when the held content was the newest, by the word of peers; proves nothing
 	told      map[string]core.Statement
-	pulling   string
-	pullSince time.Time
-	newest    uint64    // the highest revision heard of whose content is not held
-	behind    time.Time // since when such a revision is known, zero for none
+	pulling   string               // the box that is asked now
+	pullSince time.Time            // when it last answered
+	failed    string               // the box that was asked last, when that failed
+	busy      map[string]time.Time // boxes that give others already, and until when
+	newest    uint64               // the highest revision heard of whose content is not held
+	behind    time.Time            // since when such a revision is known, zero for none
 }
 
 // NewFeed holds nothing yet.
-func NewFeed(self string) *Feed { return &Feed{Self: self, told: map[string]core.Statement{}} }
+func NewFeed(self string) *Feed {
+	return &Feed{Self: self, told: map[string]core.Statement{}, busy: map[string]time.Time{}}
+}
 
 // AsOf is the revision at which the held content was the newest; 0 when nothing is held.
 func (f *Feed) AsOf() uint64 { return f.asOf }
@@ -134,31 +141,9 @@
 }
 
 // Forget drops what a box that is gone said.
-func (f *Feed) Forget(box string) { delete(f.told, box) }
-
-// Pull names the peer to ask for a newer state now, or "".
-func (f *Feed) Pull(now time.Time) string {
-	if f.pulling != "" && now.Sub(f.pullSince) < pullPatience {
-		return ""
-	}
-	best, last := "", f.pulling
-	for box, st := range f.told {
-		if st.Version <= f.asOf || st.Digest == f.digest {
-			continue
-		}
-		if best == "" || best == last || box != last && st.Version > f.told[best].Version {
-			best = box
-		}
-	}
-	f.pulling, f.pullSince = best, now
-	return best
-}
-
-// PullFailed lets the next Pull name another peer at once.
-func (f *Feed) PullFailed(from string) {
-	if f.pulling == from {
-		f.pullSince = time.Time{}
-	}
+func (f *Feed) Forget(box string) {
+	delete(f.told, box)
+	delete(f.busy, box)
 }
 
 // Reads says whether this box should read the platform now: it is among the first of the living, or
@@ -171,6 +156,9 @@
 	if ahead < readers {
 		return true
 	}
+	if since, _ := f.Behind(); !since.IsZero() && now.Sub(since) > behindAfter+f.spread() {
+		return true
+	}
 	patience := selfReadAfter + f.spread()
 	patience += time.Duration(doublings(len(living)/smallFleet)+min(mostStages, doublings(ahead/readers))) * selfReadStep
 	last := f.confirmed
@@ -180,12 +168,15 @@
 	return now.Sub(last) > patience
 }
 
-// Ahead counts the living boxes that read before this one.
+// Ahead counts the living boxes that read before this one: those chosen, then the others by hash.
 func (f *Feed) Ahead(living []string) int {
-	own := Hash("reader", f.Self)
-	ahead := 0
+	if i := slices.Index(f.Chosen, f.Self); i >= 0 {
+		return i
+	}
+	own := readerRank(f.Self)
+	ahead := len(f.Chosen)
 	for _, box := range living {
-		if box != f.Self && Hash("reader", box) > own {
+		if box != f.Self && readerRank(box) > own && !slices.Contains(f.Chosen, box) {
 			ahead++
 		}
 	}
--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -68,12 +68,25 @@
 	mostBackoffs = 8                       // doublings
 	listPace     = 100 * time.Microsecond  // that a reader waits after a change of the list, for each server in it
 	mostListPace = 250 * time.Millisecond
-	recentLists  = 6                      // lists of servers that a box remembers, for differences to them
-	notReading   = 150 * time.Millisecond // pace at which a box asks itself whether to read
-	pullTime     = 500 * time.Millisecond
+	recentLists  = 6                       // lists of servers that a box remembers, for differences to them
+	notReading   = 150 * time.Millisecond  // pace at which a box asks itself whether to read
 	trustFor     = 2500 * time.Millisecond // age of a confirmation up to which "there is none" is said
 )
 
+// Tunables of handing the configuration on. A document goes in parts, so that no limit here depends on its size.
+const (
+	partBytes   = 32 << 10               // of a packed document in one answer: 26 ms of 10 Mbit/s, the smallest link seen
+	partTime    = 900 * time.Millisecond // for one part; holds down to 36 kB/s
+	partTries   = 3                      // failures of parts in a row before another box is asked
+	giveAhead   = 150 * time.Millisecond // of its link's time that a box promises ahead
+	giveShare   = 0.5                    // of its link that a box takes for it
+	assumedLink = 10                     // Mbit/s of a box that does not know its link
+	pastBytes   = 2 << 20                // of earlier configurations that a box keeps to tell differences to
+	pastMost    = 6                      // and how many
+	packsKept   = 4                      // packed documents that are kept, for those that come next
+	namedMost   = 4                      // boxes that a busy box names
+)
+
 const (
 	relayBuffer = 4 << 10
 	maxEvent    = 1 << 20 // bytes of one event
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -238,8 +238,7 @@
 	if m.Table != nil && m.News {
 		return // it tells of members only
 	}
-	g.published.hear(m, h.AskedAt)
-	if g.published.empty() {
+	if behind := g.published.hear(m, h.AskedAt); behind || g.published.empty() {
 		g.pullPublished(f.gateway.stages) // without waiting for the next tick
 	}
 	g.takeLoads(now, m)
@@ -429,5 +428,5 @@
 	if q.Publish == nil {
 		return port.Answer{}
 	}
-	return port.Answer{Publish: g.published.answer(*q.Publish)}
+	return port.Answer{Publish: g.give(q.Publish)}
 }
--- /dev/null
+++ b/src/gateway/giving.go
@@ -0,0 +1,199 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/pack"
+	"github.com/stilemast/stilemast/src/port"
+)
+
+// given is what a box hands on of the configuration: the encoded catalogs that it holds or held, and
+// how much of its link is promised.
+type given struct {
+	gateway *Gateway
+
+	mu       sync.Mutex
+	held     encoded
+	past     []encoded // earlier ones, the newest first
+	packs    []packed  // the latest, the newest last
+	promised time.Time // until when the promised bytes take this box's part of its link
+	holders  []string  // boxes that were given the newest lately, the last one last
+
+	packing sync.Mutex // held while packing: those that ask meanwhile take the same bytes
+}
+
+// encoded is a catalog as it goes between boxes.
+type encoded struct {
+	digest string
+	raw    []byte
+}
+
+// packed is an encoded catalog compressed, whole or as the difference to another.
+type packed struct {
+	asOf         uint64 // revision of the store at which it was the newest
+	digest, base string
+	bytes        []byte
+	sum          uint64
+}
+
+func (v *given) init(g *Gateway) { v.gateway = g }
+
+// hold notes the catalog in force.
+func (v *given) hold(digest string, raw []byte) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.held.raw != nil {
+		v.past = slices.Insert(v.past, 0, v.held)
+	}
+	v.held = encoded{digest: digest, raw: raw}
+	v.holders = nil
+	total := 0
+	for i, e := range v.past {
+		total += len(e.raw)
+		if i > 0 && (i >= pastMost || total > pastBytes) {
+			v.past = v.past[:i]
+			break
+		}
+	}
+}
+
+// raw is the encoded catalog with a digest, nil when it is not known any more.
+func (v *given) raw(digest string) []byte {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.held.digest == digest {
+		return v.held.raw
+	}
+	for _, e := range v.past {
+		if e.digest == digest {
+			return e.raw
+		}
+	}
+	return nil
+}
+
+// base is the newest of the digests whose catalog is known here, "" for none.
+func (v *given) base(held []string) string {
+	for _, d := range held {
+		if v.raw(d) != nil {
+			return d
+		}
+	}
+	return ""
+}
+
+// pack gives a packed catalog; it is made once for all that ask. It is nil when the catalog is not known any more.
+func (v *given) pack(asOf uint64, digest, base string) *packed {
+	v.packing.Lock()
+	defer v.packing.Unlock()
+	for i := range v.packs {
+		if v.packs[i].digest == digest && v.packs[i].base == base {
+			return &v.packs[i]
+		}
+	}
+	raw := v.raw(digest)
+	if raw == nil {
+		return nil
+	}
+	p := packed{asOf: asOf, digest: digest, base: base}
+	p.bytes = pack.Pack(raw, v.raw(base)) // no base has an empty digest
+	p.sum = catalog.Hash(string(p.bytes))
+	v.packs = append(slices.Clone(v.packs[max(0, len(v.packs)+1-packsKept):]), p)
+	return &v.packs[len(v.packs)-1]
+}
+
+// bySum gives a packed catalog that another box has begun to take, nil when it is not kept any more.
+func (v *given) bySum(sum uint64) *packed {
+	v.packing.Lock()
+	defer v.packing.Unlock()
+	for i := range v.packs {
+		if v.packs[i].sum == sum {
+			return &v.packs[i]
+		}
+	}
+	return nil
+}
+
+// promise sets link time aside for bytes; while enough is set aside it gives how long to wait instead.
+func (v *given) promise(now time.Time, bytes int) (wait time.Duration) {
+	link := v.gateway.Settings.Capacity.Link
+	if link == 0 {
+		link = assumedLink
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if ahead := now.Add(giveAhead); v.promised.After(ahead) {
+		return v.promised.Sub(ahead)
+	}
+	if v.promised.Before(now) {
+		v.promised = now
+	}
+	v.promised = v.promised.Add(time.Duration(float64(bytes) * 8 / (giveShare * float64(link) * 1e6) * float64(time.Second)))
+	return 0
+}
+
+// noteHolder notes a box that has been given the newest.
+func (v *given) noteHolder(box string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if box != "" && !slices.Contains(v.holders, box) {
+		v.holders = append(v.holders[max(0, len(v.holders)+1-namedMost):], box)
+	}
+}
+
+func (v *given) namedHolders() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Clone(v.holders)
+}
+
+// give gives another box a document or a part of it.
+func (g *Gateway) give(q *port.PullPublished) *port.Published {
+	if q.Document == port.DocumentConfig {
+		return g.giveCatalog(q)
+	}
+	p := &g.published
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	st := p.lists.Say(g.now())
+	for _, base := range q.Held {
+		if d, ok := p.history.Since(base); ok {
+			return &port.Published{AsOf: st.Version, Digest: p.digest, Since: &d, Base: base}
+		}
+	}
+	return &port.Published{AsOf: st.Version, Digest: p.digest, Servers: p.list()}
+}
+
+func (g *Gateway) giveCatalog(q *port.PullPublished) *port.Published {
+	v := &g.published.given
+	st := g.published.sayCatalog(g.now())
+	if st.Version == 0 {
+		return &port.Published{}
+	}
+	pk := v.bySum(q.Sum)
+	if pk == nil || q.Offset == 0 || q.Offset >= len(pk.bytes) {
+		q.Offset = 0
+		if pk = v.pack(st.Version, st.Digest, v.base(q.Held)); pk == nil {
+			return &port.Published{}
+		}
+		if wait := v.promise(g.now(), len(pk.bytes)); wait > 0 {
+			named := v.namedHolders()
+			g.Log.Info("document refused, link promised", "document", q.Document, "to", q.From, "revision", st.Version, "wait_ms", wait.Milliseconds(), "named", named)
+			return &port.Published{AsOf: st.Version, Digest: st.Digest, Busy: &port.Busy{For: wait, Holders: named}}
+		}
+		g.Log.Info("document given", "document", q.Document, "to", q.From, "revision", st.Version, "base", pk.base, "bytes", len(pk.bytes))
+	}
+	out := &port.Published{AsOf: pk.asOf, Digest: pk.digest, Base: pk.base}
+	if pk.digest == st.Digest {
+		out.AsOf = st.Version
+	}
+	end := min(len(pk.bytes), q.Offset+partBytes)
+	out.Part = &port.Part{Bytes: pk.bytes[q.Offset:end], Offset: q.Offset, Size: len(pk.bytes), Sum: pk.sum}
+	if end == len(pk.bytes) {
+		v.noteHolder(q.From)
+	}
+	return out
+}
--- a/src/gateway/published.go
+++ b/src/gateway/published.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/port"
@@ -26,6 +28,8 @@
 	digest   string
 	history  catalog.History // changes of the list
 	recent   []recentList    // the latest lists, the newest last
+	given    given
+	taking   taking
 }
 
 // recentList is a list that this box holds or held. Boxes follow different readers, so a peer may know
@@ -44,6 +48,7 @@
 		f.First = len(g.Settings.Seeds) == 0 || slices.Contains(g.Settings.Seeds, g.Settings.Address)
 	}
 	p.servers = map[string]catalog.Server{}
+	p.given.init(g)
 }
 
 func (p *published) hasServers() bool {
@@ -86,13 +91,16 @@
 	b.Config, b.List = p.catalogs.Say(now), p.lists.Say(now)
 }
 
-// hear takes the statements of a heartbeat.
-func (p *published) hear(b core.Beat, askedAt time.Time) {
+// hear takes the statements of a heartbeat. It says whether something newer is known than is held.
+func (p *published) hear(b core.Beat, askedAt time.Time) (behind bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.gateway.now()
 	p.catalogs.Hear(now, b.From.ID.Name, b.Config, askedAt)
 	p.lists.Hear(now, b.From.ID.Name, b.List, askedAt)
+	config, _ := p.catalogs.Behind()
+	list, _ := p.lists.Behind()
+	return !config.IsZero() || !list.IsZero()
 }
 
 // empty says whether this box has neither document yet, or lacks one.
@@ -109,21 +117,11 @@
 	p.lists.Forget(box)
 }
 
-// answer gives a document to another box.
-func (p *published) answer(q port.PullPublished) *port.Published {
+// sayCatalog is what this box says of the catalog that it holds.
+func (p *published) sayCatalog(now time.Time) core.Statement {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if q.Document == port.DocumentConfig {
-		st := p.catalogs.Say(p.gateway.now())
-		return &port.Published{AsOf: st.Version, Digest: st.Digest, Catalog: p.held}
-	}
-	st := p.lists.Say(p.gateway.now())
-	for _, base := range q.Held {
-		if d, ok := p.history.Since(base); ok {
-			return &port.Published{AsOf: st.Version, Digest: p.digest, Since: &d, Base: base}
-		}
-	}
-	return &port.Published{AsOf: st.Version, Digest: p.digest, Servers: p.list()}
+	return p.catalogs.Say(now)
 }
 
 // heldServers lists the servers that this box believes in.
@@ -143,10 +141,13 @@
 }
 
 // takeCatalog puts a catalog in force unless it is older than the one that is. readAt is zero when
-// it came from a peer.
-func (g *Gateway) takeCatalog(c *catalog.Catalog, asOf uint64, readAt time.Time, from string) {
+// it came from a peer; raw is its encoded form, nil when that is not known.
+func (g *Gateway) takeCatalog(c *catalog.Catalog, raw []byte, asOf uint64, readAt time.Time, from string) {
 	p := &g.published
 	digest := c.Digest()
+	if raw == nil {
+		raw = g.encode(c)
+	}
 	p.mu.Lock()
 	if p.held != nil && c.Version < p.held.Version {
 		p.mu.Unlock()
@@ -165,6 +166,7 @@
 	}
 	before := p.held
 	p.held = c
+	p.given.hold(digest, raw)
 	g.index.Store(catalog.NewIndex(c))
 	p.mu.Unlock()
 	g.Log.Info("configuration in force", "version", c.Version, "revision", asOf, "from", from, "pipelines", len(c.Pipelines), "workspaces", len(c.Workspaces), "evacuated", c.Evacuated, "held_version", versionOf(before), "behind_ms", milliseconds(g.now(), behindSince))
@@ -173,6 +175,16 @@
 	g.announce()
 }
 
+// encode gives a catalog as it goes between boxes, nil when that can't be: then this box hands nothing on.
+func (g *Gateway) encode(c *catalog.Catalog) []byte {
+	raw, err := msgpack.Marshal(c)
+	if err != nil {
+		g.Log.Error("configuration can't be encoded", "version", c.Version, "cause", err.Error())
+		return nil
+	}
+	return raw
+}
+
 // versionOf is a catalog's version, 0 for none.
 func versionOf(c *catalog.Catalog) uint64 {
 	if c == nil {
--- a/src/gateway/pulling.go
+++ b/src/gateway/pulling.go
@@ -6,15 +6,32 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/pack"
 	"github.com/stilemast/stilemast/src/port"
 )
 
+// taking is a packed catalog of which this box has some parts. They are kept when the box that gave
+// them fails: another that packed the same gives the rest.
+type taking struct {
+	sum    uint64
+	size   int
+	base   string
+	digest string
+	bytes  []byte
+	whole  bool // the difference did not fit: ask for the whole next
+}
+
 // pullPublished asks peers for what they hold newer.
 func (g *Gateway) pullPublished(ctx context.Context) {
 	now := g.now()
+	links := g.fleet.links(now)
 	p := &g.published
 	p.mu.Lock()
+	p.catalogs.Links, p.lists.Links = links, links
 	fromCatalog, fromList := p.catalogs.Pull(now), p.lists.Pull(now)
 	p.mu.Unlock()
 	if fromCatalog != "" {
@@ -25,37 +42,87 @@
 	}
 }
 
+// pull takes a document of a box, in as many parts as it has.
 func (g *Gateway) pull(ctx context.Context, from, document string) {
-	ctx, cancel := context.WithTimeout(ctx, pullTime)
-	defer cancel()
 	began := g.now()
-	d, err := g.askDocument(ctx, from, document)
-	g.logPull(document, from, g.now().Sub(began), d, err)
-	if err != nil {
-		g.published.mu.Lock()
-		g.published.catalogs.PullFailed(from)
-		g.published.lists.PullFailed(from)
-		g.published.mu.Unlock()
-		return
+	p := &g.published
+	for failures := 0; ctx.Err() == nil; {
+		d, err := g.askDocument(ctx, from, document)
+		more := false
+		if err == nil {
+			more, err = g.takePublished(d, from, began)
+		}
+		switch {
+		case err == nil && !more:
+			g.watchPull(document, began, true)
+			p.mu.Lock()
+			p.feed(document).PullEnded(from)
+			p.mu.Unlock()
+			return
+		case err == nil:
+			failures = 0
+		case errors.Is(err, errBusy):
+			p.mu.Lock()
+			p.feed(document).PullBusy(g.now(), from, d.Busy.For)
+			p.mu.Unlock()
+			return
+		default:
+			g.watchPull(document, began, false)
+			g.logPull(document, from, began, d, err)
+			if failures++; failures == partTries || !g.published.partly(document) {
+				p.mu.Lock()
+				p.feed(document).PullFailed(from)
+				p.mu.Unlock()
+				return
+			}
+		}
+		p.mu.Lock()
+		p.feed(document).PullGoesOn(g.now())
+		p.mu.Unlock()
 	}
+}
+
+// takePublished takes what a box gave. more says that parts are missing.
+func (g *Gateway) takePublished(d *port.Published, from string, began time.Time) (more bool, err error) {
 	switch {
-	case document == port.DocumentServers && d.Since != nil:
+	case d.Busy != nil:
+		g.published.hearHolders(d)
+		return false, errBusy
+	case d.Part != nil:
+		raw, err := g.published.addPart(d)
+		if raw == nil || err != nil {
+			return err == nil, err
+		}
+		c := &catalog.Catalog{}
+		if err := msgpack.Unmarshal(raw, c); err != nil {
+			return false, eris.Wrap(err, "configuration can't be decoded")
+		}
+		if c.Digest() != d.Digest {
+			return false, eris.Errorf("the configuration is %s and not %s", c.Digest(), d.Digest)
+		}
+		g.logPull(port.DocumentConfig, from, began, d, nil)
+		g.takeCatalog(c, raw, d.AsOf, time.Time{}, from)
+	case d.Since != nil:
 		g.takeDifference(d, from)
-	case document == port.DocumentServers:
+	default:
 		g.takeServers(d.Servers, d.AsOf, time.Time{}, from)
-	case d.Catalog != nil:
-		g.takeCatalog(d.Catalog, d.AsOf, time.Time{}, from)
 	}
+	return false, nil
 }
 
-// errNotHeld says that a box does not have the document that it was asked for.
-var errNotHeld = errors.New("the box does not hold the document")
+var (
+	errNotHeld = errors.New("the box does not hold the document")
+	errBusy    = errors.New("the box gives others")
+	errStrange = errors.New("the part does not follow those that are here")
+)
 
 func (g *Gateway) askDocument(ctx context.Context, from, document string) (*port.Published, error) {
 	address := g.fleet.addressOf(from)
 	if address == "" {
 		return nil, errors.New("the box's address is not known")
 	}
+	ctx, cancel := context.WithTimeout(ctx, partTime)
+	defer cancel()
 	a, err := g.Peers.Ask(ctx, address, port.Question{Publish: g.published.question(document)})
 	switch {
 	case err != nil:
@@ -66,17 +133,80 @@
 	return a.Publish, nil
 }
 
-// logPull tells how asking a box for a document went. What the list of servers brings has lines of its own.
-func (g *Gateway) logPull(document, from string, took time.Duration, d *port.Published, err error) {
-	if g.Watch.Pulled != nil {
-		g.Watch.Pulled(document, err == nil, took)
+// addPart adds a part to those that are here, and gives the document when all are.
+func (p *published) addPart(d *port.Published) (raw []byte, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := &p.taking
+	if t.sum != d.Part.Sum || t.digest != d.Digest || t.base != d.Base {
+		*t = taking{sum: d.Part.Sum, size: d.Part.Size, digest: d.Digest, base: d.Base}
+	}
+	if d.Part.Offset != len(t.bytes) || len(d.Part.Bytes) == 0 {
+		*t = taking{}
+		return nil, errStrange
+	}
+	t.bytes = append(t.bytes, d.Part.Bytes...)
+	if len(t.bytes) < t.size {
+		return nil, nil
+	}
+	done := *t
+	*t = taking{}
+	var base []byte
+	if done.base != "" {
+		base = p.given.raw(done.base)
+	}
+	if done.base != "" && base == nil || catalog.Hash(string(done.bytes)) != done.sum {
+		t.whole = true
+		return nil, errStrange
+	}
+	if raw, err = pack.Unpack(done.bytes, base); err != nil {
+		t.whole = true
+	}
+	return raw, err
+}
+
+// partly says whether some parts of a document are here.
+func (p *published) partly(document string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return document == port.DocumentConfig && len(p.taking.bytes) > 0
+}
+
+// hearHolders notes the boxes that a busy one names.
+func (p *published) hearHolders(d *port.Published) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, box := range d.Busy.Holders {
+		p.catalogs.Holds(box, d.AsOf, d.Digest)
+	}
+}
+
+// question asks for a document; only for what differs from one that is known here, and only for what is
+// missing of it.
+func (p *published) question(document string) *port.PullPublished {
+	q := &port.PullPublished{Document: document, From: p.gateway.ID.Name}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if document == port.DocumentServers {
+		for _, r := range slices.Backward(p.recent) {
+			q.Held = append(q.Held, r.digest)
+		}
+		return q
 	}
+	if p.held != nil && !p.taking.whole {
+		q.Held = []string{p.held.Digest()}
+	}
+	q.Offset, q.Sum = len(p.taking.bytes), p.taking.sum
+	return q
+}
+
+// logPull tells how asking a box for a document went. What the list of servers brings has lines of its own.
+func (g *Gateway) logPull(document, from string, began time.Time, d *port.Published, err error) {
+	took := g.now().Sub(began)
 	since, newest, held := g.published.behind(document)
 	line := []any{"document", document, "from", from, "took_ms", took.Milliseconds(), "held", held, "newest_known", newest, "behind_ms", milliseconds(g.now(), since)}
 	if err == nil {
-		if document == port.DocumentConfig {
-			g.Log.Info("document pulled", append(line, "revision", d.AsOf)...)
-		}
+		g.Log.Info("document pulled", append(line, "revision", d.AsOf, "bytes", d.Part.Size, "base", d.Base)...)
 		return
 	}
 	var broken *port.Interrupted
@@ -86,6 +216,12 @@
 	g.Log.Warn("document pull failed", append(line, "cause", err.Error())...)
 }
 
+func (g *Gateway) watchPull(document string, began time.Time, ok bool) {
+	if g.Watch.Pulled != nil {
+		g.Watch.Pulled(document, ok, g.now().Sub(began))
+	}
+}
+
 // milliseconds is how long ago something was, 0 when it was not.
 func milliseconds(now, since time.Time) int64 {
 	if since.IsZero() {
@@ -110,16 +246,3 @@
 	}
 	return p.lists
 }
-
-// question asks for a document; of the list of servers only what differs from one that is known here.
-func (p *published) question(document string) *port.PullPublished {
-	q := &port.PullPublished{Document: document}
-	if document == port.DocumentServers {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		for _, r := range slices.Backward(p.recent) {
-			q.Held = append(q.Held, r.digest)
-		}
-	}
-	return q
-}
--- a/src/gateway/reading.go
+++ b/src/gateway/reading.go
@@ -26,8 +26,9 @@
 		sleep(ctx, d/2+time.Duration(catalog.Hash(g.ID.Name, strconv.Itoa(r.failures))%uint64(d)))
 	}
 	for ctx.Err() == nil {
-		living := g.fleet.usable()
+		living, chosen := g.fleet.usable(), g.fleet.readers(g.now())
 		g.published.mu.Lock()
+		r.feed.Chosen = chosen
 		reads := r.feed.Reads(g.now(), living)
 		g.published.mu.Unlock()
 		if reads {
@@ -41,7 +42,7 @@
 // backoff is the pause after a failed read. Boxes that many others read before ask more rarely: whichever
 // of them finds the store again, the rest hear of it, and every call counts while it is down.
 func (r *reader) backoff() time.Duration {
-	living := r.gateway.fleet.usable()
+	living := r.gateway.fleet.usable() // the feed ranks those chosen as it did when this box began to read
 	most := maxBackoff * time.Duration(1+r.feed.Ahead(living)/backoffBoxes)
 	return min(most, readBackoff<<min(r.failures-1, mostBackoffs))
 }
@@ -98,7 +99,7 @@
 		switch {
 		case c != nil:
 			held = c
-			g.takeCatalog(c, at, began, "store")
+			g.takeCatalog(c, nil, at, began, "store")
 		case at > 0:
 			g.confirmCatalog(began, at)
 		}
--- a/src/gateway/roster.go
+++ b/src/gateway/roster.go
@@ -17,8 +17,10 @@
 type roster struct {
 	running    []core.RunningMember // that take work
 	boxes      []string             // of them, those that are eligible
+	readers    []string             // of them, those that read the platform first
+	links      map[string]uint32    // Mbit/s, by box
 	chosen     map[string]string    // scheduler by pool
-	until      time.Time            // when both are worked out anew
+	until      time.Time            // when all these are worked out anew
 	silent     map[string]time.Time // boxes that did not answer this box, and when they are asked again
 	hints      map[string]hint      // what schedulers said of who follows them, by pool
 	complaints map[string]complaint // the last complaint about a box that did not answer another
@@ -66,6 +68,7 @@
 	name     string
 	up       time.Duration // how long it has been running
 	seed     bool          // it is one of the boxes that every box begins with
+	domain   string
 	capacity core.Capacity
 }
 
@@ -114,6 +117,34 @@
 	return out
 }
 
+// readersOf chooses the boxes that read the platform: of those whose machines can carry the documents.
+func readersOf(all []contender) []string {
+	able := capable(all)
+	var candidates []catalog.Candidate
+	for _, c := range all {
+		if slices.Contains(able, c.name) {
+			candidates = append(candidates, catalog.Candidate{Name: c.name, Domain: c.domain})
+		}
+	}
+	return catalog.Readers(candidates)
+}
+
+// readers are the boxes that read the platform first.
+func (f *fleet) readers(now time.Time) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.eligible(now)
+	return f.roster.readers
+}
+
+// links are the boxes' links in Mbit/s; the map must not be changed.
+func (f *fleet) links(now time.Time) map[string]uint32 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.eligible(now)
+	return f.roster.links
+}
+
 // firstByHash ranks boxes for a pool by rendezvous hash; otherwise is given when there is none.
 func firstByHash(pool string, boxes []string, avoid map[string]bool, otherwise string) string {
 	best, rank := otherwise, uint64(0)
@@ -211,9 +242,12 @@
 	}
 	r.running = f.core.Running(now)
 	all := make([]contender, 0, len(r.running))
+	r.links = make(map[string]uint32, len(r.running)) // a new one: others read the last
 	for _, m := range r.running {
-		all = append(all, contender{name: m.Name, up: m.Up, seed: slices.Contains(f.gateway.Settings.Seeds, m.Address), capacity: m.Capacity})
+		all = append(all, contender{name: m.Name, up: m.Up, seed: slices.Contains(f.gateway.Settings.Seeds, m.Address), domain: m.Domain, capacity: m.Capacity})
+		r.links[m.Name] = m.Capacity.Link
 	}
+	r.readers = readersOf(all)
 	clear(r.chosen)
 	r.boxes, r.until = eligible(all), now.Add(rosterLife)
 	return r.boxes
--- a/src/box/pack.go
+++ b/src/pack/pack.go
@@ -1,19 +1,20 @@
-package box
+// Package pack compresses the documents that boxes hand one another, as the difference to an earlier
+// version where the other side has that.
+package pack
 
 import (
 	"github.com/klauspost/compress/zstd"
 	"github.com/rotisserie/eris"
 
 	"github.com/stilemast/stilemast/src/config"
-	"github.com/stilemast/stilemast/src/port"
 )
 
 // dictionary is the id under which the earlier version serves as zstd's dictionary.
 const dictionary = 1
 
-// pack compresses a document; base, if given, is an earlier version that the other side has, so that
-// only the difference travels.
-func pack(raw, base []byte) []byte {
+// Pack compresses a document; base, if given, is an earlier version that the other side has, so that
+// only the difference travels. The same arguments give the same bytes.
+func Pack(raw, base []byte) []byte {
 	opts := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(2 * config.MaxBytes), zstd.WithEncoderLevel(zstd.SpeedBetterCompression)}
 	if base != nil {
 		opts = append(opts, zstd.WithEncoderDictRaw(dictionary, base))
@@ -26,13 +27,11 @@
 	return enc.EncodeAll(raw, nil)
 }
 
-// unpack undoes pack within bounded memory.
-func unpack(p *port.Pulled, base []byte) ([]byte, error) {
-	if p.Base != "" && base == nil {
-		return nil, eris.New("the version it differs from is not here")
-	}
+// Unpack undoes Pack within bounded memory; base is nil when the whole document was packed. With a base
+// other than the one that Pack was given it gives the right document or an error: the packed one carries a checksum.
+func Unpack(packed, base []byte) ([]byte, error) {
 	opts := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(8 * config.MaxBytes)}
-	if p.Base != "" {
+	if base != nil {
 		opts = append(opts, zstd.WithDecoderDictRaw(dictionary, base))
 	}
 	dec, err := zstd.NewReader(nil, opts...)
@@ -40,6 +39,6 @@
 		return nil, eris.Wrap(err, "can't unpack")
 	}
 	defer dec.Close()
-	raw, err := dec.DecodeAll(p.Packed, nil)
+	raw, err := dec.DecodeAll(packed, nil)
 	return raw, eris.Wrap(err, "can't unpack")
 }
--- a/src/port/port.go
+++ b/src/port/port.go
@@ -227,7 +227,11 @@
 // catalog, DocumentServers for the backend servers.
 type PullPublished struct {
 	Document string   `msgpack:"o"`
-	Held     []string `msgpack:"h,omitempty"` // digests of the lists that the asker holds or held, the newest first
+	From     string   `msgpack:"f,omitempty"` // the asker, for logs
+	Held     []string `msgpack:"h,omitempty"` // digests that the asker holds or held, the newest first
+	// Offset is how much of the packed document with the sum Sum the asker has; 0 begins.
+	Offset int    `msgpack:"n,omitempty"`
+	Sum    uint64 `msgpack:"u,omitempty"`
 }
 
 // DocumentServers names the list of backend servers.
@@ -237,10 +241,24 @@
 type Published struct {
 	AsOf    uint64           `msgpack:"a"`
 	Digest  string           `msgpack:"d"`
-	Catalog *catalog.Catalog `msgpack:"c"`
 	Servers []catalog.Server `msgpack:"s"`
-	// Since is set when only the difference to a list that the asker holds or held is given; Base is the
-	// digest of that list.
+	// Since is set when only the difference to a list that the asker holds or held is given.
 	Since *catalog.Difference `msgpack:"i"`
-	Base  string              `msgpack:"b"`
+	Base  string              `msgpack:"b"` // digest of what a difference is to, "" for a whole document
+	Part  *Part               `msgpack:"p,omitempty"`
+	Busy  *Busy               `msgpack:"y,omitempty"`
+}
+
+// Part is some bytes of a packed catalog (package pack).
+type Part struct {
+	Bytes  []byte `msgpack:"b"`
+	Offset int    `msgpack:"n"`
+	Size   int    `msgpack:"z"` // of the whole packed document
+	Sum    uint64 `msgpack:"u"` // hash of the whole packed document
+}
+
+// Busy says that a box has promised others as much as its link carries for now.
+type Busy struct {
+	For     time.Duration `msgpack:"f"` // until it takes more
+	Holders []string      `msgpack:"h"` // boxes that it gave the same document lately
 }
