faults: a box of the test fleet is initialised before a message can reach it

Cause by the stack and the code: start() entered the new box into the fleet's map before Init, so a heartbeat of another box could be delivered between the two. The product starts its listener after Init. No assertion changed.

--- a/src/faults/fleet_test.go
+++ b/src/faults/fleet_test.go
@@ -186,10 +186,10 @@
 			},
 		},
 	}
+	b.Init() // before a message can reach it
 	f.mu.Lock()
 	f.boxes[name] = b
 	f.mu.Unlock()
-	b.Init()
 	b.Start(b.ctx)
 	return b
 }
