Reads of the store are limited by their progress, not by a time that does not know the size

Cause, the same class as the pulls: one read had 1.5 s and a watch 2.5 s in all; a configuration of 1.4 MB (5,600 routes) takes 1.1 s of an idle 10 Mbit/s link, so any traffic beside it ended the read, and it began anew. Now an answer must go on coming (1 s of silence, plus the wait of a watch for its head) and has 10 s in all; a watch on a connection that is silent for good is noticed after 2 s (2.5 s before). Tests first: TestALargeConfigurationIsReadOverASlowLink (2 Mbit/s, 5,603 routes) failed with the limit of 1.5 s, passes now; TestAnAnswerIsLimitedByItsProgress and TestTheHeadOfAnAnswerMayTakeLonger did not build before (new fields).

--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -62,6 +62,9 @@
 	// Fresh asks for a connection that is new or was used just now, for requests that must not meet
 	// one that the server is closing.
 	Fresh bool
+	// Silence is the longest time without a byte of the answer, 0 for any; the head may take Head where
+	// that is longer.
+	Silence, Head time.Duration
 }
 
 // Client keeps connections to servers. Set its fields before use.
@@ -83,6 +86,17 @@
 	usable  time.Time // until when it may be used again
 	fresh   time.Time // until when a request that can't be repeated may use it
 	once    sync.Once
+	silence time.Duration // that a read may take, 0 for any
+}
+
+// Read reads as net.Conn does, within the silence that the request allows.
+func (cn *conn) Read(b []byte) (int, error) {
+	if cn.silence > 0 {
+		if err := cn.SetReadDeadline(time.Now().Add(cn.silence)); err != nil {
+			return 0, err
+		}
+	}
+	return cn.Conn.Read(b)
 }
 
 // Answer is an answer whose body is still to be read. Close must be called.
@@ -100,7 +114,9 @@
 		return nil, &NotSent{Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { cn.drop() })
+	cn.silence = max(r.Silence, r.Head)
 	resp, sent, err := cn.converse(r)
+	cn.silence = r.Silence
 	if err != nil {
 		stop()
 		cn.drop()
@@ -222,6 +238,10 @@
 		cn.drop()
 		return
 	}
+	if cn.silence > 0 {
+		cn.silence = 0
+		_ = cn.SetReadDeadline(time.Time{}) // a connection that is broken shows it when it is used
+	}
 	now := time.Now()
 	cn.usable, cn.fresh = now.Add(stay), now.Add(min(stay, freshLimit))
 	c := cn.client
@@ -304,7 +324,9 @@
 		c.mu.Unlock()
 		return nil, err
 	}
-	return &conn{Conn: raw, client: c, address: address, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	cn := &conn{Conn: raw, client: c, address: address}
+	cn.reader = bufio.NewReaderSize(cn, readBuffer)
+	return cn, nil
 }
 
 // Dial opens a connection that notices a silent peer within seconds.
--- a/src/exchange/exchange_test.go
+++ b/src/exchange/exchange_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // server runs one function for each connection and counts the requests that arrive.
@@ -295,3 +296,58 @@
 		t.Error("a connection whose request was not written whole was kept")
 	}
 }
+
+// An answer that comes slowly is taken; one that stops coming is given up after the silence that is allowed.
+func TestAnAnswerIsLimitedByItsProgress(t *testing.T) {
+	const silence = 200 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		pieces int
+		whole  bool
+	}{{"slow", 8, true}, {"silent after three pieces", 3, false}} {
+		address, _ := server(t, func(conn net.Conn, _ *http.Request, _ int) {
+			say(conn, "HTTP/1.1 200 OK\nContent-Length: 8\n\n")
+			for range c.pieces {
+				time.Sleep(silence / 3)
+				say(conn, "x")
+			}
+			if c.pieces < 8 {
+				time.Sleep(20 * silence)
+			}
+		})
+		r := get("1")
+		r.Silence = silence
+		began := time.Now()
+		body, err := do(t, &Client{}, address, r)
+		if c.whole != (err == nil) || c.whole && body != "xxxxxxxx" {
+			t.Errorf("%s: %q, %v", c.name, body, err)
+		}
+		if !c.whole && time.Since(began) > 10*silence {
+			t.Errorf("%s: given up after %v", c.name, time.Since(began))
+		}
+	}
+}
+
+// The time that a server may take before the head of its answer comes on top.
+func TestTheHeadOfAnAnswerMayTakeLonger(t *testing.T) {
+	const silence = 200 * time.Millisecond
+	address, _ := server(t, func(conn net.Conn, _ *http.Request, n int) {
+		time.Sleep(2 * silence)
+		say(conn, "HTTP/1.1 200 OK\nContent-Length: 1\n\nx")
+	})
+	c := &Client{}
+	r := get("1")
+	r.Silence, r.Head = silence, 4*silence
+	if body, err := do(t, c, address, r); err != nil || body != "x" {
+		t.Errorf("%q, %v", body, err)
+	}
+	r = get("2") // on the kept connection, whose limit must not stay
+	if body, err := do(t, c, address, r); err != nil || body != "x" {
+		t.Errorf("on the kept connection: %q, %v", body, err)
+	}
+	r = get("3")
+	r.Silence = silence
+	if _, err := do(t, c, address, r); err == nil {
+		t.Error("a head that took longer than the silence allowed was waited for")
+	}
+}
--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -58,15 +58,20 @@
 	firstGuess       = 250 * time.Millisecond
 )
 
+// ReadSilence is the longest time in which a read of the store may bring nothing: four times what a slow
+// store took (240 ms). A watch that is silent for good is noticed after watchWait and this, two thirds of a bound
+// of 3 s for a change, during which the other readers read.
+const ReadSilence = time.Second
+
 // Tunables of reading the platform.
 const (
-	watchWait    = time.Second             // that one watch waits at the store
-	readPatience = 1500 * time.Millisecond // for one read
-	readBackoff  = 150 * time.Millisecond  // after a failed read, doubled with each
-	maxBackoff   = time.Second             // of the boxes that read first
-	backoffBoxes = 8                       // boxes ahead that add as much to it, so that a fleet of any size makes some 10 to 20 calls a second
-	mostBackoffs = 8                       // doublings
-	listPace     = 100 * time.Microsecond  // that a reader waits after a change of the list, for each server in it
+	watchWait    = time.Second            // that one watch waits at the store
+	readLimit    = 10 * time.Second       // for one read, however it comes on: the longest answer taken, 16 MB, needs 13 Mbit/s, one of 1.4 MB 1.1
+	readBackoff  = 150 * time.Millisecond // after a failed read, doubled with each
+	maxBackoff   = time.Second            // of the boxes that read first
+	backoffBoxes = 8                      // boxes ahead that add as much to it, so that a fleet of any size makes some 10 to 20 calls a second
+	mostBackoffs = 8                      // doublings
+	listPace     = 100 * time.Microsecond // that a reader waits after a change of the list, for each server in it
 	mostListPace = 250 * time.Millisecond
 	recentLists  = 6                       // lists of servers that a box remembers, for differences to them
 	notReading   = 150 * time.Millisecond  // pace at which a box asks itself whether to read
--- a/src/gateway/reading.go
+++ b/src/gateway/reading.go
@@ -77,11 +77,11 @@
 		var c *catalog.Catalog
 		var err error
 		if at == 0 {
-			one, cancel := context.WithTimeout(ctx, readPatience)
+			one, cancel := context.WithTimeout(ctx, readLimit)
 			c, at, err = g.Store.Catalog(one)
 			cancel()
 		} else {
-			one, cancel := context.WithTimeout(ctx, watchWait+readPatience)
+			one, cancel := context.WithTimeout(ctx, watchWait+readLimit)
 			var change CatalogChange
 			change, at, err = g.Store.WatchCatalog(one, at, watchWait)
 			cancel()
@@ -153,7 +153,7 @@
 // readListing reads the list whole. After an outage the servers that this box held and the list lacks
 // may only have lapsed.
 func (g *Gateway) readListing(ctx context.Context, l *catalog.Listing, afterOutage bool) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, readPatience)
+	ctx, cancel := context.WithTimeout(ctx, readLimit)
 	defer cancel()
 	list, at, err := g.Store.Servers(ctx)
 	if err != nil {
@@ -165,7 +165,7 @@
 
 // watchListing waits for changes of the list.
 func (g *Gateway) watchListing(ctx context.Context, l *catalog.Listing, after uint64) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+readPatience)
+	ctx, cancel := context.WithTimeout(ctx, watchWait+readLimit)
 	defer cancel()
 	changes, at, err := g.Store.WatchServers(ctx, after, l.Wait(g.now(), watchWait))
 	if err != nil {
--- a/src/gateway/spreading_test.go
+++ b/src/gateway/spreading_test.go
@@ -53,3 +53,22 @@
 		}
 	})
 }
+
+// A read of the store is limited by its progress and not by a time that a large document on a slow link
+// does not meet.
+func TestALargeConfigurationIsReadOverASlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEmptyFleet(t)
+		f.links = newLinks(func(string) float64 { return 2 }) // a fifth of the smallest link: beside other traffic
+		f.catalog = withRoutes(f.catalog, 5600)
+		f.start("box0")
+		if took, missing := f.arrivals(f.catalog.Version, 9*time.Second); missing > 0 {
+			t.Errorf("the only box had no configuration after %v", took)
+		}
+		next := withRoutes(f.catalog, 1)
+		f.publish(next)
+		if took, missing := f.arrivals(next.Version, 9*time.Second); missing > 0 {
+			t.Errorf("the only box did not have the change after %v", took)
+		}
+	})
+}
