A part that fails is asked of another box, which packed the same; tests of parts, promised links, readers and silent holders

Cause, found by TestWhatCameOfADocumentIsKeptWhenItsGiverEnds (failed first): a box that had packed nothing yet for anybody gave the first part again, and what had come was thrown away. Now it packs, sees by the sum that the bytes are the same, and goes on at the offset. By reading: three tries of a part at one box would have held a pull at a silent box for 2.7 s; now one.

--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -82,7 +82,6 @@
 const (
 	partBytes   = 32 << 10               // of a packed document in one answer: 26 ms of 10 Mbit/s, the smallest link seen
 	partTime    = 900 * time.Millisecond // for one part; holds down to 36 kB/s
-	partTries   = 3                      // failures of parts in a row before another box is asked
 	giveAhead   = 150 * time.Millisecond // of its link's time that a box promises ahead
 	giveShare   = 0.5                    // of its link that a box takes for it
 	assumedLink = 10                     // Mbit/s of a box that does not know its link
--- a/src/gateway/fleet_test.go
+++ b/src/gateway/fleet_test.go
@@ -23,22 +23,23 @@
 // testFleet is some gateways in one process in virtual time, with messages that take a millisecond,
 // a store and servers that are functions.
 type testFleet struct {
-	t        *testing.T
-	ctx      context.Context
-	mu       sync.Mutex
-	boxes    map[string]*Gateway // by address
-	lost     map[string]bool     // addresses that neither send nor get messages
-	stop     map[string]context.CancelFunc
-	storeOK  bool
-	rev      uint64
-	catalog  *catalog.Catalog
-	servers  []catalog.Server
-	reads    map[string]int // store calls by box
-	refuses  bool           // whether the address of a killed box refuses connections, as that of a process does
-	held     int            // messages that told a scheduler of results
-	restored []string       // failure domains of which an evacuation was taken back
-	lists    int            // whole lists of servers that one box gave another
-	links    *links         // what the boxes' links carry, nil when they carry anything at once
+	t         *testing.T
+	ctx       context.Context
+	mu        sync.Mutex
+	boxes     map[string]*Gateway // by address
+	lost      map[string]bool     // addresses that neither send nor get messages
+	stop      map[string]context.CancelFunc
+	storeOK   bool
+	rev       uint64
+	catalog   *catalog.Catalog
+	servers   []catalog.Server
+	reads     map[string]int        // store calls by box
+	refuses   bool                  // whether the address of a killed box refuses connections, as that of a process does
+	held      int                   // messages that told a scheduler of results
+	restored  []string              // failure domains of which an evacuation was taken back
+	lists     int                   // whole lists of servers that one box gave another
+	turnsAway func(box string) bool // whether the store answers a box with an error; nil for none
+	links     *links                // what the boxes' links carry, nil when they carry anything at once
 
 	runPieces func(ctx context.Context, box string, s catalog.Server, items []batch.Item) (batch.CallOutcome, []batch.ItemResult)
 	send      func(ctx context.Context, box string, c *Call) (*Reply, error)
@@ -231,7 +232,7 @@
 	begin := func(ctx context.Context) error {
 		f.mu.Lock()
 		f.reads[box]++
-		ok := f.storeOK
+		ok := f.storeOK && (f.turnsAway == nil || !f.turnsAway(box))
 		f.mu.Unlock()
 		if !wait(ctx, 4*time.Millisecond) || !ok {
 			return errStore
--- a/src/gateway/giving.go
+++ b/src/gateway/giving.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/pack"
 	"github.com/stilemast/stilemast/src/port"
 )
@@ -174,17 +175,20 @@
 		return &port.Published{}
 	}
 	pk := v.bySum(q.Sum)
-	if pk == nil || q.Offset == 0 || q.Offset >= len(pk.bytes) {
-		q.Offset = 0
+	if pk == nil || q.Offset == 0 {
 		if pk = v.pack(st.Version, st.Digest, v.base(q.Held)); pk == nil {
 			return &port.Published{}
 		}
-		if wait := v.promise(g.now(), len(pk.bytes)); wait > 0 {
-			named := v.namedHolders()
-			g.Log.Info("document refused, link promised", "document", q.Document, "to", q.From, "revision", st.Version, "wait_ms", wait.Milliseconds(), "named", named)
-			return &port.Published{AsOf: st.Version, Digest: st.Digest, Busy: &port.Busy{For: wait, Holders: named}}
+		if pk.sum != q.Sum {
+			q.Offset = 0 // it has begun with another
+		}
+		if wait := v.promise(g.now(), len(pk.bytes)-q.Offset); wait > 0 {
+			return g.refuseCatalog(q, st, wait)
 		}
-		g.Log.Info("document given", "document", q.Document, "to", q.From, "revision", st.Version, "base", pk.base, "bytes", len(pk.bytes))
+		g.Log.Info("document given", "document", q.Document, "to", q.From, "revision", st.Version, "base", pk.base, "bytes", len(pk.bytes), "offset", q.Offset)
+	}
+	if q.Offset < 0 || q.Offset >= len(pk.bytes) {
+		q.Offset = 0
 	}
 	out := &port.Published{AsOf: pk.asOf, Digest: pk.digest, Base: pk.base}
 	if pk.digest == st.Digest {
@@ -197,3 +201,10 @@
 	}
 	return out
 }
+
+// refuseCatalog names other boxes that have the catalog while the link is promised.
+func (g *Gateway) refuseCatalog(q *port.PullPublished, st core.Statement, wait time.Duration) *port.Published {
+	named := g.published.given.namedHolders()
+	g.Log.Info("document refused, link promised", "document", q.Document, "to", q.From, "revision", st.Version, "wait_ms", wait.Milliseconds(), "named", named)
+	return &port.Published{AsOf: st.Version, Digest: st.Digest, Busy: &port.Busy{For: wait, Holders: named}}
+}
--- a/src/gateway/pulling.go
+++ b/src/gateway/pulling.go
@@ -46,39 +46,35 @@
 func (g *Gateway) pull(ctx context.Context, from, document string) {
 	began := g.now()
 	p := &g.published
-	for failures := 0; ctx.Err() == nil; {
+	for ctx.Err() == nil {
 		d, err := g.askDocument(ctx, from, document)
 		more := false
 		if err == nil {
 			more, err = g.takePublished(d, from, began)
 		}
-		switch {
-		case err == nil && !more:
-			g.watchPull(document, began, true)
-			p.mu.Lock()
-			p.feed(document).PullEnded(from)
-			p.mu.Unlock()
-			return
-		case err == nil:
-			failures = 0
-		case errors.Is(err, errBusy):
-			p.mu.Lock()
-			p.feed(document).PullBusy(g.now(), from, d.Busy.For)
-			p.mu.Unlock()
-			return
-		default:
-			g.watchPull(document, began, false)
+		busy := errors.Is(err, errBusy)
+		if !more && !busy {
+			g.watchPull(document, began, err == nil)
+		}
+		if err != nil && !busy {
 			g.logPull(document, from, began, d, err)
-			if failures++; failures == partTries || !g.published.partly(document) {
-				p.mu.Lock()
-				p.feed(document).PullFailed(from)
-				p.mu.Unlock()
-				return
-			}
 		}
 		p.mu.Lock()
-		p.feed(document).PullGoesOn(g.now())
+		feed := p.feed(document)
+		switch {
+		case more:
+			feed.PullGoesOn(g.now())
+		case busy:
+			feed.PullBusy(g.now(), from, d.Busy.For)
+		case err != nil:
+			feed.PullFailed(from) // another box gives what is missing
+		default:
+			feed.PullEnded(from)
+		}
 		p.mu.Unlock()
+		if !more {
+			return
+		}
 	}
 }
 
@@ -165,13 +161,6 @@
 	return raw, err
 }
 
-// partly says whether some parts of a document are here.
-func (p *published) partly(document string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return document == port.DocumentConfig && len(p.taking.bytes) > 0
-}
-
 // hearHolders notes the boxes that a busy one names.
 func (p *published) hearHolders(d *port.Published) {
 	p.mu.Lock()
--- /dev/null
+++ b/src/gateway/pulling_test.go
@@ -0,0 +1,192 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/port"
+)
+
+// listen gives the answers that boxes give one another to a function, which may change or refuse them.
+func (f *testFleet) listen(name string, hear func(to string, q port.Question, a *port.Answer) error) {
+	g := f.box(name)
+	ask := g.Peers.Ask
+	g.Peers.Ask = func(ctx context.Context, to string, q port.Question) (port.Answer, error) {
+		a, err := ask(ctx, to, q)
+		if err == nil {
+			err = hear(to, q, &a)
+		}
+		return a, err
+	}
+}
+
+// A fresh box takes a document of several parts. The box that gives them ends midway: another gives what is
+// missing, and nothing is sent twice.
+func TestWhatCameOfADocumentIsKeptWhenItsGiverEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 3)
+		time.Sleep(2 * time.Second)
+		f.publish(withRoutes(f.catalog, 7000))
+		time.Sleep(2 * time.Second)
+		f.mu.Lock()
+		f.storeOK = false
+		f.mu.Unlock()
+		f.setLost("fresh", true) // until it is listened to
+		g := f.start("fresh")
+		var offsets []int
+		var givers []string
+		f.listen("fresh", func(to string, q port.Question, a *port.Answer) error {
+			if a.Publish == nil || a.Publish.Part == nil {
+				return nil
+			}
+			if len(offsets) == 2 && to == givers[0] {
+				return errors.New("the giver has ended")
+			}
+			offsets, givers = append(offsets, a.Publish.Part.Offset), append(givers, to)
+			return nil
+		})
+		time.Sleep(6 * time.Second)
+		if g.Version() != f.catalog.Version {
+			t.Fatalf("the fresh box has version %d, want %d; parts at %v", g.Version(), f.catalog.Version, offsets)
+		}
+		if len(offsets) < 4 || givers[0] == givers[len(givers)-1] {
+			t.Fatalf("parts at %v from %v, want several, and from two boxes", offsets, givers)
+		}
+		for i, o := range offsets {
+			if o != i*partBytes {
+				t.Errorf("parts at %v, want each once and in order", offsets)
+				break
+			}
+		}
+	})
+}
+
+// A difference that does not fit, damaged bytes and parts out of order change nothing, and the whole is asked for.
+func TestDamagedPartsAreNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 2)
+		time.Sleep(2 * time.Second)
+		g := f.box("box1")
+		good := func() *port.Published {
+			giver := &Gateway{ID: core.BoxID{Name: "giver", Incarnation: 1}, Peers: port.Peers{Beat: func(string, core.Beat) {}}}
+			giver.Init()
+			giver.takeCatalog(f.box("box0").published.held, nil, 1, time.Now(), "store")
+			next := withRoutes(f.catalog, 10)
+			next.Version = 1000 // which the store never has
+			giver.takeCatalog(next, nil, 90, time.Now(), "store")
+			return giver.give(&port.PullPublished{Document: port.DocumentConfig, Held: []string{f.box("box0").published.held.Digest()}})
+		}
+		for _, c := range []struct {
+			name  string
+			spoil func(d *port.Published)
+		}{
+			{"a part that does not begin", func(d *port.Published) { d.Part.Offset = 7 }},
+			{"an empty part", func(d *port.Published) { d.Part.Bytes = nil }},
+			{"a wrong sum", func(d *port.Published) { d.Part.Sum++ }},
+			{"an unknown base", func(d *port.Published) { d.Base = "unknown" }},
+			{"another digest", func(d *port.Published) { d.Digest = "77" }},
+			{"bytes that are not packed", func(d *port.Published) {
+				d.Part.Bytes = []byte("nonsense")
+				d.Part.Size, d.Part.Sum = 8, catalog.Hash("nonsense")
+			}},
+		} {
+			d := good()
+			c.spoil(d)
+			if more, err := g.takePublished(d, "giver", time.Now()); err == nil || more || g.Version() == 1000 {
+				t.Errorf("%s: more %t, %v, version %d", c.name, more, err, g.Version())
+			}
+			f.publish(withRoutes(f.catalog, 10))
+			time.Sleep(2 * time.Second)
+			if g.Version() != f.catalog.Version {
+				t.Errorf("%s: version %d later, want %d", c.name, g.Version(), f.catalog.Version)
+			}
+		}
+		if more, err := g.takePublished(good(), "giver", time.Now()); err != nil || more || g.Version() != 1000 {
+			t.Errorf("what is not spoiled: more %t, %v, version %d", more, err, g.Version())
+		}
+		g.published.taking = taking{whole: true}
+		if q := g.published.question(port.DocumentConfig); len(q.Held) > 0 {
+			t.Error("after a difference that did not fit a difference is asked for again")
+		}
+	})
+}
+
+// A box that has promised its link names others that have the document, and the asker goes there.
+func TestABusyBoxNamesAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEmptyFleet(t)
+		f.links = newLinks(func(string) float64 { return 10 })
+		f.start("box0")
+		time.Sleep(2 * time.Second)
+		f.publish(withRoutes(f.catalog, 5600))
+		time.Sleep(2 * time.Second)
+		g := f.box("box0")
+		whole := &port.PullPublished{Document: port.DocumentConfig, From: "a"}
+		size := g.give(whole).Part.Size
+		var busy *port.Busy
+		begun := 1
+		for range 50 {
+			if d := g.give(&port.PullPublished{Document: port.DocumentConfig, From: "b"}); d.Busy != nil {
+				busy = d.Busy
+				break
+			}
+			begun++
+		}
+		if most := 2 + int(giveAhead.Seconds()*giveShare*10*bytesPerMbit/float64(size)); busy == nil || begun > most {
+			t.Fatalf("%d transfers of %d bytes were begun at once, want %d at most", begun, size, most)
+		}
+		if busy.For <= 0 || busy.For > time.Second {
+			t.Errorf("to be asked again after %v", busy.For)
+		}
+		// Those that it has begun with are given the rest all the same.
+		p := g.give(whole).Busy
+		rest := g.give(&port.PullPublished{Document: port.DocumentConfig, From: "a", Offset: partBytes, Sum: g.published.given.packs[0].sum})
+		if p == nil || rest.Part == nil || rest.Part.Offset != partBytes {
+			t.Errorf("a transfer that was begun is not gone on with: %+v", rest)
+		}
+		for offset := partBytes; offset < size; offset += partBytes {
+			g.give(&port.PullPublished{Document: port.DocumentConfig, From: "a", Offset: offset, Sum: rest.Part.Sum})
+		}
+		if d := g.give(whole); d.Busy == nil || !slices.Equal(d.Busy.Holders, []string{"a"}) {
+			t.Errorf("names %+v, want the box that has the whole", d.Busy)
+		}
+		other := newEmptyFleet(t).start("other")
+		other.published.hearHolders(&port.Published{AsOf: 9, Digest: "2", Busy: &port.Busy{Holders: []string{"a"}}})
+		other.published.mu.Lock()
+		defer other.published.mu.Unlock()
+		if from := other.published.catalogs.Pull(time.Now()); from != "a" {
+			t.Errorf("asks %q next, want the box that was named", from)
+		}
+	})
+}
+
+// A holder whose connections open and then say nothing holds a change up by one part's limit, not more.
+func TestASilentHolderIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const boxes = 12
+		f := newTestFleet(t, boxes)
+		time.Sleep(3 * time.Second)
+		silent := map[string]bool{addressOf("box3"): true, addressOf("box7"): true}
+		for i := range boxes {
+			f.listen(fmt.Sprint("box", i), func(to string, q port.Question, a *port.Answer) error {
+				if silent[to] && q.Publish != nil {
+					time.Sleep(partTime)
+					return context.DeadlineExceeded
+				}
+				return nil
+			})
+		}
+		next := withRoutes(f.catalog, 1400)
+		f.publish(next)
+		if last, missing := f.arrivals(next.Version, 6*time.Second); last > applyBound {
+			t.Errorf("the last box after %v, %d without it", last, missing)
+		}
+	})
+}
--- a/src/gateway/spreading_test.go
+++ b/src/gateway/spreading_test.go
@@ -1,15 +1,60 @@
 package gateway
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/core"
 )
 
 // applyBound is the time within which an accepted configuration must be in force on every box.
 const applyBound = 3 * time.Second
 
+// spreadTable plays the table of docs/CAPACITY.md: sizes of fleets and of configurations.
+var spreadTable = flag.Bool("spread.table", false, "play the table of how long a change takes to all boxes")
+
+func TestSpreadTable(t *testing.T) {
+	if !*spreadTable {
+		t.Skip("by hand, with -spread.table")
+	}
+	for _, boxes := range []int{61, 295, 420, 1000} {
+		for _, routes := range []int{1400, 5600, 10000} {
+			t.Run(fmt.Sprintf("boxes=%d/routes=%d", boxes, routes), func(t *testing.T) { playSpread(t, boxes, routes) })
+		}
+	}
+}
+
+// playSpread has a fleet hold all but the last 1,400 routes and publishes those.
+func playSpread(t *testing.T, boxes, routes int) {
+	synctest.Test(t, func(t *testing.T) {
+		const change = 1400
+		f := newEmptyFleet(t)
+		f.links = newLinks(func(box string) float64 {
+			var i int
+			if _, err := fmt.Sscanf(box, "box%d", &i); err != nil || i%16 != 5 {
+				return 20
+			}
+			return 200
+		})
+		f.catalog = withRoutes(f.catalog, routes-change)
+		for i := range boxes {
+			f.start(fmt.Sprint("box", i))
+		}
+		first, missing := f.arrivals(f.catalog.Version, 30*time.Second)
+		time.Sleep(6 * time.Second)
+		before := f.links.received()
+		next := withRoutes(f.catalog, change)
+		f.publish(next)
+		last, missingAfter := f.arrivals(next.Version, 12*time.Second)
+		time.Sleep(2 * time.Second)
+		t.Logf("start %v (%d missing); change %v (%d missing), %d bytes a box", first, missing, last, missingAfter, (f.links.received()-before)/boxes)
+	})
+}
+
 // bytesPerRoute is what one more route may cost each box on average: twice its size in a message.
 const bytesPerRoute = 240
 
@@ -72,3 +117,68 @@
 		}
 	})
 }
+
+// While the store turns most boxes away, a third of the boxes are killed and return with nothing.
+func TestAChangeGoesRoundThoughMostAreTurnedAwayAndAThirdIsKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const boxes = 61
+		f := newEmptyFleet(t)
+		f.links = mixedLinks()
+		f.catalog = withRoutes(f.catalog, 4200)
+		for i := range boxes {
+			f.start(fmt.Sprint("box", i))
+		}
+		time.Sleep(8 * time.Second)
+		f.mu.Lock()
+		f.turnsAway = func(box string) bool { return catalog.Hash(box)%10 < 7 }
+		f.mu.Unlock()
+		for i := 0; i < boxes; i += 3 {
+			f.kill(fmt.Sprint("box", i))
+		}
+		time.Sleep(2 * time.Second)
+		next := withRoutes(f.catalog, 1400)
+		f.publish(next)
+		for i := 0; i < boxes; i += 3 {
+			f.start(fmt.Sprint("box", i))
+		}
+		last, missing := f.arrivals(next.Version, 12*time.Second)
+		t.Logf("the last of %d boxes after %v", boxes, last)
+		if last > 2*applyBound { // the readers are lost, and 7 in 10 of those that follow are turned away
+			t.Errorf("the last box after %v, %d without it", last, missing)
+		}
+	})
+}
+
+// Readers are boxes that can carry the document, in different failure domains; a few of all where none can.
+func TestReadersCanCarryTheDocument(t *testing.T) {
+	var all []contender
+	for i := range 40 {
+		c := contender{name: fmt.Sprint("box", i), domain: fmt.Sprint("d", i%4), capacity: core.Capacity{CPU: 192, Link: 10}}
+		if i%5 == 0 {
+			c.capacity = core.Capacity{CPU: 800, Link: 200}
+		}
+		all = append(all, c)
+	}
+	domains := map[string]bool{}
+	chosen := readersOf(all)
+	for _, name := range chosen {
+		for _, c := range all {
+			if c.name != name {
+				continue
+			}
+			domains[c.domain] = true
+			if c.capacity.Link != 200 {
+				t.Errorf("%s reads over %d Mbit/s", name, c.capacity.Link)
+			}
+		}
+	}
+	if len(chosen) != 3 || len(domains) != 3 {
+		t.Errorf("%v read, in %d failure domains, want three in three", chosen, len(domains))
+	}
+	if got := readersOf(all[1:5]); len(got) != 3 {
+		t.Errorf("%v read of four like boxes, want three", got)
+	}
+	if got := readersOf(all[1:3]); len(got) != 2 {
+		t.Errorf("%v read of two, want both", got)
+	}
+}
