--- /dev/null
+++ b/src/catalog/holders_test.go
@@ -0,0 +1,132 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stilemast/stilemast/src/core"
+)
+
+// feedsBehind are feeds of many boxes that hold revision 1 and were told by two peers of a newer one.
+func feedsBehind(n int, links map[string]uint32) []*Feed {
+	var out []*Feed
+	for i := range n {
+		f := NewFeed(fmt.Sprint("box", i))
+		f.Links = links
+		f.Read(start, 1, "x")
+		for _, peer := range []string{"large", "small"} {
+			f.Hear(start, peer, core.Statement{Version: 2, Digest: "y"}, time.Time{})
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
+func TestHoldersAreAskedInProportionToTheirLinks(t *testing.T) {
+	n := map[string]int{}
+	for _, f := range feedsBehind(1000, map[string]uint32{"large": 200, "small": 10}) {
+		n[f.Pull(start)]++
+	}
+	if n["small"] < 20 || n["small"] > 90 || n["large"]+n["small"] != 1000 {
+		t.Errorf("asked %v, want about one in 21 the small one", n)
+	}
+	n = map[string]int{}
+	for _, f := range feedsBehind(1000, nil) {
+		n[f.Pull(start)]++
+	}
+	if n["small"] < 400 || n["small"] > 600 {
+		t.Errorf("with unknown links asked %v, want half and half", n)
+	}
+}
+
+func TestTheNewestHolderIsAskedFirst(t *testing.T) {
+	for _, f := range feedsBehind(20, nil) {
+		f.Hear(start, "newest", core.Statement{Version: 3, Digest: "z"}, time.Time{})
+		if from := f.Pull(start); from != "newest" {
+			t.Errorf("%s asks %s", f.Self, from)
+		}
+		f.PullBusy(start, "newest", 100*time.Millisecond)
+		if from := f.Pull(start); from == "newest" || from == "" {
+			t.Errorf("%s asks %q while the newest is busy", f.Self, from)
+		}
+	}
+}
+
+func TestABusyHolderIsAskedAgainLater(t *testing.T) {
+	f := feedsBehind(1, nil)[0]
+	for _, peer := range []string{"large", "small"} {
+		f.PullBusy(start, peer, time.Hour)
+	}
+	if from := f.Pull(start.Add(mostBusy - time.Millisecond)); from != "" {
+		t.Errorf("%s is asked while it is busy", from)
+	}
+	if from := f.Pull(start.Add(mostBusy)); from == "" {
+		t.Error("a box that said it is busy for an hour is not asked any more")
+	}
+}
+
+// While a transfer goes on no other begins, however long it takes; when it stands still another does.
+func TestATransferThatGoesOnIsNotRivalled(t *testing.T) {
+	f := feedsBehind(1, nil)[0]
+	first := f.Pull(start)
+	now := start
+	for range 10 {
+		now = now.Add(pullPatience - time.Millisecond)
+		if from := f.Pull(now); from != "" {
+			t.Fatalf("%s is asked while %s gives", from, first)
+		}
+		f.PullGoesOn(now)
+	}
+	if from := f.Pull(now.Add(pullPatience)); from == "" {
+		t.Error("no other box is asked though the transfer stands still")
+	}
+}
+
+// A box that knows of newer content and does not get it reads by itself within the bound, whoever is ahead of it.
+func TestABoxThatKnowsItIsBehindReadsSoon(t *testing.T) {
+	var boxes []string
+	for i := range 300 {
+		boxes = append(boxes, fmt.Sprint("box", i))
+	}
+	for _, f := range feedsBehind(300, nil) {
+		if f.Ahead(boxes) < readers {
+			continue
+		}
+		told := start.Add(500 * time.Millisecond)
+		f.Hear(start, "peer", core.Statement{Version: 1, Digest: "x"}, start) // it was confirmed just now
+		if since, newest := f.Behind(); !since.Equal(start) || newest != 2 {
+			t.Errorf("%s has been behind %d since %v", f.Self, newest, since)
+		}
+		if f.Reads(told, boxes) {
+			t.Errorf("%s reads before its peers could hand the document over", f.Self)
+		}
+		if !f.Reads(start.Add(behindAfter+selfReadSpread+time.Millisecond), boxes) {
+			t.Errorf("%s does not read though it is behind", f.Self)
+		}
+		f.Pulled(2, "y")
+		if since, _ := f.Behind(); !since.IsZero() || f.Reads(start.Add(behindAfter+selfReadSpread+time.Millisecond), boxes) {
+			t.Errorf("%s holds the newest and is behind since %v", f.Self, since)
+		}
+	}
+}
+
+func TestTheChosenReadFirst(t *testing.T) {
+	boxes := []string{"a", "b", "c", "d", "e"}
+	ahead := map[int]int{}
+	for _, b := range boxes {
+		f := NewFeed(b)
+		f.Chosen = []string{"d", "b"}
+		f.Read(start, 1, "x")
+		n := f.Ahead(boxes)
+		ahead[n]++
+		if (b == "d" && n != 0) || (b == "b" && n != 1) || (b != "d" && b != "b" && n < 2) {
+			t.Errorf("%d read before %s", n, b)
+		}
+	}
+	for n := range boxes {
+		if ahead[n] != 1 {
+			t.Errorf("ranks %v, want each once", ahead)
+		}
+	}
+}
--- a/src/gateway/spreading_test.go
+++ b/src/gateway/spreading_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/port"
 )
 
 // applyBound is the time within which an accepted configuration must be in force on every box.
@@ -159,36 +160,53 @@
 
 // Readers are boxes that can carry the document, in different failure domains; a few of all where none can.
 func TestReadersCanCarryTheDocument(t *testing.T) {
-	var all []contender
-	for i := range 40 {
-		c := contender{name: fmt.Sprint("box", i), domain: fmt.Sprint("d", i%4), capacity: core.Capacity{CPU: 192, Link: 10}}
-		if i%5 == 0 {
-			c.capacity = core.Capacity{CPU: 800, Link: 200}
-		}
-		all = append(all, c)
-	}
-	domains := map[string]bool{}
-	chosen := readersOf(all)
-	for _, name := range chosen {
-		for _, c := range all {
-			if c.name != name {
-				continue
+	for fleet := range 20 {
+		var all []contender
+		large, domain := map[string]bool{}, map[string]string{}
+		for i := range 40 {
+			c := contender{name: fmt.Sprintf("fleet%d-box%d", fleet, i), domain: fmt.Sprint("d", i%4), capacity: core.Capacity{CPU: 192, Link: 10}}
+			if i%5 == 0 {
+				c.capacity = core.Capacity{CPU: 800, Link: 200}
+				large[c.name] = true
 			}
-			domains[c.domain] = true
-			if c.capacity.Link != 200 {
-				t.Errorf("%s reads over %d Mbit/s", name, c.capacity.Link)
+			domain[c.name] = c.domain
+			all = append(all, c)
+		}
+		chosen, domains := readersOf(all), map[string]bool{}
+		for _, name := range chosen {
+			domains[domain[name]] = true
+			if !large[name] {
+				t.Errorf("fleet %d: %s reads over a small link", fleet, name)
 			}
 		}
+		if len(chosen) != 3 || len(domains) != 3 {
+			t.Errorf("fleet %d: %v read, in %d failure domains, want three in three", fleet, chosen, len(domains))
+		}
+		if got := readersOf(all[1:5]); len(got) != 3 {
+			t.Errorf("%v read of four like boxes, want three", got)
+		}
+		if got := readersOf(all[1:3]); len(got) != 2 {
+			t.Errorf("%v read of two, want both", got)
+		}
 	}
-	if len(chosen) != 3 || len(domains) != 3 {
-		t.Errorf("%v read, in %d failure domains, want three in three", chosen, len(domains))
-	}
-	if got := readersOf(all[1:5]); len(got) != 3 {
-		t.Errorf("%v read of four like boxes, want three", got)
-	}
-	if got := readersOf(all[1:3]); len(got) != 2 {
-		t.Errorf("%v read of two, want both", got)
-	}
+}
+
+// A box that asks names what it holds and is given the difference.
+func TestAChangeGoesAsADifference(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1)
+		f.publish(withRoutes(f.catalog, 5000))
+		time.Sleep(3 * time.Second)
+		g := f.box("box0")
+		held := g.published.question(port.DocumentConfig)
+		f.publish(withRoutes(f.catalog, 10))
+		time.Sleep(3 * time.Second)
+		part := g.give(held).Part
+		whole := g.give(&port.PullPublished{Document: port.DocumentConfig, Held: []string{"unknown"}})
+		if part == nil || part.Size > 2000 || whole.Base != "" || whole.Part.Size < 20*part.Size {
+			t.Errorf("ten routes more are given as %d bytes, the whole as %d", part.Size, whole.Part.Size)
+		}
+	})
 }
 
 // All boxes are lost and start anew, and the store turns all but the seeds away: each gets a long list of
