A holder that failed is passed over for a moment: dead holders of the newest do not hide the living

TestDeadHoldersOfTheNewestDoNotHideTheLiving failed first (20 asks of the dead in a second); now each failure passes a box over for 0.3 s. Also: parts that are longer than the document announced, or documents over 4 MB, are refused. A test wrote a port of a running box: race found by -race, mended with a hook of the fleet.

--- a/src/catalog/catalog_test.go
+++ b/src/catalog/catalog_test.go
@@ -91,7 +91,7 @@
 	if f.Pull(start) != "" {
 		t.Error("two pulls at once")
 	}
-	f.PullFailed(first)
+	f.PullFailed(start, first)
 	if second := f.Pull(start); second == first || second == "" {
 		t.Errorf("after %s failed %q is asked", first, second)
 	}
--- a/src/catalog/feed.go
+++ b/src/catalog/feed.go
@@ -44,15 +44,14 @@
 	told      map[string]core.Statement
 	pulling   string               // the box that is asked now
 	pullSince time.Time            // when it last answered
-	failed    string               // the box that was asked last, when that failed
-	busy      map[string]time.Time // boxes that give others already, and until when
+	passed    map[string]time.Time // boxes that failed or that give others already, and until when they are not asked
 	newest    uint64               // the highest revision heard of whose content is not held
 	behind    time.Time            // since when such a revision is known, zero for none
 }
 
 // NewFeed holds nothing yet.
 func NewFeed(self string) *Feed {
-	return &Feed{Self: self, told: map[string]core.Statement{}, busy: map[string]time.Time{}}
+	return &Feed{Self: self, told: map[string]core.Statement{}, passed: map[string]time.Time{}}
 }
 
 // AsOf is the revision at which the held content was the newest; 0 when nothing is held.
@@ -143,7 +142,7 @@
 // Forget drops what a box that is gone said.
 func (f *Feed) Forget(box string) {
 	delete(f.told, box)
-	delete(f.busy, box)
+	delete(f.passed, box)
 }
 
 // Reads says whether this box should read the platform now: it is among the first of the living, or
--- a/src/catalog/holders.go
+++ b/src/catalog/holders.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	pullPatience = time.Second // for a peer to answer with a part; longer than the asker's own limit for one
-	leastLink    = 10          // Mbit/s taken for a box whose link is not known: the smallest seen on any site
-	mostBusy     = time.Second // that a box is passed over on its word that it is busy
+	pullPatience = time.Second            // for a peer to answer with a part; longer than the asker's own limit for one
+	leastLink    = 10                     // Mbit/s taken for a box whose link is not known: the smallest seen on any site
+	mostBusy     = time.Second            // that a box is passed over on its word that it is busy
+	failedRest   = 300 * time.Millisecond // that a box is passed over which failed: longer than it takes to find another dead
 )
 
 // Pull names the peer to ask for newer content now, or "". Of the boxes that hold the newest known it is one by
@@ -19,7 +20,7 @@
 	}
 	best, rank := "", math.Inf(1)
 	for box, st := range f.told {
-		if st.Version <= f.asOf || st.Digest == f.digest || now.Before(f.busy[box]) {
+		if st.Version <= f.asOf || st.Digest == f.digest || now.Before(f.passed[box]) {
 			continue
 		}
 		newer := best == "" || st.Version > f.told[best].Version
@@ -31,11 +32,8 @@
 	return best
 }
 
-// holderRank is lower the sooner a box is asked; the one that failed last comes last.
+// holderRank is lower the sooner a box is asked.
 func (f *Feed) holderRank(box string) float64 {
-	if box == f.failed {
-		return math.MaxFloat64
-	}
 	u := (float64(Hash("holder", f.Self, box)>>11) + 1) / (1<<53 + 1)
 	return -math.Log(u) / float64(f.link(box))
 }
@@ -57,16 +55,19 @@
 	}
 }
 
-// PullFailed lets the next Pull name another peer at once.
-func (f *Feed) PullFailed(from string) {
-	if f.pulling == from {
-		f.pulling, f.failed = "", from
-	}
+// PullFailed passes a peer over for a moment and lets the next Pull name another at once.
+func (f *Feed) PullFailed(now time.Time, from string) {
+	f.pass(from, now.Add(failedRest))
 }
 
 // PullBusy notes that a peer gives others for a while, and lets the next Pull name another at once.
 func (f *Feed) PullBusy(now time.Time, from string, wait time.Duration) {
-	f.busy[from] = now.Add(min(max(wait, 0), mostBusy))
+	f.pass(from, now.Add(min(max(wait, 0), mostBusy)))
+}
+
+// pass passes a peer over until a time.
+func (f *Feed) pass(from string, until time.Time) {
+	f.passed[from] = until
 	if f.pulling == from {
 		f.pulling = ""
 	}
--- a/src/catalog/holders_test.go
+++ b/src/catalog/holders_test.go
@@ -130,3 +130,30 @@
 		}
 	}
 }
+
+// The boxes that hold the newest have died with it, and their deaths are not known yet. The older content that the
+// living hold, newer than this box's own, is asked for soon.
+func TestDeadHoldersOfTheNewestDoNotHideTheLiving(t *testing.T) {
+	for i := range 20 {
+		f := NewFeed(fmt.Sprint("box", i))
+		f.Read(start, 1, "x")
+		f.Hear(start, "living", core.Statement{Version: 2, Digest: "y"}, time.Time{})
+		for _, dead := range []string{"dead1", "dead2", "dead3"} {
+			f.Hear(start, dead, core.Statement{Version: 3, Digest: "z"}, time.Time{})
+		}
+		now, asked := start, 0
+		for ; now.Sub(start) < time.Second; now = now.Add(50 * time.Millisecond) {
+			from := f.Pull(now)
+			if from == "living" {
+				break
+			}
+			if from != "" {
+				asked++
+				f.PullFailed(now, from)
+			}
+		}
+		if now.Sub(start) >= 500*time.Millisecond || asked > 3 {
+			t.Errorf("%s asked the dead %d times, and the living one after %v", f.Self, asked, now.Sub(start))
+		}
+	}
+}
--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -83,6 +83,7 @@
 const (
 	partBytes   = 32 << 10               // of a packed document in one answer: 26 ms of 10 Mbit/s, the smallest link seen
 	partTime    = 900 * time.Millisecond // for one part; holds down to 36 kB/s
+	mostPacked  = 4 << 20                // a packed document that is taken; 10,000 routes have 0.2 MB
 	giveAhead   = 150 * time.Millisecond // of its link's time that a box promises ahead
 	giveShare   = 0.5                    // of its link that a box takes for it
 	assumedLink = 10                     // Mbit/s of a box that does not know its link
--- a/src/gateway/fleet_test.go
+++ b/src/gateway/fleet_test.go
@@ -33,13 +33,14 @@
 	rev       uint64
 	catalog   *catalog.Catalog
 	servers   []catalog.Server
-	reads     map[string]int        // store calls by box
-	refuses   bool                  // whether the address of a killed box refuses connections, as that of a process does
-	held      int                   // messages that told a scheduler of results
-	restored  []string              // failure domains of which an evacuation was taken back
-	lists     int                   // whole lists of servers that one box gave another
-	turnsAway func(box string) bool // whether the store answers a box with an error; nil for none
-	links     *links                // what the boxes' links carry, nil when they carry anything at once
+	reads     map[string]int                                                    // store calls by box
+	refuses   bool                                                              // whether the address of a killed box refuses connections, as that of a process does
+	held      int                                                               // messages that told a scheduler of results
+	restored  []string                                                          // failure domains of which an evacuation was taken back
+	lists     int                                                               // whole lists of servers that one box gave another
+	turnsAway func(box string) bool                                             // whether the store answers a box with an error; nil for none
+	hear      map[string]func(to string, q port.Question, a *port.Answer) error // by the asker's address
+	links     *links                                                            // what the boxes' links carry, nil when they carry anything at once
 
 	runPieces func(ctx context.Context, box string, s catalog.Server, items []batch.Item) (batch.CallOutcome, []batch.ItemResult)
 	send      func(ctx context.Context, box string, c *Call) (*Reply, error)
@@ -58,7 +59,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	f := &testFleet{
 		t: t, ctx: ctx, boxes: map[string]*Gateway{}, lost: map[string]bool{}, stop: map[string]context.CancelFunc{},
-		storeOK: true, rev: 1, catalog: testCatalog(1), reads: map[string]int{},
+		hear: map[string]func(string, port.Question, *port.Answer) error{}, storeOK: true, rev: 1, catalog: testCatalog(1), reads: map[string]int{},
 	}
 	for i := range 3 {
 		f.servers = append(f.servers,
@@ -221,6 +222,14 @@
 				f.lists++
 				f.mu.Unlock()
 			}
+			f.mu.Lock()
+			hear := f.hear[from]
+			f.mu.Unlock()
+			if hear != nil {
+				if err := hear(to, q, &a); err != nil {
+					return port.Answer{}, err
+				}
+			}
 			return a, nil
 		},
 	}
--- a/src/gateway/pulling.go
+++ b/src/gateway/pulling.go
@@ -67,7 +67,7 @@
 		case busy:
 			feed.PullBusy(g.now(), from, d.Busy.For)
 		case err != nil:
-			feed.PullFailed(from) // another box gives what is missing
+			feed.PullFailed(g.now(), from) // another box gives what is missing
 		default:
 			feed.PullEnded(from)
 		}
@@ -137,7 +137,7 @@
 	if t.sum != d.Part.Sum || t.digest != d.Digest || t.base != d.Base {
 		*t = taking{sum: d.Part.Sum, size: d.Part.Size, digest: d.Digest, base: d.Base}
 	}
-	if d.Part.Offset != len(t.bytes) || len(d.Part.Bytes) == 0 {
+	if d.Part.Offset != len(t.bytes) || len(d.Part.Bytes) == 0 || d.Part.Size > mostPacked || len(t.bytes)+len(d.Part.Bytes) > t.size {
 		*t = taking{}
 		return nil, errStrange
 	}
--- a/src/gateway/pulling_test.go
+++ b/src/gateway/pulling_test.go
@@ -14,17 +14,11 @@
 	"github.com/stilemast/stilemast/src/port"
 )
 
-// listen gives the answers that boxes give one another to a function, which may change or refuse them.
+// listen gives the answers that a box gets from others to a function, which may change or refuse them.
 func (f *testFleet) listen(name string, hear func(to string, q port.Question, a *port.Answer) error) {
-	g := f.box(name)
-	ask := g.Peers.Ask
-	g.Peers.Ask = func(ctx context.Context, to string, q port.Question) (port.Answer, error) {
-		a, err := ask(ctx, to, q)
-		if err == nil {
-			err = hear(to, q, &a)
-		}
-		return a, err
-	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hear[addressOf(name)] = hear
 }
 
 // A fresh box takes a document of several parts. The box that gives them ends midway: another gives what is
@@ -38,8 +32,6 @@
 		f.mu.Lock()
 		f.storeOK = false
 		f.mu.Unlock()
-		f.setLost("fresh", true) // until it is listened to
-		g := f.start("fresh")
 		var offsets []int
 		var givers []string
 		f.listen("fresh", func(to string, q port.Question, a *port.Answer) error {
@@ -52,6 +44,7 @@
 			offsets, givers = append(offsets, a.Publish.Part.Offset), append(givers, to)
 			return nil
 		})
+		g := f.start("fresh")
 		time.Sleep(6 * time.Second)
 		if g.Version() != f.catalog.Version {
 			t.Fatalf("the fresh box has version %d, want %d; parts at %v", g.Version(), f.catalog.Version, offsets)
@@ -89,6 +82,8 @@
 		}{
 			{"a part that does not begin", func(d *port.Published) { d.Part.Offset = 7 }},
 			{"an empty part", func(d *port.Published) { d.Part.Bytes = nil }},
+			{"a part longer than the whole", func(d *port.Published) { d.Part.Size = 5 }},
+			{"a document too large", func(d *port.Published) { d.Part.Size = mostPacked + 1 }},
 			{"a wrong sum", func(d *port.Published) { d.Part.Sum++ }},
 			{"an unknown base", func(d *port.Published) { d.Base = "unknown" }},
 			{"another digest", func(d *port.Published) { d.Digest = "77" }},
--- a/src/gateway/serverlist.go
+++ b/src/gateway/serverlist.go
@@ -151,7 +151,7 @@
 	if after == nil || catalog.Digest(after) != d.Digest {
 		g.Log.Warn("difference of servers does not fit", "from", from, "revision", catalog.RevisionOf(d.AsOf))
 		p.mu.Lock()
-		p.lists.PullFailed(from)
+		p.lists.PullFailed(g.now(), from)
 		p.mu.Unlock()
 		return
 	}
