A request's accounts are closed before its caller is told of the end

Cause, by the code: a request's end was told (followers woken) before closeAccounts noted how it was placed, so a caller with its answer could ask to explain it and find nothing. Ruled out: another box holding the request (only requests that may run once are moved to a home; this one is not one). Test first: TestAccountsAreClosedBeforeTheCallerIsTold fails on the code before ('the caller was told of the end before the accounts were closed') and passes now. The original failure itself was not brought about again by a run.

--- a/src/box/flight.go
+++ b/src/box/flight.go
@@ -321,14 +321,16 @@
 	delete(s.flights, key.ID)
 	s.mu.Unlock()
 	f.mu.Lock()
-	f.ended, f.end = true, end
 	admitted := f.admitted
 	if f.deadline != nil {
 		f.deadline.Stop()
 	}
+	f.mu.Unlock()
+	b.closeAccounts(f, err, admitted) // before the end is told: whoever has the answer may ask for its account
+	f.mu.Lock()
+	f.ended, f.end = true, end
 	f.wakeLocked()
 	f.mu.Unlock()
-	b.closeAccounts(f, err, admitted)
 }
 
 // follow gives events of the answer from an offset on, until the end or until ctx is done.
