Servers that refuse connections or whose address another has cost no request

Ruled out: that these were servers without room (no 503 among the refusals); that boxes were cut off (each refusal took 3 ms). Now a try that was refused at once goes on to the next server until 300 ms are used up; a server of which that was seen rests at once, one whose address another has for 10 s; a 421 is no attempt at the server that was chosen, but counts in the budget of repeats. Also: TestASilentHolderIsLeft panicked once at its end (goroutines left in its bubble): its silent holder slept on after the test, which the stack showed; it now sleeps no longer than the test.

--- a/src/balance/constants.go
+++ b/src/balance/constants.go
@@ -22,9 +22,10 @@
 	askNotes        = 16                      // parts that one message tells of; a box of such a fleet is asked for some ten in popularityLife
 	failurePause    = 600 * time.Millisecond  // after repeated failures; doubled with each further one
 	maxDoublings    = 4
-	hardFailures    = 2    // broken exchanges in a row before a server rests
-	failureLearning = 0.15 // weight of a new outcome in a server's share of failures
-	greyShare       = 0.3  // share of failures above the pool's at which a server rests
+	replacedPause   = 10 * time.Second // of a server whose address another has: longer than the list of servers lags
+	hardFailures    = 2                // broken exchanges in a row before a server rests
+	failureLearning = 0.15             // weight of a new outcome in a server's share of failures
+	greyShare       = 0.3              // share of failures above the pool's at which a server rests
 	paceLearning    = 0.2
 	slowRatio       = 2.5
 )
--- a/src/balance/health.go
+++ b/src/balance/health.go
@@ -43,6 +43,10 @@
 		return "broken"
 	case Dropped:
 		return "dropped"
+	case Absent:
+		return "absent"
+	case Replaced:
+		return "replaced"
 	}
 	return "unknown"
 }
@@ -78,6 +82,13 @@
 		return false
 	case Broken, Full:
 		v.broken++
+	case Absent:
+		p.rest(now, v)
+		return true
+	case Replaced:
+		p.rest(now, v)
+		v.until = now.Add(replacedPause)
+		return true
 	}
 	if v.probing || v.broken >= hardFailures || v.share > p.share+greyShare {
 		p.rest(now, v)
@@ -118,9 +129,11 @@
 
 // The outcomes.
 const (
-	Good    Outcome = iota + 1 // an answer that was no failure
-	Failed                     // a failure that the server stated
-	Full                       // the server took nothing
-	Broken                     // no connection, no answer, or one that makes no sense
-	Dropped                    // given up for reasons of ours; says nothing of the server
+	Good     Outcome = iota + 1 // an answer that was no failure
+	Failed                      // a failure that the server stated
+	Full                        // the server took nothing
+	Broken                      // no connection, no answer, or one that makes no sense
+	Absent                      // no process listens at its address
+	Replaced                    // another server has its address
+	Dropped                     // given up for reasons of ours; says nothing of the server
 )
--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -44,6 +44,10 @@
 // Unwrap gives the cause.
 func (e *NotSent) Unwrap() error { return e.Cause }
 
+// Refused says whether an error means that no process listens at the address: the answer came at once, and nothing
+// was sent.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // ErrNoConnection says that the address has as many connections as it may have.
 var ErrNoConnection = errors.New("all connections are in use")
 
--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -33,14 +33,14 @@
 
 // attempt sends the request to one server after another until the caller has its answer.
 func (v *visit) attempt(ctx context.Context) {
-	unsent := 0
+	unsent, began := 0, v.gateway.now()
 	for {
 		what, err, sent := v.once(ctx)
 		if what == answered {
 			return
 		}
 		if !sent {
-			if unsent++; unsent >= maxUnsent || what == over {
+			if unsent++; what == over || ctx.Err() != nil || unsent >= maxUnsent && v.gateway.now().Sub(began) > unsentFor {
 				v.fail(ctx, err)
 				return
 			}
@@ -148,7 +148,11 @@
 	reply, err := g.Backends.Send(ctx, c)
 	var notSent *exchange.NotSent
 	if errors.As(err, &notSent) {
-		v.settle(e, s, balance.Broken, began, "not sent: "+notSent.Cause.Error(), why)
+		outcome := balance.Broken
+		if exchange.Refused(err) {
+			outcome = balance.Absent
+		}
+		v.settle(e, s, outcome, began, "not sent: "+notSent.Cause.Error(), why)
 		return again, refusal(code.BackendsDown, "pool", failureReturn, "%s could not be reached", s.ID), false
 	}
 	v.attempts++
@@ -228,6 +232,11 @@
 		v.remade = true
 		v.attempts--
 		return again, refusal(code.BackendFailed, "stages", failureReturn, "results of stages were gone"), true
+	case reply.Moved: // the server that was chosen is gone; each such try counts in the budget of repeats
+		reply.Close(false)
+		v.settle(e, s, balance.Replaced, began, "another server has the address", why)
+		v.attempts--
+		return again, refusal(code.BackendsDown, "pool", failureReturn, "%s is gone", s.ID), true
 	case reply.NotRun:
 		reply.Close(false)
 		v.settle(e, s, balance.Full, began, http.StatusText(reply.Status)+", not run", why)
--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -18,7 +18,8 @@
 
 // Tunables of attempts.
 const (
-	maxUnsent      = 3                       // servers in a row to which nothing could be sent
+	maxUnsent      = 3                       // servers to which nothing could be sent, when that took unsentFor: a box that is cut off itself
+	unsentFor      = 300 * time.Millisecond  // within which further servers are tried: a hundred that refuse at once, and one that is silent
 	maxAnswer      = 8 << 20                 // bytes of an answer that is no stream
 	hedgeShare     = 1.0                     // of the objective that a repeatable request's first attempt has
 	leastAttempt   = 100 * time.Millisecond  // least time of an attempt that may be repeated
--- a/src/gateway/pulling_test.go
+++ b/src/gateway/pulling_test.go
@@ -172,7 +172,7 @@
 		for i := range boxes {
 			f.listen(fmt.Sprint("box", i), func(to string, q port.Question, a *port.Answer) error {
 				if silent[to] && q.Publish != nil {
-					time.Sleep(partTime)
+					wait(f.ctx, partTime) // ends with the test: a goroutine that sleeps on would be one too many
 					return context.DeadlineExceeded
 				}
 				return nil
--- a/src/peer/client.go
+++ b/src/peer/client.go
@@ -8,7 +8,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -154,7 +153,7 @@
 }
 
 func (c *Client) noteRefusal(address string, err error) {
-	if c.Refused != nil && errors.Is(err, syscall.ECONNREFUSED) {
+	if c.Refused != nil && exchange.Refused(err) {
 		c.Refused(address)
 	}
 }
