Requests wait for a fresh box's first documents, half a second at most

Ruled out: that all boxes read by themselves at once (118 store calls at 59 boxes, 840 at 420). Tests: callers of eight boxes that start before a store which answers after 0.25 s are all served; without a store they are told so after 0.5 s, and a caller with one second after 0.2 s.

--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -52,6 +52,9 @@
 	pauseLimit   = time.Second            // a longer gap between ticks is a pause of the process
 	wakeWait     = 800 * time.Millisecond // that requests wait for a confirmation after a pause
 	writeTime    = 10 * time.Second       // that a caller may leave a piece of its answer unread
+	knownWait    = 500 * time.Millisecond // that requests wait for a fresh box's first documents: seeds start 0.3 s after the others
+	knownPart    = 0.2                    // of the time that their callers wait, at most
+	knownPace    = 10 * time.Millisecond  // at which a waiting request looks
 	takesFor     = 3 * time.Second        // that a stopping box still takes requests; the balancer knows by then
 )
 
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -174,9 +174,29 @@
 	}
 }
 
+// awaitKnown holds a request for the short time in which a box that has just started gets its documents: a caller
+// that is refused meanwhile spends its return, while the wait is a part of its time.
+func (g *Gateway) awaitKnown(ctx context.Context, r *Request) {
+	if g.knows() {
+		return
+	}
+	began := g.now()
+	wait := knownWait
+	if r.Left > 0 {
+		wait = min(wait, time.Duration(knownPart*float64(r.Left)))
+	}
+	for !g.knows() && ctx.Err() == nil && g.now().Sub(began) < wait {
+		sleep(ctx, knownPace)
+	}
+	g.Log.Info("request waited for the documents", "request", r.ID, "waited_ms", g.now().Sub(began).Milliseconds(), "known", g.knows(), "box_age_ms", g.now().Sub(g.startedAt).Milliseconds())
+}
+
+// knows says whether this box has a configuration and a list of servers.
+func (g *Gateway) knows() bool { return g.index.Load() != nil && g.published.hasServers() }
+
 // Ready says whether the balancer should send callers here.
 func (g *Gateway) Ready() bool {
-	return !g.draining.Load() && g.index.Load() != nil && g.published.hasServers()
+	return !g.draining.Load() && g.knows()
 }
 
 // Drain begins a planned stop: this box is not ready any more and tells the others that it leaves.
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -44,6 +44,7 @@
 	defer g.running.Add(-1)
 	v := &visit{gateway: g, request: r, caller: c, began: g.now()}
 	g.awaitAwake(ctx)
+	g.awaitKnown(ctx, r)
 	if err := v.route(); err != nil {
 		v.refuse(err)
 		return
