--- /dev/null
+++ b/src/cli/account.go
@@ -0,0 +1,161 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/stilemast/stilemast/src/code"
+)
+
+// writeAccount is the command why with --account.
+func writeAccount(c *cli.Command) error {
+	worths, err := parseWorths(c.StringSlice("worth"))
+	if err != nil {
+		return err
+	}
+	lines, err := readLogs(c.StringSlice("log"), func(l *logLine) bool {
+		return slices.Contains([]string{"stage made", "request ended"}, l.text("msg"))
+	})
+	if err != nil {
+		return err
+	}
+	account(os.Stdout, fates(lines), worths)
+	return nil
+}
+
+// worth is what an answer of one pipeline counts, in time and late.
+type worth struct{ inTime, late float64 }
+
+// parseWorths reads PIPELINE=IN_TIME or PIPELINE=IN_TIME:LATE.
+func parseWorths(list []string) (map[string]worth, error) {
+	out := map[string]worth{}
+	for _, text := range list {
+		name, figures, ok := strings.Cut(text, "=")
+		first, second, two := strings.Cut(figures, ":")
+		w := worth{}
+		var err, errLate error
+		w.inTime, err = strconv.ParseFloat(first, 64)
+		if two {
+			w.late, errLate = strconv.ParseFloat(second, 64)
+		}
+		if !ok || name == "" || err != nil || errLate != nil || w.inTime < 0 || w.late < 0 {
+			return nil, code.New(code.BadField, "worth", "%q is not PIPELINE=FIGURE or PIPELINE=FIGURE:FIGURE", text)
+		}
+		out[name] = w
+	}
+	return out, nil
+}
+
+// fate is how one request ended, and where the time of a late one went.
+type fate struct {
+	pipeline string
+	cause    string
+	inTime   bool
+	late     bool
+}
+
+// fates reads how requests ended from the lines of all boxes. A late answer is put to the part of its way that took
+// longest: a stage, with its wait, or what was left of it until the first output.
+func fates(lines []*logLine) []fate {
+	longest, part, stages := map[string]float64{}, map[string]string{}, map[string]float64{}
+	note := func(id, name string, ms float64) {
+		if ms > longest[id] {
+			longest[id], part[id] = ms, name
+		}
+	}
+	var out []fate
+	for _, l := range lines {
+		id := l.text("request")
+		switch l.text("msg") {
+		case "stage made":
+			took := l.figure("took_ms") + l.figure("held_ms")
+			stages[id] += took
+			note(id, "stage in "+l.text("pool"), took)
+		case "request ended":
+			if l.text("pipeline") == "" || l.text("result") == "UNAUTHENTICATED" {
+				continue // nothing was owed
+			}
+			f := fate{pipeline: l.text("pipeline")}
+			switch {
+			case l.text("result") != "answered":
+				f.cause = l.text("result") + ": " + withoutNumbers(l.text("cause"))
+			case l.figure("first_ms") <= l.figure("objective_ms"):
+				f.inTime = true
+				f.cause = "in time"
+			default:
+				note(id, "first output", l.figure("first_ms")-stages[id])
+				f.late = true
+				f.cause = "late, longest: " + part[id]
+			}
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+// figure reads a number of a line, 0 when it has none.
+func (l *logLine) figure(key string) float64 {
+	v, _ := l.fields[key].(float64)
+	return v
+}
+
+// account writes what was lost of all that requests were worth, by pipeline and cause. Its shares, what was earned
+// included, sum to the whole.
+func account(w io.Writer, all []fate, worths map[string]worth) {
+	type row struct {
+		fate
+		count  int
+		earned float64
+		lost   float64
+	}
+	rows, whole := map[fate]*row{}, 0.0
+	for _, f := range all {
+		v, ok := worths[f.pipeline]
+		if !ok {
+			v = worth{inTime: 1}
+		}
+		r := rows[f]
+		if r == nil {
+			r = &row{fate: f}
+			rows[f] = r
+		}
+		r.count++
+		whole += v.inTime
+		switch {
+		case f.inTime:
+			r.earned += v.inTime
+		case f.late:
+			r.earned += v.late
+			r.lost += v.inTime - v.late
+		default:
+			r.lost += v.inTime
+		}
+	}
+	list, earned := make([]*row, 0, len(rows)), 0.0
+	for _, r := range rows {
+		list = append(list, r)
+		earned += r.earned
+	}
+	sort.Slice(list, func(i, j int) bool {
+		a, b := list[i], list[j]
+		if a.lost != b.lost {
+			return a.lost > b.lost
+		}
+		return a.pipeline+a.cause < b.pipeline+b.cause
+	})
+	share := func(x float64) float64 { return 100 * x / max(whole, 1e-9) }
+	fmt.Fprintf(w, "requests %d  earned %.2f%% of what they were worth\n", len(all), share(earned))
+	fmt.Fprintln(w, "   lost   count  pipeline      cause")
+	for _, r := range list {
+		if r.lost > 0 {
+			fmt.Fprintf(w, "%6.2f%%  %6d  %-12s  %s\n", share(r.lost), r.count, r.pipeline, r.cause)
+		}
+	}
+}
--- /dev/null
+++ b/src/cli/account_test.go
@@ -0,0 +1,46 @@
+package cli
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+const logOfFates = `{"time":"2026-12-02T10:00:01Z","msg":"stage made","request":"r1","pool":"encode","took_ms":900,"held_ms":700}
+{"time":"2026-12-02T10:00:01Z","msg":"stage made","request":"r1","pool":"rerank","took_ms":800,"held_ms":0}
+{"time":"2026-12-02T10:00:02Z","msg":"request ended","request":"r1","pipeline":"draft","result":"answered","first_ms":2500,"objective_ms":2000}
+{"time":"2026-12-02T10:00:02Z","msg":"request ended","request":"r2","pipeline":"draft","result":"answered","first_ms":1500,"objective_ms":2000}
+{"time":"2026-12-02T10:00:03Z","msg":"request ended","request":"r3","pipeline":"tag","result":"CANNOT_FINISH","cause":"expected in 3s of 2s","objective_ms":2000}
+{"time":"2026-12-02T10:00:03Z","msg":"request ended","request":"r4","pipeline":"","result":"UNKNOWN_PIPELINE","cause":"no pipeline there"}
+{"time":"2026-12-02T10:00:03Z","msg":"request ended","request":"r5","pipeline":"tag","result":"UNAUTHENTICATED","cause":"the token is not known"}
+`
+
+// What was earned and what was lost sum to what the requests were worth.
+func TestAnAccountSumsToTheWhole(t *testing.T) {
+	lines, err := readLog(strings.NewReader(logOfFates), func(*logLine) bool { return true })
+	if err != nil {
+		t.Fatal(err)
+	}
+	worths, err := parseWorths([]string{"draft=4:1", "tag=2"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	account(&out, fates(lines), worths)
+	want := `requests 3  earned 50.00% of what they were worth
+   lost   count  pipeline      cause
+ 30.00%       1  draft         late, longest: stage in encode
+ 20.00%       1  tag           CANNOT_FINISH: expected in # of #
+`
+	if out.String() != want {
+		t.Errorf("got\n%swant\n%s", out.String(), want)
+	}
+}
+
+func TestWorthsThatAreNoFiguresAreRefused(t *testing.T) {
+	for _, bad := range []string{"draft", "=4", "draft=x", "draft=4:x", "draft=-1"} {
+		if _, err := parseWorths([]string{bad}); err == nil || !strings.Contains(err.Error(), "worth") {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+}
--- a/src/cli/trace.go
+++ b/src/cli/trace.go
@@ -133,8 +133,15 @@
 	return &cli.Command{
 		Name:  "why",
 		Usage: "count the requests that were not answered by result, pipeline and cause, from logs",
-		Flags: []cli.Flag{&cli.StringSliceFlag{Name: "log", Usage: "log `FILE`; may be given again", Required: true}},
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "log", Usage: "log `FILE`; may be given again", Required: true},
+			&cli.BoolFlag{Name: "account", Usage: "write what was lost of all that requests were worth, late answers too"},
+			&cli.StringSliceFlag{Name: "worth", Usage: "with --account: `PIPELINE=FIGURE[:FIGURE]` of an answer in time and late; 1 and 0 where none is given"},
+		},
 		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Bool("account") {
+				return writeAccount(c)
+			}
 			lines, err := readLogs(c.StringSlice("log"), func(l *logLine) bool {
 				return l.text("msg") == "request ended" && l.text("result") != "answered"
 			})
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -205,16 +205,16 @@
 func (v *visit) ended(result string, more ...any) {
 	g := v.gateway
 	now := g.now()
-	name, first := "", time.Duration(0)
+	name, first, objective := "", time.Duration(0), time.Duration(0)
 	if v.pipeline != nil {
-		name = v.pipeline.Name
+		name, objective = v.pipeline.Name, v.pipeline.Objective
 	}
 	if !v.firstOut.IsZero() {
 		first = v.firstOut.Sub(v.began)
 	}
 	took := now.Sub(v.began)
 	g.Log.Info("request ended", append([]any{"request", v.request.ID, "pipeline", name, "workspace", v.workspace,
-		"result", result, "took_ms", took.Milliseconds(), "first_ms", first.Milliseconds(), "attempts", v.attempts,
+		"result", result, "took_ms", took.Milliseconds(), "first_ms", first.Milliseconds(), "objective_ms", objective.Milliseconds(), "attempts", v.attempts,
 		"version", v.version}, more...)...)
 	if g.Watch.Ended != nil {
 		g.Watch.Ended(name, result, took, first)
