A request's stages may take what its caller's time leaves; the fixed 0.45 of it is gone

Now a stage is given up when the stages after it and the first output, as learned, no longer fit. Test first: a burst of 6 s of work whose callers wait 10 s: 15 and more were refused after 4.3 s, now all are answered.

--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -130,10 +130,6 @@
 	rosterLife     = 100 * time.Millisecond  // for which the schedulers once chosen are kept
 )
 
-// stagePart is the part of a request's time by whose end its stages must be made. What is not through
-// them by then is given up while its caller still has time to come back.
-const stagePart = 0.45
-
 // resultsPerMessage bounds the results of which one message tells a scheduler.
 const resultsPerMessage = 500
 
--- /dev/null
+++ b/src/gateway/late_test.go
@@ -0,0 +1,33 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// A burst of 6 s of the servers' work comes at once, of callers that wait 10 s. Half are late, and a late answer is
+// better for them than none: all are answered, as soon as the servers can.
+func TestABurstIsWorkedOffWithinTheCallersTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 3)
+		f.streams(1)
+		settle()
+		for i := range 3 {
+			f.box(fmt.Sprint("box", i)).Settings.Admission = false
+		}
+		var all sync.WaitGroup
+		for i := range 60 {
+			all.Go(func() {
+				a := f.ask(fmt.Sprint("box", i%3), "/draft/x", fmt.Sprint("r", i), func(r *Request) { r.Pieces = []int{4} })
+				if !a.ended || a.status != http.StatusOK || a.took > 7*time.Second {
+					t.Errorf("r%d: %v after %v", i, a.refused, a.took)
+				}
+			})
+		}
+		all.Wait()
+	})
+}
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -135,8 +135,7 @@
 	e.mu.Lock()
 	e.budget.Request(g.now())
 	e.mu.Unlock()
-	giveUp := v.began.Add(time.Duration(stagePart * float64(v.deadline.Sub(v.began))))
-	v.stages = &stageRun{gateway: g, pipeline: p, request: v.request, priority: v.priority, objective: v.objective, deadline: giveUp}
+	v.stages = &stageRun{gateway: g, pipeline: p, request: v.request, priority: v.priority, objective: v.objective, deadline: v.deadline}
 	v.stages.followers = followersOf(p)
 	if err := g.admit(v.stages); err != nil {
 		v.refuse(err)
