--- a/src/cli/account.go
+++ b/src/cli/account.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	account(os.Stdout, fates(lines), worths)
+	account(os.Stdout, outcomes(lines), worths)
 	return nil
 }
 
@@ -53,24 +53,24 @@
 	return out, nil
 }
 
-// fate is how one request ended, and where the time of a late one went.
-type fate struct {
+// outcome is how one request ended, and where the time of a late one went.
+type outcome struct {
 	pipeline string
 	cause    string
 	inTime   bool
 	late     bool
 }
 
-// fates reads how requests ended from the lines of all boxes. A late answer is put to the part of its way that took
+// outcomes reads how requests ended from the lines of all boxes. A late answer is put to the part of its way that took
 // longest: a stage, with its wait, or what was left of it until the first output.
-func fates(lines []*logLine) []fate {
+func outcomes(lines []*logLine) []outcome {
 	longest, part, stages := map[string]float64{}, map[string]string{}, map[string]float64{}
 	note := func(id, name string, ms float64) {
 		if ms > longest[id] {
 			longest[id], part[id] = ms, name
 		}
 	}
-	var out []fate
+	var out []outcome
 	for _, l := range lines {
 		id := l.text("request")
 		switch l.text("msg") {
@@ -82,7 +82,7 @@
 			if l.text("pipeline") == "" || l.text("result") == "UNAUTHENTICATED" {
 				continue // nothing was owed
 			}
-			f := fate{pipeline: l.text("pipeline")}
+			f := outcome{pipeline: l.text("pipeline")}
 			switch {
 			case l.text("result") != "answered":
 				f.cause = l.text("result") + ": " + withoutNumbers(l.text("cause"))
@@ -108,14 +108,14 @@
 
 // account writes what was lost of all that requests were worth, by pipeline and cause. Its shares, what was earned
 // included, sum to the whole.
-func account(w io.Writer, all []fate, worths map[string]worth) {
+func account(w io.Writer, all []outcome, worths map[string]worth) {
 	type row struct {
-		fate
+		outcome
 		count  int
 		earned float64
 		lost   float64
 	}
-	rows, whole := map[fate]*row{}, 0.0
+	rows, whole := map[outcome]*row{}, 0.0
 	for _, f := range all {
 		v, ok := worths[f.pipeline]
 		if !ok {
@@ -123,7 +123,7 @@
 		}
 		r := rows[f]
 		if r == nil {
-			r = &row{fate: f}
+			r = &row{outcome: f}
 			rows[f] = r
 		}
 		r.count++
--- a/src/cli/account_test.go
+++ b/src/cli/account_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-const logOfFates = `{"time":"2026-12-02T10:00:01Z","msg":"stage made","request":"r1","pool":"encode","took_ms":900,"held_ms":700}
+const logOfOutcomes = `{"time":"2026-12-02T10:00:01Z","msg":"stage made","request":"r1","pool":"encode","took_ms":900,"held_ms":700}
 {"time":"2026-12-02T10:00:01Z","msg":"stage made","request":"r1","pool":"rerank","took_ms":800,"held_ms":0}
 {"time":"2026-12-02T10:00:02Z","msg":"request ended","request":"r1","pipeline":"draft","result":"answered","first_ms":2500,"objective_ms":2000}
 {"time":"2026-12-02T10:00:02Z","msg":"request ended","request":"r2","pipeline":"draft","result":"answered","first_ms":1500,"objective_ms":2000}
@@ -17,7 +17,7 @@
 
 // What was earned and what was lost sum to what the requests were worth.
 func TestAnAccountSumsToTheWhole(t *testing.T) {
-	lines, err := readLog(strings.NewReader(logOfFates), func(*logLine) bool { return true })
+	lines, err := readLog(strings.NewReader(logOfOutcomes), func(*logLine) bool { return true })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -26,7 +26,7 @@
 		t.Fatal(err)
 	}
 	var out bytes.Buffer
-	account(&out, fates(lines), worths)
+	account(&out, outcomes(lines), worths)
 	want := `requests 3  earned 50.00% of what they were worth
    lost   count  pipeline      cause
  30.00%       1  draft         late, longest: stage in encode
