--- a/src/balance/doubt_test.go
+++ b/src/balance/doubt_test.go
@@ -70,3 +70,32 @@
 		t.Errorf("%s was picked %s after a server was found gone, want the idle one", s.ID, goneDoubt)
 	}
 }
+
+// A server that was found gone is left alone at once, also where other boxes have told of little work there: one without a
+// process for a moment, since it may come back, one whose address another has for as long as the list may name it.
+func TestAServerThatIsGoneRestsAtOnce(t *testing.T) {
+	for outcome, rest := range map[Outcome]time.Duration{Absent: failurePause, Replaced: replacedPause} {
+		p := testPool("a", 3)
+		hear := func(now time.Time) {
+			p.Hear(now, "b", []Note{
+				{Server: p.servers["s0"].hash, Load: Load{Requests: 1}},
+				{Server: p.servers["s1"].hash, Load: Load{Requests: 9}},
+				{Server: p.servers["s2"].hash, Load: Load{Requests: 9}},
+			})
+		}
+		w := &Wish{LeastLoaded: true}
+		hear(start)
+		if got := pick(t, p, w); got != "s0" {
+			t.Fatalf("%s was picked, want the least loaded", got)
+		}
+		p.Ended(start, "s0", w, outcome)
+		for _, after := range []time.Duration{0, rest - time.Millisecond, rest} {
+			hear(start.Add(after))
+			s, _, _ := p.Pick(start.Add(after), w)
+			p.Ended(start.Add(after), s.ID, w, Dropped)
+			if (s.ID == "s0") != (after == rest) {
+				t.Errorf("%s: %s was picked %s after s0 was found gone; it rests for %s", outcome, s.ID, after, rest)
+			}
+		}
+	}
+}
--- a/src/gateway/absent_test.go
+++ b/src/gateway/absent_test.go
@@ -22,9 +22,9 @@
 	sends             int            // the most that one request was sent to
 }
 
-// absentServers plays 60 requests that come in while the list still names eight of twelve servers that are gone. limit
-// is how many servers a request may be sent to.
-func absentServers(t *testing.T, limit int, absent func() (*Reply, error)) absentPlay {
+// absentServers plays 60 requests that come in while the list still names servers that are gone, of twelve in all. limit is
+// how many servers a request may be sent to.
+func absentServers(t *testing.T, limit int, gone func(id string) bool, absent func() (*Reply, error)) absentPlay {
 	f := newTestFleet(t, 1)
 	f.catalog.Pipelines[1].Attempts = limit
 	for i := 3; i < 12; i++ {
@@ -33,7 +33,7 @@
 	var mu sync.Mutex
 	out, sends := absentPlay{tries: map[string]int{}}, map[string]int{}
 	f.send = func(ctx context.Context, _ string, c *Call) (*Reply, error) {
-		if catalog.Hash(c.Server.ID)%3 == 0 {
+		if !gone(c.Server.ID) {
 			wait(ctx, 20*time.Millisecond)
 			return textReply(http.StatusOK, "ok"), nil
 		}
@@ -63,6 +63,21 @@
 	return out
 }
 
+// allButTheLastTried gives a set of servers that are gone: whichever is tried as the twelfth lives.
+func allButTheLastTried() func(id string) bool {
+	tried := map[string]bool{}
+	return func(id string) bool {
+		if len(tried) < 11 {
+			tried[id] = true
+		}
+		return tried[id]
+	}
+}
+
+// Other servers that are gone in the plays.
+func twoThirds(id string) bool { return catalog.Hash(id)%3 != 0 }
+func everyOne(string) bool     { return true }
+
 // tried counts the tries of all servers that are gone.
 func (p absentPlay) tried() int {
 	n := 0
@@ -72,33 +87,32 @@
 	return n
 }
 
-// Servers crash and their addresses refuse connections. Nothing is sent there and a try takes a round trip, so a
-// request goes on to the next server, and a server that refused is left alone for a while.
+// All servers but one crash and their addresses refuse connections. Nothing is sent there and a try takes a round trip, so a
+// request goes on to the next server, eleven times here, and a server that refused is left alone for a while.
 func TestServersWithoutAProcessCostNoRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := absentServers(t, 1, func() (*Reply, error) {
+		p := absentServers(t, 1, allButTheLastTried(), func() (*Reply, error) {
 			return nil, &exchange.NotSent{Cause: fmt.Errorf("dial: %w", syscall.ECONNREFUSED)}
 		})
-		if p.answered != 60 || p.refused != 0 || p.tried() > 40 {
-			t.Errorf("%+v: want 60 answered, and servers that are gone tried 40 times at most", p)
+		if p.answered != 60 || p.refused != 0 || p.tried() > 60 {
+			t.Errorf("%+v: want 60 answered, and the eleven servers that are gone tried 60 times at most", p)
 		}
 	})
 }
 
-// A server that ended has another's address: that one runs nothing and says so. The request was sent to a server all
-// the same, so it goes to no more of them than the operator allows; a server that is gone costs one try, and whoever is
-// refused is told that nothing ran and when to come back.
+// replaced answers as a server does that has the address of one that ended.
+func replaced() (*Reply, error) {
+	r := textReply(http.StatusMisdirectedRequest, "")
+	r.NotRun, r.Moved = true, true
+	return r, nil
+}
+
+// A server that ended has another's address: that one runs nothing and says so. A server that is gone costs one try, and
+// whoever is refused is told that nothing ran and when to come back.
 func TestServersWhoseAddressAnotherHasAreTriedOnce(t *testing.T) {
 	for limit := 1; limit <= 2; limit++ {
 		synctest.Test(t, func(t *testing.T) {
-			p := absentServers(t, limit, func() (*Reply, error) {
-				r := textReply(http.StatusMisdirectedRequest, "")
-				r.NotRun, r.Moved = true, true
-				return r, nil
-			})
-			if p.sends > limit {
-				t.Errorf("a request was sent to %d servers, want %d at most", p.sends, limit)
-			}
+			p := absentServers(t, limit, twoThirds, replaced)
 			for id, n := range p.tries {
 				if n > 1 {
 					t.Errorf("limit %d: %s was tried %d times", limit, id, n)
@@ -110,3 +124,15 @@
 		})
 	}
 }
+
+// A request that met another server at the chosen one's address was sent to a server all the same: where every server is
+// gone it is sent to exactly as many as the operator allows, and then refused.
+func TestARequestIsSentToNoMoreServersThanItsLimit(t *testing.T) {
+	for limit := 1; limit <= 3; limit++ {
+		synctest.Test(t, func(t *testing.T) {
+			if p := absentServers(t, limit, everyOne, replaced); p.sends != limit || p.refused != 60 {
+				t.Errorf("limit %d: %+v", limit, p)
+			}
+		})
+	}
+}
