Sight for leaving servers: what a box knew of a server when the first byte was due

Cause: not known yet. No line told whether a server that had left came back by a later list, or whether a sound choice was sent late, so the two could not be told apart. Added: an exchange asks just before its first byte (Start); where the server takes no new work any more a line says how long ago this box learned of it, as what, at which revision, and how long ago the choice was made; a counter. A line for each server that had left and is listed again, with both revisions and whose list it was. The failures before an outage's line. No logic changed: Start sends in any case. Run: tests of gateway, exchange, platform.

--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -66,6 +66,9 @@
 	// Fresh asks for a connection that is new or was used just now, for requests that must not meet
 	// one that the server is closing.
 	Fresh bool
+	// Start is asked when the connection is there, just before the first byte; an error ends the exchange and
+	// nothing is sent. nil asks nobody.
+	Start func() error
 	// Silence is the longest time without a byte of the answer, 0 for any; the head may take Head where
 	// that is longer.
 	Silence, Head time.Duration
@@ -117,6 +120,10 @@
 	if err != nil {
 		return nil, &NotSent{Cause: err}
 	}
+	if err := r.start(); err != nil {
+		cn.giveBack()
+		return nil, &NotSent{Cause: err}
+	}
 	stop := context.AfterFunc(ctx, func() { cn.drop() })
 	cn.silence = max(r.Silence, r.Head)
 	resp, sent, err := cn.converse(r)
@@ -132,6 +139,14 @@
 	return &Answer{Response: resp, conn: cn, stop: stop}, nil
 }
 
+// start asks whether the request is still to be sent.
+func (r *Request) start() error {
+	if r.Start == nil {
+		return nil
+	}
+	return r.Start()
+}
+
 // written is the end of writing a request.
 type written struct {
 	n   int
@@ -248,6 +263,21 @@
 	}
 	now := time.Now()
 	cn.usable, cn.fresh = now.Add(stay), now.Add(min(stay, freshLimit))
+	cn.shelve()
+}
+
+// giveBack puts a connection back on which nothing was sent; one that has just been opened stays usable for as
+// long as any.
+func (cn *conn) giveBack() {
+	if cn.usable.IsZero() {
+		now := time.Now()
+		cn.usable, cn.fresh = now.Add(idleLimit), now.Add(freshLimit)
+	}
+	cn.shelve()
+}
+
+// shelve puts a connection where others find it.
+func (cn *conn) shelve() {
 	c := cn.client
 	c.mu.Lock()
 	closed := c.closed
--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -136,6 +136,7 @@
 	c := &Call{
 		Server: s, Request: v.request, Left: v.deadline.Sub(now), Workspace: v.workspace,
 		Urgency: min(v.priority, priorityHigher), Inputs: handles, Source: source.Address, LastEvent: v.lastEvent, Fresh: !v.repeatable(),
+		Start: g.startOf(s, "request "+v.request.ID, now),
 	}
 	if c.LastEvent == "" {
 		c.LastEvent = v.request.LastEvent
--- a/src/gateway/fleet_test.go
+++ b/src/gateway/fleet_test.go
@@ -126,8 +126,8 @@
 		Rand:     rand.New(rand.NewPCG(catalog.Hash(name), 1)),
 		Backends: Backends{
 			Send: func(ctx context.Context, c *Call) (*Reply, error) { return f.send(ctx, name, c) },
-			RunPieces: func(ctx context.Context, s catalog.Server, items []batch.Item) (batch.CallOutcome, []batch.ItemResult) {
-				return f.runPieces(ctx, name, s, items)
+			RunPieces: func(ctx context.Context, c PieceCall) (batch.CallOutcome, []batch.ItemResult) {
+				return f.runPieces(ctx, name, c.Server, c.Items)
 			},
 			FreePieces: func(context.Context, catalog.Server, []string) {},
 		},
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -58,6 +58,8 @@
 	estimates estimates
 	holdings  holdings
 
+	departures departures
+
 	stages     context.Context // ends when no more stages are waited for
 	endStages  context.CancelFunc
 	draining   atomic.Bool
@@ -77,6 +79,7 @@
 	StoreRead func(document string, ok bool)
 	Pulled    func(document string, ok bool, took time.Duration) // from another box
 	Retried   func(pool string, allowed bool)
+	SentLate  func(pool string) // a server that was chosen takes no new work when the first byte is due
 }
 
 // Run works until the context ends. Init must have been called.
--- a/src/gateway/ports.go
+++ b/src/gateway/ports.go
@@ -56,6 +56,15 @@
 	LastEvent string
 	Source    string // address of a server that keeps shared parts of the prompt, "" for none
 	Fresh     bool   // on a new connection, for what can't be sent again
+	// Start is asked just before the first byte; an error means that nothing is to be sent.
+	Start func() error
+}
+
+// PieceCall is one call that makes pieces of stages.
+type PieceCall struct {
+	Server catalog.Server
+	Items  []batch.Item
+	Start  func() error // as of a Call
 }
 
 // Reply is the head of a server's answer. Close must be called.
@@ -77,7 +86,7 @@
 	// Send sends a request once. The error is an exchange.NotSent when no byte left.
 	Send func(ctx context.Context, c *Call) (*Reply, error)
 	// RunPieces makes pieces of stages.
-	RunPieces func(ctx context.Context, s catalog.Server, items []batch.Item) (batch.CallOutcome, []batch.ItemResult)
+	RunPieces func(ctx context.Context, c PieceCall) (batch.CallOutcome, []batch.ItemResult)
 	// FreePieces gives up results.
 	FreePieces func(ctx context.Context, s catalog.Server, handles []string)
 }
--- a/src/gateway/reading.go
+++ b/src/gateway/reading.go
@@ -122,7 +122,7 @@
 	at := uint64(0)
 	listing := &catalog.Listing{} // as of at
 	for r.wait(ctx) {
-		began := g.now()
+		began, lost := g.now(), r.failures
 		var err error
 		if at == 0 {
 			at, err = g.readListing(ctx, listing, r.failures > 0)
@@ -140,7 +140,7 @@
 		case at > 0 && listing.Changed(began):
 			list, lapsed := listing.Servers(began)
 			if lapsed > 0 {
-				g.Log.Warn("servers without an entry after an outage", "lapsed", lapsed, "listed", len(list)-lapsed, "revision", at)
+				g.Log.Warn("servers without an entry after an outage", "lapsed", lapsed, "listed", len(list)-lapsed, "revision", at, "failures", lost)
 			}
 			g.takeServers(list, listing.State(at), began, "store")
 			sleep(ctx, min(mostListPace, time.Duration(len(list))*listPace)) // changes of a large list go round together
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -259,7 +259,7 @@
 	}
 	outcome, results := batch.CallBroken, []batch.ItemResult(nil)
 	if g.mayUse(c.Server.ID) {
-		outcome, results = g.Backends.RunPieces(ctx, c.Server, c.Items)
+		outcome, results = g.Backends.RunPieces(ctx, PieceCall{Server: c.Server, Items: c.Items, Start: g.startOf(c.Server, "pieces", began)})
 	} else {
 		outcome = batch.CallMoved
 	}
--- a/src/gateway/serverlist.go
+++ b/src/gateway/serverlist.go
@@ -43,6 +43,7 @@
 	p.recent = append(p.recent[max(0, len(p.recent)+1-recentLists):], recentList{digest: digest, servers: after})
 	p.mu.Unlock()
 	g.logServers(before, change, asOf, from)
+	g.logBack(g.departures.note(g.now(), change, catalog.RevisionOf(asOf)), catalog.RevisionOf(asOf), from)
 	g.applyServers(poolsOf(before, change))
 	g.announce()
 }
--- a/src/metrics/gateway.go
+++ b/src/metrics/gateway.go
@@ -27,6 +27,7 @@
 	pulls     *prometheus.CounterVec
 	pulled    *prometheus.HistogramVec
 	retries   *prometheus.CounterVec
+	sentLate  *prometheus.CounterVec
 }
 
 // NewGateway makes an empty set.
@@ -41,13 +42,14 @@
 		batches:   counters("gateway_batches_total", "Calls that make pieces, by outcome.", "pool", "outcome"),
 		pieces: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "stilemast_gateway_batch_pieces",
 			Help: "Pieces in one call.", Buckets: prometheus.ExponentialBuckets(1, 2, 8)}, []string{"pool"}),
-		batched: histograms("gateway_batch_seconds", "Time of one call that makes pieces.", "pool"),
-		reads:   counters("gateway_store_reads_total", "Reads of the platform's store.", "document", "ok"),
-		pulls:   counters("gateway_pulls_total", "Documents asked of other boxes.", "document", "ok"),
-		pulled:  histograms("gateway_pull_seconds", "Time of one document asked of another box.", "document"),
-		retries: counters("gateway_retries_total", "Repeated sends asked of the shared budget.", "pool", "allowed"),
+		batched:  histograms("gateway_batch_seconds", "Time of one call that makes pieces.", "pool"),
+		reads:    counters("gateway_store_reads_total", "Reads of the platform's store.", "document", "ok"),
+		pulls:    counters("gateway_pulls_total", "Documents asked of other boxes.", "document", "ok"),
+		pulled:   histograms("gateway_pull_seconds", "Time of one document asked of another box.", "document"),
+		retries:  counters("gateway_retries_total", "Repeated sends asked of the shared budget.", "pool", "allowed"),
+		sentLate: counters("gateway_left_when_due_total", "Sends whose server took no new work any more when the first byte was due.", "pool"),
 	}
-	s.registry.MustRegister(s.ended, s.took, s.first, s.exchanges, s.exchanged, s.batches, s.pieces, s.batched, s.reads, s.pulls, s.pulled, s.retries,
+	s.registry.MustRegister(s.ended, s.took, s.first, s.exchanges, s.exchanged, s.batches, s.pieces, s.batched, s.reads, s.pulls, s.pulled, s.retries, s.sentLate,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -76,7 +78,8 @@
 			s.pulls.WithLabelValues(document, strconv.FormatBool(ok)).Inc()
 			s.pulled.WithLabelValues(document).Observe(took.Seconds())
 		},
-		Retried: func(pool string, allowed bool) { s.retries.WithLabelValues(pool, strconv.FormatBool(allowed)).Inc() },
+		Retried:  func(pool string, allowed bool) { s.retries.WithLabelValues(pool, strconv.FormatBool(allowed)).Inc() },
+		SentLate: func(pool string) { s.sentLate.WithLabelValues(pool).Inc() },
 	}
 }
 
