--- a/src/gateway/fleet_test.go
+++ b/src/gateway/fleet_test.go
@@ -36,6 +36,7 @@
 	reads     map[string]int                                                    // store calls by box
 	refuses   bool                                                              // whether the address of a killed box refuses connections, as that of a process does
 	held      int                                                               // messages that told a scheduler of results
+	removed   map[string]uint64                                                 // revisions at which entries were removed, by server
 	restored  []string                                                          // failure domains of which an evacuation was taken back
 	lists     int                                                               // whole lists of servers that one box gave another
 	turnsAway func(box string) bool                                             // whether the store answers a box with an error; nil for none
@@ -301,15 +302,32 @@
 				return nil, after, nil
 			}
 			_, list, rev := state()
-			var out []ServerChange
-			for _, s := range list {
-				out = append(out, ServerChange{Server: s})
-			}
-			return out, rev, nil
+			return append(f.removals(after, rev), putsOf(list)...), rev, nil
 		},
 	}
 }
 
+// removals are the entries that were removed after a revision and up to another.
+func (f *testFleet) removals(after, rev uint64) []ServerChange {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []ServerChange
+	for id, at := range f.removed {
+		if at > after && at <= rev {
+			out = append(out, ServerChange{Removed: id})
+		}
+	}
+	return out
+}
+
+func putsOf(list []catalog.Server) []ServerChange {
+	var out []ServerChange
+	for _, s := range list {
+		out = append(out, ServerChange{Server: s})
+	}
+	return out
+}
+
 // publish puts a new configuration into the store.
 func (f *testFleet) publish(c *catalog.Catalog) {
 	f.mu.Lock()
--- a/src/gateway/outage_test.go
+++ b/src/gateway/outage_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,8 +17,30 @@
 func (f *testFleet) setStore(ok bool, servers []catalog.Server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.storeOK, f.servers = ok, servers
+	f.storeOK = ok
+	f.list(servers)
+}
+
+// list has the store list these servers from now on. f.mu is held.
+func (f *testFleet) list(servers []catalog.Server) {
 	f.rev++
+	if f.removed == nil {
+		f.removed = map[string]uint64{}
+	}
+	for _, s := range f.servers {
+		f.removed[s.ID] = f.rev
+	}
+	for _, s := range servers {
+		delete(f.removed, s.ID)
+	}
+	f.servers = servers
+}
+
+// remove takes one server's entry away while the store goes on as it is.
+func (f *testFleet) remove(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list(slices.DeleteFunc(slices.Clone(f.servers), func(s catalog.Server) bool { return s.ID == id }))
 }
 
 // outage takes the store away for a while, after which it lists only so many of the servers. It gives all.
