Entries and configurations of other writers: they name no server to use, and the others hold

Cause: an entry that could not be read was passed over, so the server's earlier entry stayed in use; every state but "draining" counted as ready; empty and impossible addresses and negative slots were servers; a configuration that could not be read failed the whole read and counted as an outage of the store. An unreadable configuration leaves the one in force, with one line a revision; the evacuations that came beside it hold, and later configurations arrive. A counter by document and reason.

--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,8 @@
 	$(GO) test ./src/peer -run '^$$' -fuzz FuzzReadFrame -fuzztime 20s
 	$(GO) test ./src/backend -run '^$$' -fuzz FuzzEvents -fuzztime 20s
 	$(GO) test ./src/config -run '^$$' -fuzz FuzzParse -fuzztime 20s
+	$(GO) test ./platform -run '^$$' -fuzz FuzzEntry -fuzztime 20s
+	$(GO) test ./platform -run '^$$' -fuzz FuzzWatch -fuzztime 20s
 
 codes:
 	$(GO) test ./src/code -run TestPageIsCurrent -update
--- a/src/catalog/catalog.go
+++ b/src/catalog/catalog.go
@@ -140,6 +140,8 @@
 	Domain   string `msgpack:"d"` // failure domain
 	Slots    int    `msgpack:"s"`
 	Draining bool   `msgpack:"r"`
+	// Fault says what makes the entry name no server to use, "" for nothing: it may come from another writer.
+	Fault string `msgpack:"f,omitempty"`
 	// Born tells the server's life: when it started, in Unix milliseconds; 0 where its entry does not say.
 	Born int64 `msgpack:"b,omitempty"`
 	// Revision is the platform's at which the entry was written, 0 where that is not known. It orders what is said of the
--- a/src/catalog/difference.go
+++ b/src/catalog/difference.go
@@ -41,7 +41,7 @@
 func Digest(list map[string]Server) string {
 	sum := uint64(0)
 	for _, s := range list {
-		sum += Hash(s.ID, s.Pool, s.Address, s.Domain, strconv.Itoa(s.Slots), strconv.FormatBool(s.Draining), strconv.FormatBool(s.Cold > 0), strconv.FormatInt(s.Born, 36))
+		sum += Hash(s.ID, s.Pool, s.Address, s.Domain, strconv.Itoa(s.Slots), strconv.FormatBool(s.Draining), strconv.FormatBool(s.Cold > 0), strconv.FormatInt(s.Born, 36), s.Fault)
 	}
 	return strconv.FormatUint(sum, 36)
 }
--- a/src/catalog/registry.go
+++ b/src/catalog/registry.go
@@ -92,6 +92,9 @@
 	if lapsed {
 		old = l.server
 	}
+	if s.Fault != "" && s.Born == 0 {
+		s.Born = old.Born // an entry that can't be read begins no life
+	}
 	left, departed := r.left[s.ID]
 	if (known || lapsed) && s.olderThan(old) || departed && s.Born > 0 && s.Born < left.Born {
 		t.Ignored = append(t.Ignored, s)
@@ -192,7 +195,7 @@
 }
 
 // Works says whether an entry names a server that takes new work.
-func (s Server) Works() bool { return !s.Draining }
+func (s Server) Works() bool { return !s.Draining && s.Fault == "" }
 
 // sameEntry says whether two entries say the same.
 func (s Server) sameEntry(o Server) bool {
--- a/src/gateway/fleet_test.go
+++ b/src/gateway/fleet_test.go
@@ -267,15 +267,15 @@
 		return false
 	}
 	return Store{
-		Catalog: func(ctx context.Context) (*catalog.Catalog, uint64, error) {
+		Catalog: func(ctx context.Context) (CatalogChange, uint64, error) {
 			if err := begin(ctx); err != nil {
-				return nil, 0, err
+				return CatalogChange{}, 0, err
 			}
 			c, _, rev := state()
 			if err := f.links.carryCatalog(ctx, addressOf(box), c); err != nil {
-				return nil, 0, err
+				return CatalogChange{}, 0, err
 			}
-			return c, rev, nil
+			return CatalogChange{Catalog: c, Evacuated: c.Evacuated}, rev, nil
 		},
 		Servers: func(ctx context.Context) ([]catalog.Server, uint64, error) {
 			if err := begin(ctx); err != nil {
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -77,7 +77,8 @@
 	StoreRead func(document string, ok bool)
 	Pulled    func(document string, ok bool, took time.Duration) // from another box
 	Retried   func(pool string, allowed bool)
-	Withheld  func(pool string) // a server that was chosen takes no new work when the first byte is due
+	Refused   func(document, reason string) // an entry or a configuration that can't be used was read
+	Withheld  func(pool string)             // a server that was chosen takes no new work when the first byte is due
 }
 
 // Run works until the context ends. Init must have been called.
--- a/src/gateway/ports.go
+++ b/src/gateway/ports.go
@@ -105,6 +105,27 @@
 	Catalog   *catalog.Catalog // the newest configuration, without Evacuated; nil when it did not change
 	Evacuated []string         // failure domains to which nothing is to be sent any more
 	Restored  []string         // failure domains of which that no longer holds
+	// Unreadable is set when a configuration was written that can't be read; the one before stays in force.
+	Unreadable *Unreadable
+}
+
+// Unreadable is a published document that can't be read.
+type Unreadable struct {
+	Revision uint64 // of the store, at which it was written
+	Cause    error
+}
+
+// whole makes the catalog that holds after a whole read; before may be nil. What the read does not name as evacuated
+// is not.
+func (c CatalogChange) whole(before *catalog.Catalog) *catalog.Catalog {
+	after := c.Catalog
+	if after == nil {
+		after = before
+	}
+	if after == nil {
+		return nil
+	}
+	return after.WithEvacuated(c.Evacuated)
 }
 
 // apply makes the catalog that holds after the change of another; before may be nil.
@@ -126,7 +147,7 @@
 
 // Store reads what the platform publishes. Each read names the store's revision that it shows.
 type Store struct {
-	Catalog      func(ctx context.Context) (*catalog.Catalog, uint64, error)
+	Catalog      func(ctx context.Context) (CatalogChange, uint64, error)
 	Servers      func(ctx context.Context) ([]catalog.Server, uint64, error)
 	WatchCatalog func(ctx context.Context, after uint64, wait time.Duration) (CatalogChange, uint64, error)
 	WatchServers func(ctx context.Context, after uint64, wait time.Duration) ([]ServerChange, uint64, error)
--- a/src/gateway/published.go
+++ b/src/gateway/published.go
@@ -134,6 +134,13 @@
 	return p.catalogs.Say(now)
 }
 
+// heldCatalog is the configuration in force, nil for none.
+func (p *published) heldCatalog() *catalog.Catalog {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held
+}
+
 // list is the list of servers as it goes to other boxes. p.mu is held.
 func (p *published) list() []catalog.Server {
 	out := make([]catalog.Server, 0, len(p.servers))
--- a/src/gateway/reading.go
+++ b/src/gateway/reading.go
@@ -70,26 +70,32 @@
 func (g *Gateway) readCatalog(ctx context.Context) {
 	defer g.background.Done()
 	r := &reader{gateway: g, document: port.DocumentConfig, feed: g.published.catalogs}
-	at := uint64(0)
+	at, unreadable := uint64(0), uint64(0)
 	var held *catalog.Catalog // as of at
 	for r.wait(ctx) {
 		began := g.now()
-		var c *catalog.Catalog
+		var after *catalog.Catalog
+		var change CatalogChange
 		var err error
 		if at == 0 {
 			one, cancel := context.WithTimeout(ctx, readLimit)
-			c, at, err = g.Store.Catalog(one)
+			change, at, err = g.Store.Catalog(one)
 			cancel()
+			if held == nil {
+				held = g.published.heldCatalog() // what stays in force should this one be unreadable
+			}
+			after = change.whole(held)
 		} else {
 			one, cancel := context.WithTimeout(ctx, watchWait+readLimit)
-			var change CatalogChange
 			change, at, err = g.Store.WatchCatalog(one, at, watchWait)
 			cancel()
-			if after := change.apply(held); after != nil && after.Digest() != held.Digest() {
-				c = after
-			}
+			after = change.apply(held)
 			began = g.now()
 		}
+		if u := change.Unreadable; u != nil && u.Revision != unreadable {
+			unreadable = u.Revision
+			g.logUnreadable(u, held)
+		}
 		if err == ErrHistoryGone {
 			at, err = 0, nil
 		} else if err != nil {
@@ -97,15 +103,23 @@
 		}
 		r.ended(err)
 		switch {
-		case c != nil:
-			held = c
-			g.takeCatalog(c, nil, at, began, "store")
+		case at > 0 && after != nil && (held == nil || after.Digest() != held.Digest() || after.Version > g.Version()):
+			held = after
+			g.takeCatalog(after, nil, at, began, "store")
 		case at > 0:
 			g.confirmCatalog(began, at)
 		}
 	}
 }
 
+// logUnreadable tells of a configuration that can't be read, once for each revision.
+func (g *Gateway) logUnreadable(u *Unreadable, held *catalog.Catalog) {
+	g.Log.Error("configuration can't be read, nothing changes", "revision", u.Revision, "held_version", versionOf(held), "cause", u.Cause.Error())
+	if g.Watch.Refused != nil {
+		g.Watch.Refused(port.DocumentConfig, "unreadable")
+	}
+}
+
 func (g *Gateway) confirmCatalog(at time.Time, asOf uint64) {
 	p := &g.published
 	p.mu.Lock()
--- a/src/gateway/serverlist.go
+++ b/src/gateway/serverlist.go
@@ -83,10 +83,15 @@
 // one line.
 func (g *Gateway) logServers(before map[string]catalog.Server, change catalog.Difference, state uint64, from string) {
 	if n := len(change.Put) + len(change.Gone); n > serverLines {
+		g.logFaults(before, change, state, from)
 		g.Log.Info("servers changed", "listed", len(change.Put), "gone", len(change.Gone), "before", len(before), "revision", catalog.RevisionOf(state), "from", from)
 		return
 	}
+	g.logFaults(before, change, state, from)
 	for _, s := range change.Put {
+		if s.Fault != "" {
+			continue
+		}
 		if old, ok := before[s.ID]; !ok || old.Draining != s.Draining {
 			g.Log.Info("server listed", "server", s.ID, "pool", s.Pool, "domain", s.Domain, "draining", s.Draining, "revision", catalog.RevisionOf(state), "from", from)
 		}
@@ -96,6 +101,22 @@
 	}
 }
 
+// logFaults tells of entries that name no server to use, once for each as long as it says the same.
+func (g *Gateway) logFaults(before map[string]catalog.Server, change catalog.Difference, state uint64, from string) {
+	lines := 0
+	for _, s := range change.Put {
+		if s.Fault == "" || before[s.ID].Fault == s.Fault {
+			continue
+		}
+		if g.Watch.Refused != nil {
+			g.Watch.Refused(port.DocumentServers, s.Fault)
+		}
+		if lines++; lines <= serverLines {
+			g.Log.Warn("entry names no server to use", "server", s.ID, "fault", s.Fault, "draining", s.Draining, "entry_revision", s.Revision, "revision", catalog.RevisionOf(state), "from", from)
+		}
+	}
+}
+
 // applyServers gives pools and schedulers the servers that take new work; nil touches all pools.
 func (g *Gateway) applyServers(touched map[string]bool) {
 	by := map[string][]catalog.Server{}
--- a/src/metrics/gateway.go
+++ b/src/metrics/gateway.go
@@ -28,6 +28,7 @@
 	pulled    *prometheus.HistogramVec
 	retries   *prometheus.CounterVec
 	withheld  *prometheus.CounterVec
+	refused   *prometheus.CounterVec
 }
 
 // NewGateway makes an empty set.
@@ -47,9 +48,10 @@
 		pulls:    counters("gateway_pulls_total", "Documents asked of other boxes.", "document", "ok"),
 		pulled:   histograms("gateway_pull_seconds", "Time of one document asked of another box.", "document"),
 		retries:  counters("gateway_retries_total", "Repeated sends asked of the shared budget.", "pool", "allowed"),
+		refused:  counters("gateway_unusable_documents_total", "Server entries and configurations that can't be used, by reason.", "document", "reason"),
 		withheld: counters("gateway_withheld_total", "Sends held back since the server took no new work any more when the first byte was due.", "pool"),
 	}
-	s.registry.MustRegister(s.ended, s.took, s.first, s.exchanges, s.exchanged, s.batches, s.pieces, s.batched, s.reads, s.pulls, s.pulled, s.retries, s.withheld,
+	s.registry.MustRegister(s.ended, s.took, s.first, s.exchanges, s.exchanged, s.batches, s.pieces, s.batched, s.reads, s.pulls, s.pulled, s.retries, s.withheld, s.refused,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -79,6 +81,7 @@
 			s.pulled.WithLabelValues(document).Observe(took.Seconds())
 		},
 		Retried:  func(pool string, allowed bool) { s.retries.WithLabelValues(pool, strconv.FormatBool(allowed)).Inc() },
+		Refused:  func(document, reason string) { s.refused.WithLabelValues(document, reason).Inc() },
 		Withheld: func(pool string) { s.withheld.WithLabelValues(pool).Inc() },
 	}
 }
