A server is its id and its life: what was believed of an earlier life goes when the entry shows a new one

Cause: `born` was read nowhere; a server that started again under its id with an equal entry was no change, so results that lay there, calls at work, loads, rests, prompt parts and connections of the earlier life were counted on, and a loss was found out by a failed call. Now, with the list that shows the new life: the pool begins anew with it and takes no outcome of the earlier one; the scheduler drops its results and room, gives back the call at work and makes what jobs lack again, without counting a failure; owners make requests' lost stages again at once (one repeat, as for inputs that are gone); idle connections are dropped. Requests at work are left: an answer may be on its way, and whether they ran stays unknown. Left: results that another box tells of the earlier life after the new one is known count as room until they age.

--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -3,6 +3,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/stilemast/stilemast/src/catalog"
@@ -93,6 +94,10 @@
 	for _, v := range list {
 		seen[v.ID] = true
 		st := p.servers[v.ID]
+		if st != nil && st.Born != v.Born {
+			p.forgetLife(st)
+			st = nil
+		}
 		if st == nil {
 			st = &server{pace: 1, hash: catalog.Hash(v.ID)}
 			p.servers[v.ID] = st
@@ -110,6 +115,27 @@
 	}
 }
 
+// forgetLife drops all that was believed of a server which has started again: loads, failures, what it keeps of prompts.
+func (p *Pool) forgetLife(v *server) {
+	delete(p.busy, v.ID)
+	delete(p.resting, v.ID)
+	for _, m := range p.kept {
+		delete(m, v.hash)
+	}
+	p.fresh = slices.DeleteFunc(p.fresh, func(r freshRead) bool { return r.Server == v.hash })
+	for box, w := range p.words {
+		w.notes = slices.DeleteFunc(w.notes, func(n Note) bool { return n.Server == v.hash })
+		p.words[box] = w
+	}
+}
+
+// Lives says whether a server as it was chosen is the one that is listed now: an exchange with an earlier life says
+// nothing of it.
+func (p *Pool) Lives(s catalog.Server) bool {
+	v := p.servers[s.ID]
+	return v != nil && v.Born == s.Born
+}
+
 // Size counts the servers.
 func (p *Pool) Size() int { return len(p.servers) }
 
--- /dev/null
+++ b/src/batch/life.go
@@ -0,0 +1,51 @@
+package batch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/stilemast/stilemast/src/catalog"
+)
+
+// forgetLife drops what was known of the earlier life of a server that has started again, or is listed anew: results
+// that lay there, a call at work, results to be given up. What jobs lack then is made again at once. before is nil
+// when the server was not listed.
+func (s *Scheduler) forgetLife(now time.Time, v catalog.Server, before *serverState, out *Actions) {
+	lost := false
+	for handle, r := range s.handles {
+		if r.server == v.ID && r.born != v.Born {
+			delete(s.handles, handle)
+			lost = true
+		}
+	}
+	if before == nil && !lost {
+		return
+	}
+	delete(s.freeing, v.ID)
+	if before != nil && before.call != 0 {
+		rc := s.calls[before.call]
+		delete(s.calls, before.call)
+		s.giveBack(now, rc, nil, CallWithheld, out)
+	}
+	for _, t := range s.sorted(now) {
+		s.makeAgain(now, t, v.ID, out)
+	}
+}
+
+// makeAgain returns the pieces of a job whose results lay at a server. Where their inputs were given up already only
+// the owner can make them again.
+func (s *Scheduler) makeAgain(now time.Time, t *job, server string, out *Actions) {
+	for i, place := range t.places {
+		if place != server || t.handles[i] == "" {
+			continue
+		}
+		if t.read {
+			s.end(now, t, Message{Failed: &Failed{ID: t.ID, Reason: Gone}}, out)
+			return
+		}
+		t.handles[i], t.places[i], t.domains[i] = "", "", ""
+		if !slices.Contains(t.pending, i) {
+			t.pending = append(t.pending, i)
+		}
+	}
+}
--- a/src/batch/scheduler.go
+++ b/src/batch/scheduler.go
@@ -39,6 +39,7 @@
 
 type runningCall struct {
 	server   string
+	born     int64 // the server's life
 	jobs     []*job
 	pieces   []int
 	began    time.Time
@@ -48,6 +49,7 @@
 
 type held struct {
 	server string
+	born   int64 // the server's life
 	bytes  float64
 	until  time.Time
 	told   string // the scheduler that it was handed over to
@@ -88,13 +90,15 @@
 
 // Configure takes the pool's limits and its servers that take new work.
 func (s *Scheduler) Configure(now time.Time, pool catalog.Pool, servers []catalog.Server) Actions {
+	var out Actions
 	s.pool = pool
 	for _, v := range s.servers {
 		v.listed = false
 	}
 	for _, v := range servers {
 		st := s.servers[v.ID]
-		if st == nil {
+		if st == nil || st.Born != v.Born {
+			s.forgetLife(now, v, st, &out)
 			st = &serverState{ratio: 1}
 			s.servers[v.ID] = st
 		}
@@ -105,7 +109,9 @@
 			delete(s.servers, id)
 		}
 	}
-	return s.dispatch(now)
+	more := s.dispatch(now)
+	out.Calls, out.Replies = more.Calls, append(out.Replies, more.Replies...)
+	return out
 }
 
 // Submit takes a job, or answers again for one that it knows. elsewhere names the box that schedules
@@ -178,7 +184,7 @@
 		if v == nil || known || given {
 			continue
 		}
-		s.handles[r.Handle] = held{server: r.Server, bytes: r.Bytes, until: now.Add(r.Left)}
+		s.handles[r.Handle] = held{server: r.Server, born: v.Born, bytes: r.Bytes, until: now.Add(r.Left)}
 		v.used += r.Bytes
 		v.unknown = max(0, v.unknown-r.Bytes)
 	}
--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -402,6 +402,17 @@
 	}
 }
 
+// Forget drops the kept connections to an address.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	idle := c.idle[address]
+	delete(c.idle, address)
+	c.mu.Unlock()
+	for _, cn := range idle {
+		cn.drop()
+	}
+}
+
 // Close drops every kept connection; those in use are dropped when they end.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/src/gateway/held.go
+++ b/src/gateway/held.go
@@ -23,6 +23,8 @@
 	server string
 	bytes  float64
 	until  time.Time // when it is lost by age
+	of     *results
+	stage  int
 }
 
 func (h *holdings) init(g *Gateway) {
@@ -30,8 +32,8 @@
 	h.pools, h.told = map[string]map[string]holding{}, map[string]string{}
 }
 
-// add notes the results of one job.
-func (h *holdings) add(pool string, done *batch.Done, bytes float64, until time.Time) {
+// add notes the results of one job, which makes a stage of a request.
+func (h *holdings) add(pool string, done *batch.Done, bytes float64, until time.Time, of *results, stage int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	all := h.pools[pool]
@@ -41,7 +43,7 @@
 	}
 	for i, handle := range done.Handles {
 		if i < len(done.Servers) {
-			all[handle] = holding{server: done.Servers[i], bytes: bytes, until: until}
+			all[handle] = holding{server: done.Servers[i], bytes: bytes, until: until, of: of, stage: stage}
 		}
 	}
 }
@@ -60,6 +62,34 @@
 	return out
 }
 
+// lose drops the results that lay at a server which has started again, and tells the requests that hold them. It gives
+// how many there were.
+func (h *holdings) lose(pool, server string) (results int) {
+	lost := map[resultsOfStage]bool{}
+	h.mu.Lock()
+	for handle, r := range h.pools[pool] {
+		if r.server != server {
+			continue
+		}
+		delete(h.pools[pool], handle)
+		results++
+		if r.of != nil {
+			lost[resultsOfStage{r.of, r.stage}] = true
+		}
+	}
+	h.mu.Unlock()
+	for l := range lost {
+		l.of.lose(l.stage)
+	}
+	return results
+}
+
+// resultsOfStage are those of one stage of a request.
+type resultsOfStage struct {
+	of    *results
+	stage int
+}
+
 // news lists what a box that is to schedule a pool has not been told, and notes that it is told now.
 func (h *holdings) news(now time.Time, pool, box string) []batch.HeldResult {
 	h.mu.Lock()
--- a/src/gateway/ports.go
+++ b/src/gateway/ports.go
@@ -89,6 +89,8 @@
 	RunPieces func(ctx context.Context, c PieceCall) (batch.CallOutcome, []batch.ItemResult)
 	// FreePieces gives up results.
 	FreePieces func(ctx context.Context, s catalog.Server, handles []string)
+	// Forget drops the idle connections to an address whose server has started again; nil keeps none.
+	Forget func(address string)
 }
 
 // ErrHistoryGone says that the store does not know the changes since the revision asked for.
--- a/src/gateway/serverlist.go
+++ b/src/gateway/serverlist.go
@@ -38,6 +38,7 @@
 	g.logServers(before, change, asOf, from)
 	g.logTurn(turn, catalog.RevisionOf(asOf), from)
 	g.applyServers(turn.Pools)
+	g.takeLives(turn.Reborn, catalog.RevisionOf(asOf), from)
 	g.announce()
 }
 
--- a/src/gateway/stages.go
+++ b/src/gateway/stages.go
@@ -20,6 +20,27 @@
 	read    []bool // stages that have read their inputs
 	domains []string
 	expires []time.Time // when they are lost by age
+	lost    bool        // some were lost with their server before they were read
+	onLoss  func()      // ends the work on later stages; set before any stage is made
+}
+
+// lose notes that results of a stage are gone with their server. What still needs them is made again.
+func (r *results) lose(stage int) {
+	r.mu.Lock()
+	gone := !r.freed[stage]
+	r.freed[stage] = true
+	r.lost = r.lost || gone
+	r.mu.Unlock()
+	if gone {
+		r.onLoss()
+	}
+}
+
+// wasLost says whether results were lost that were still needed.
+func (r *results) wasLost() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lost
 }
 
 // final lists the handles that the request itself needs, the domain where most of their bytes lie
@@ -131,6 +152,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	s.results.onLoss = cancel
 	reasons := make(chan batch.Reason, n)
 	for i := range n {
 		go func() {
@@ -148,6 +170,9 @@
 			cancel()
 		}
 	}
+	if s.results.wasLost() {
+		failed = batch.Gone
+	}
 	if failed != 0 {
 		s.results.freeAll()
 		return nil, failed
@@ -187,7 +212,7 @@
 	s.results.handles[i], s.results.domains[i] = done.Handles, done.Domain
 	s.results.expires[i] = g.now().Add(s.lifeOf(i))
 	s.results.mu.Unlock()
-	g.holdings.add(st.Pool, done, j.ResultBytes, g.now().Add(s.lifeOf(i)))
+	g.holdings.add(st.Pool, done, j.ResultBytes, g.now().Add(s.lifeOf(i)), s.results, i)
 	s.freeRead(i)
 	g.Log.Info("stage made", "request", s.request.ID, "stage", i, "pool", st.Pool, "pieces", j.Pieces, "domain", done.Domain, "took_ms", g.now().Sub(began).Milliseconds(), "held_ms", began.Sub(ready).Milliseconds(), "slack_ms", j.Due.Sub(g.now()).Milliseconds())
 	return 0
