A planned stop that comes while the process starts is heard

Cause: go-zero's signal handler is set while packages are initialized; our own Notify came after the settings were read. Now: src/signals listens from before any other package's code (it imports the standard library alone, and packages are initialized in the order of their import paths); serve reads its channel, other commands give the signals back. Ruled out: checking the library's own channel after Notify, which leaves a gap of its own.

--- a/src/cli/cli.go
+++ b/src/cli/cli.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -16,8 +15,12 @@
 	"github.com/stilemast/stilemast/src/logging"
 	"github.com/stilemast/stilemast/src/node"
 	"github.com/stilemast/stilemast/src/rpc"
+	"github.com/stilemast/stilemast/src/signals"
 )
 
+// serveName is the command of processes that a planned stop ends.
+const serveName = "serve"
+
 // Release is the version of the program.
 const Release = "0.1.0"
 
@@ -32,6 +35,9 @@
 
 // Main runs the command line and gives the exit code. The adapter connects gateways to a platform.
 func Main(args []string, adapter node.Adapter) int {
+	if len(args) < 2 || args[1] != serveName {
+		signals.Release()
+	}
 	logging.Adopt(logger("warn"))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
@@ -77,10 +83,3 @@
 
 // logger writes JSON lines to standard error.
 func logger(level string) *slog.Logger { return logging.New(os.Stderr, level) }
-
-// stopSignals are what asks a process to stop.
-func stopSignals() chan os.Signal {
-	c := make(chan os.Signal, 2)
-	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT)
-	return c
-}
--- a/src/cli/gateway.go
+++ b/src/cli/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/stilemast/stilemast/src/config"
 	"github.com/stilemast/stilemast/src/logging"
 	"github.com/stilemast/stilemast/src/node"
+	"github.com/stilemast/stilemast/src/signals"
 )
 
 // logPatience bounds how long a stopping process waits for its last lines to be read.
@@ -30,7 +31,7 @@
 	setLevel(level, s.LogLevel)
 	log := slog.New(slog.NewJSONHandler(stream, &slog.HandlerOptions{Level: level})).With("box", s.Box)
 	log.Info("starting", "release", Release, "domain", s.FailureDomain, "callers", s.Listen.Callers, "peers", s.Listen.Peers, "store", s.Platform.Address, "seeds", s.Fleet.Seeds)
-	stops, reloads := stopSignals(), make(chan os.Signal, 1)
+	stops, reloads := signals.Stops(), make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	n := &node.GatewayNode{Settings: s, Adapter: adapter, Log: log}
 	if err := n.Start(); err != nil {
@@ -70,7 +71,7 @@
 	}
 }
 
-func stopGateway(n *node.GatewayNode, stops chan os.Signal, log *slog.Logger) error {
+func stopGateway(n *node.GatewayNode, stops <-chan os.Signal, log *slog.Logger) error {
 	ended := make(chan int, 1)
 	go func() { ended <- n.Stop() }()
 	select {
--- a/src/cli/serve.go
+++ b/src/cli/serve.go
@@ -16,13 +16,14 @@
 	"github.com/stilemast/stilemast/src/config"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/node"
+	"github.com/stilemast/stilemast/src/signals"
 	"github.com/stilemast/stilemast/src/standin"
 	"github.com/stilemast/stilemast/src/web"
 )
 
 func serveCommand(adapter node.Adapter) *cli.Command {
 	return &cli.Command{
-		Name:  "serve",
+		Name:  serveName,
 		Usage: "run one box until it is told to stop; SIGTERM is a planned stop, a second one cuts",
 		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "TOML `FILE` with the box's settings", Sources: cli.EnvVars("STILEMAST_CONFIG"), Required: true}},
 		Action: func(_ context.Context, c *cli.Command) error {
@@ -48,7 +49,7 @@
 func serve(s *config.Settings) error {
 	log := logger(s.LogLevel).With("box", s.Box)
 	n := &node.Node{Settings: s, Log: log, Release: Release}
-	signals := stopSignals()
+	stops := signals.Stops()
 	if err := n.Start(); err != nil {
 		return err
 	}
@@ -57,7 +58,7 @@
 	proc.SetTimeToForceQuit(neverForced)
 	log.Info("serving", "callers", n.CallersAddress(), "peers", n.PeersAddress(), "release", Release)
 	select {
-	case <-signals:
+	case <-stops:
 	case <-n.Stopped():
 		return nil
 	}
@@ -69,7 +70,7 @@
 			return eris.Errorf("the planned stop ran out of time with %d requests running", left)
 		}
 		return nil
-	case <-signals:
+	case <-stops:
 		return eris.New("stopped at once by a second signal; running requests were cut")
 	}
 }
