--- a/src/catalog/registry.go
+++ b/src/catalog/registry.go
@@ -49,7 +49,12 @@
 	Lapsed  []string        // servers that are kept without an entry
 	Back    []Return        // servers that had left and take work again
 	Ignored []Server        // entries that are older than what is known
-	Reborn  []Server        // servers that began a new life under their id, as they were in the earlier one
+	Reborn  []Rebirth       // servers that began a new life under their id
+}
+
+// Rebirth is a server that began a new life, as it was listed last and as it is now.
+type Rebirth struct {
+	Before, Now Server
 }
 
 // Return is a server that had left and takes work again.
@@ -110,7 +115,7 @@
 	if known || lapsed {
 		t.Pools[old.Pool] = true
 		if s.Born != old.Born {
-			t.Reborn = append(t.Reborn, old)
+			t.Reborn = append(t.Reborn, Rebirth{Before: old, Now: s})
 		}
 	}
 	switch {
--- a/src/gateway/held.go
+++ b/src/gateway/held.go
@@ -64,17 +64,16 @@
 
 // lose drops the results that lay at a server which has started again, and tells the requests that hold them. It gives
 // how many there were.
-func (h *holdings) lose(pool, server string) (results int) {
+func (h *holdings) lose(server string) (results int) {
 	lost := map[resultsOfStage]bool{}
 	h.mu.Lock()
-	for handle, r := range h.pools[pool] {
-		if r.server != server {
-			continue
-		}
-		delete(h.pools[pool], handle)
-		results++
-		if r.of != nil {
-			lost[resultsOfStage{r.of, r.stage}] = true
+	for _, all := range h.pools {
+		for handle, r := range all {
+			if r.server == server {
+				delete(all, handle)
+				results++
+				lost[resultsOfStage{r.of, r.stage}] = true
+			}
 		}
 	}
 	h.mu.Unlock()
