--- a/src/batch/life_test.go
+++ b/src/batch/life_test.go
@@ -94,3 +94,21 @@
 		t.Errorf("%d results are known, want 8", len(s.handles))
 	}
 }
+
+// A call that was held back since its server takes no new work any more did not run: its pieces go to another server, as often
+// as it happens.
+func TestACallHeldBackCountsAsNoFailure(t *testing.T) {
+	s := testScheduler(1)
+	a := s.Submit(start, testJob("owner", 1, 8), "")
+	for range pieceFailures + 1 {
+		a = s.CallEnded(start, a.Calls[0].N, CallWithheld, nil)
+		if len(a.Replies) > 0 {
+			t.Fatalf("the owner is told %+v", a.Replies[0].Message)
+		}
+		start := start.Add(fullPause)
+		a = s.Tick(start)
+		if len(a.Calls) != 1 || len(a.Calls[0].Items) != 8 {
+			t.Fatalf("after it was held back: %+v", a.Calls)
+		}
+	}
+}
--- a/src/gateway/published_test.go
+++ b/src/gateway/published_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -144,3 +145,19 @@
 		}
 	}
 }
+
+// A configuration that can't be read changes nothing; the evacuations that were read beside it hold.
+func TestAnUnreadableConfigurationKeepsTheOneBefore(t *testing.T) {
+	before := testCatalog(5).WithEvacuated([]string{"north"})
+	c := CatalogChange{Evacuated: []string{"south"}, Unreadable: &Unreadable{Revision: 9, Cause: errStore}}
+	after := c.whole(before)
+	if after == nil || after.Version != 5 || !slices.Equal(after.Evacuated, []string{"south"}) {
+		t.Errorf("a whole read gives %+v", after)
+	}
+	if after = c.apply(before); after == nil || after.Version != 5 || !slices.Equal(after.Evacuated, []string{"north", "south"}) {
+		t.Errorf("a change gives %+v", after)
+	}
+	if c.whole(nil) != nil {
+		t.Error("a configuration came from nothing")
+	}
+}
