--- a/src/catalog/difference.go
+++ b/src/catalog/difference.go
@@ -41,11 +41,21 @@
 func Digest(list map[string]Server) string {
 	sum := uint64(0)
 	for _, s := range list {
-		sum += Hash(s.ID, s.Pool, s.Address, s.Domain, strconv.Itoa(s.Slots), strconv.FormatBool(s.Draining), strconv.FormatBool(s.Cold > 0), strconv.FormatInt(s.Born, 36), s.Fault)
+		sum += s.digest()
 	}
 	return strconv.FormatUint(sum, 36)
 }
 
+// digest names what an entry says. A server that says nothing of its life and has no fault has the digest that boxes of the
+// earlier release give it: in a rolling upgrade all must agree.
+func (s Server) digest() uint64 {
+	words := []string{s.ID, s.Pool, s.Address, s.Domain, strconv.Itoa(s.Slots), strconv.FormatBool(s.Draining), strconv.FormatBool(s.Cold > 0)}
+	if s.Born != 0 || s.Fault != "" {
+		words = append(words, strconv.FormatInt(s.Born, 36), s.Fault)
+	}
+	return Hash(words...)
+}
+
 // History holds the latest changes of a list, so that a box which holds a state of a moment ago is
 // told the difference and not the whole list.
 type History struct{ steps []historyStep }
--- a/src/catalog/registry.go
+++ b/src/catalog/registry.go
@@ -21,6 +21,11 @@
 	Born     int64     // the life that left
 }
 
+// outlives says whether an entry is of a life that ended before the departure, or of one that said itself that it leaves.
+func (d Departure) outlives(s Server) bool {
+	return s.Born > 0 && (s.Born < d.Born || s.Born == d.Born && d.Draining && !s.Draining)
+}
+
 // Registry is what one box believes of the backend servers, from the lists that it takes one after the other: which may
 // get new work, which of the entries that are missing may only have lapsed, which lives have left. It is this box's
 // belief alone and never told to others: they make their own of the same lists.
@@ -117,7 +122,7 @@
 		s.Born = old.Born // an entry that can't be read begins no life
 	}
 	left, departed := r.left[s.ID]
-	if (known || lapsed) && s.olderThan(old) || departed && s.Born > 0 && s.Born < left.Born {
+	if (known || lapsed) && s.olderThan(old) || departed && left.outlives(s) {
 		t.Ignored = append(t.Ignored, s)
 		return
 	}
--- a/src/catalog/registry_test.go
+++ b/src/catalog/registry_test.go
@@ -168,6 +168,15 @@
 	}
 }
 
+// A life that said that it leaves stays so also when its entry went and is back; one whose entry only went may be back.
+func TestALifeThatSaidItLeavesStaysSo(t *testing.T) {
+	r := &taker{}
+	r.take(start, listOf(Server{ID: "said", Born: 20, Draining: true}, Server{ID: "silent", Born: 20}), 1, time.Time{})
+	r.take(start, listOf(), 2, time.Time{})
+	r.take(start, listOf(Server{ID: "said", Born: 20}, Server{ID: "silent", Born: 20}), 3, time.Time{})
+	expectWorking(t, r, "silent")
+}
+
 // A new life is told also where all else in the entry is equal.
 func TestANewLifeUnderAnIDIsAChange(t *testing.T) {
 	before, after := listOf(Server{ID: "a", Pool: "p", Born: 10}), listOf(Server{ID: "a", Pool: "p", Born: 20})
