--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -94,8 +94,8 @@
 	for _, v := range list {
 		seen[v.ID] = true
 		st := p.servers[v.ID]
-		if st != nil && st.Born != v.Born {
-			p.forgetLife(st)
+		if st != nil && st.Incarnation != v.Incarnation {
+			p.forgetIncarnation(st)
 			st = nil
 		}
 		if st == nil {
@@ -115,8 +115,8 @@
 	}
 }
 
-// forgetLife drops all that was believed of a server which has started again: loads, failures, what it keeps of prompts.
-func (p *Pool) forgetLife(v *server) {
+// forgetIncarnation drops all that was believed of a server which has started again: loads, failures, what it keeps of prompts.
+func (p *Pool) forgetIncarnation(v *server) {
 	delete(p.busy, v.ID)
 	delete(p.resting, v.ID)
 	for _, m := range p.kept {
@@ -129,11 +129,11 @@
 	}
 }
 
-// Lives says whether a server as it was chosen is the one that is listed now: an exchange with an earlier life says
+// Current says whether a server as it was chosen is the one that is listed now: an exchange with an earlier life says
 // nothing of it.
-func (p *Pool) Lives(s catalog.Server) bool {
+func (p *Pool) Current(s catalog.Server) bool {
 	v := p.servers[s.ID]
-	return v != nil && v.Born == s.Born
+	return v != nil && v.Incarnation == s.Incarnation
 }
 
 // Size counts the servers.
--- a/src/balance/life_test.go
+++ b/src/balance/incarnation_test.go
@@ -11,8 +11,8 @@
 // what ends there of that life says nothing of the new one.
 func TestANewLifeBeginsWithNothing(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
-	list := func(born int64) []catalog.Server {
-		return []catalog.Server{{ID: "a", Domain: "d", Slots: 4, Born: born}}
+	list := func(i catalog.Incarnation) []catalog.Server {
+		return []catalog.Server{{ID: "a", Domain: "d", Slots: 4, Incarnation: i}}
 	}
 	p := NewPool("box", "d")
 	p.Configure(list(10))
@@ -31,7 +31,7 @@
 	if all, _ := p.unread(now, v, w, p.keptParts(w), ""); all != 910 || len(p.FreshReads(now)) > 0 {
 		t.Errorf("it counts as keeping prompt parts: %d tokens unread", all)
 	}
-	if p.Lives(s) {
+	if p.Current(s) {
 		t.Error("what was chosen in the earlier life counts as the new one")
 	}
 	p.Hear(now, "other", []Note{{Server: catalog.Hash("a"), Load: Load{Requests: 2}}})
@@ -44,9 +44,9 @@
 func TestAChangedEntryOfTheSameLifeKeepsItsLoad(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	p := NewPool("box", "d")
-	p.Configure([]catalog.Server{{ID: "a", Slots: 4, Born: 10}})
+	p.Configure([]catalog.Server{{ID: "a", Slots: 4, Incarnation: 10}})
 	p.Pick(now, &Wish{Exclude: map[string]bool{}})
-	p.Configure([]catalog.Server{{ID: "a", Slots: 8, Born: 10}})
+	p.Configure([]catalog.Server{{ID: "a", Slots: 8, Incarnation: 10}})
 	if n := p.Own()["a"].Requests; n != 1 {
 		t.Errorf("%d requests count there, want 1", n)
 	}
--- a/src/batch/ending.go
+++ b/src/batch/ending.go
@@ -78,7 +78,7 @@
 		t := rc.jobs[i]
 		t.running--
 		if r.Handle != "" {
-			s.handles[r.Handle] = held{server: rc.server, born: rc.born, bytes: t.ResultBytes, until: now.Add(s.pool.Batch.ResultTTL)}
+			s.handles[r.Handle] = held{server: rc.server, incarnation: rc.incarnation, bytes: t.ResultBytes, until: now.Add(s.pool.Batch.ResultTTL)}
 			if t.ended {
 				s.release(now, []string{r.Handle})
 				continue
--- a/src/batch/forming.go
+++ b/src/batch/forming.go
@@ -97,7 +97,7 @@
 	limit := s.pool.Batch.Size
 	room := s.room(now, v)
 	c := Call{Server: v.Server}
-	rc := &runningCall{server: v.ID, born: v.Born, began: now, expected: s.pool.Batch.CallTime}
+	rc := &runningCall{server: v.ID, incarnation: v.Incarnation, began: now, expected: s.pool.Batch.CallTime}
 	for _, t := range queue {
 		if t.ended || len(t.pending) == 0 || len(c.Items) >= limit {
 			continue
--- a/src/batch/handover.go
+++ b/src/batch/handover.go
@@ -50,7 +50,7 @@
 		}
 		v.pause = now.Add(2*b.Left + handoverSlack) // or until it is told that the call has ended
 		v.used += b.Bytes                           // until the results themselves are told of
-		s.handles[callAt(b.Server)] = held{server: b.Server, born: v.Born, bytes: b.Bytes, until: v.pause}
+		s.handles[callAt(b.Server)] = held{server: b.Server, incarnation: v.Incarnation, bytes: b.Bytes, until: v.pause}
 	}
 	for _, id := range h.Idle {
 		v := s.servers[id]
--- a/src/batch/life.go
+++ b/src/batch/incarnation.go
@@ -7,13 +7,13 @@
 	"github.com/stilemast/stilemast/src/catalog"
 )
 
-// forgetLife drops what was known of the earlier life of a server that has started again, or is listed anew: results
+// forgetIncarnation drops what was known of the earlier life of a server that has started again, or is listed anew: results
 // that lay there, a call at work, results to be given up. What jobs lack then is made again at once. before is nil
 // when the server was not listed.
-func (s *Scheduler) forgetLife(now time.Time, v catalog.Server, before *serverState, out *Actions) {
+func (s *Scheduler) forgetIncarnation(now time.Time, v catalog.Server, before *serverState, out *Actions) {
 	lost := false
 	for handle, r := range s.handles {
-		if r.server == v.ID && r.born != v.Born {
+		if r.server == v.ID && r.incarnation != v.Incarnation {
 			delete(s.handles, handle)
 			lost = true
 		}
--- a/src/batch/scheduler.go
+++ b/src/batch/scheduler.go
@@ -38,21 +38,21 @@
 }
 
 type runningCall struct {
-	server   string
-	born     int64 // the server's life
-	jobs     []*job
-	pieces   []int
-	began    time.Time
-	expected time.Duration // of a server of ratio 1
-	bytes    float64
+	server      string
+	incarnation catalog.Incarnation // the server's life
+	jobs        []*job
+	pieces      []int
+	began       time.Time
+	expected    time.Duration // of a server of ratio 1
+	bytes       float64
 }
 
 type held struct {
-	server string
-	born   int64 // the server's life
-	bytes  float64
-	until  time.Time
-	told   string // the scheduler that it was handed over to
+	server      string
+	incarnation catalog.Incarnation // the server's life
+	bytes       float64
+	until       time.Time
+	told        string // the scheduler that it was handed over to
 }
 
 type ending struct {
@@ -97,8 +97,8 @@
 	}
 	for _, v := range servers {
 		st := s.servers[v.ID]
-		if st == nil || st.Born != v.Born {
-			s.forgetLife(now, v, st, &out)
+		if st == nil || st.Incarnation != v.Incarnation {
+			s.forgetIncarnation(now, v, st, &out)
 			st = &serverState{ratio: 1}
 			s.servers[v.ID] = st
 		}
@@ -184,7 +184,7 @@
 		if v == nil || known || given {
 			continue
 		}
-		s.handles[r.Handle] = held{server: r.Server, born: v.Born, bytes: r.Bytes, until: now.Add(r.Left)}
+		s.handles[r.Handle] = held{server: r.Server, incarnation: v.Incarnation, bytes: r.Bytes, until: now.Add(r.Left)}
 		v.used += r.Bytes
 		v.unknown = max(0, v.unknown-r.Bytes)
 	}
--- a/src/catalog/catalog.go
+++ b/src/catalog/catalog.go
@@ -132,6 +132,18 @@
 	IdleTime    time.Duration `msgpack:"i"`
 }
 
+// Incarnation tells the lives of a server under one id apart: when its process started, in Unix milliseconds; 0 where the
+// server does not say.
+type Incarnation int64
+
+// Time is when the life began, zero where that is not known.
+func (i Incarnation) Time() time.Time {
+	if i == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(int64(i))
+}
+
 // Server is one backend server as the platform lists it.
 type Server struct {
 	ID       string `msgpack:"i"`
@@ -141,9 +153,8 @@
 	Slots    int    `msgpack:"s"`
 	Draining bool   `msgpack:"r"`
 	// Fault says what makes the entry name no server to use, "" for nothing: it may come from another writer.
-	Fault string `msgpack:"f,omitempty"`
-	// Born tells the server's life: when it started, in Unix milliseconds; 0 where its entry does not say.
-	Born int64 `msgpack:"b,omitempty"`
+	Fault       string      `msgpack:"f,omitempty"`
+	Incarnation Incarnation `msgpack:"b,omitempty"`
 	// Revision is the platform's at which the entry was written, 0 where that is not known. It orders what is said of the
 	// server and is no part of it.
 	Revision uint64 `msgpack:"v,omitempty"`
--- a/src/catalog/difference.go
+++ b/src/catalog/difference.go
@@ -50,8 +50,8 @@
 // earlier release give it: in a rolling upgrade all must agree.
 func (s Server) digest() uint64 {
 	words := []string{s.ID, s.Pool, s.Address, s.Domain, strconv.Itoa(s.Slots), strconv.FormatBool(s.Draining), strconv.FormatBool(s.Cold > 0)}
-	if s.Born != 0 || s.Fault != "" {
-		words = append(words, strconv.FormatInt(s.Born, 36), s.Fault)
+	if s.Incarnation != 0 || s.Fault != "" {
+		words = append(words, strconv.FormatInt(int64(s.Incarnation), 36), s.Fault)
 	}
 	return Hash(words...)
 }
--- a/src/catalog/registry.go
+++ b/src/catalog/registry.go
@@ -15,15 +15,15 @@
 
 // Departure is what a box knows of a server that left.
 type Departure struct {
-	At       time.Time // when this box learned of it
-	Revision uint64    // the platform's, at which it was seen
-	Draining bool      // its entry said so; otherwise the entry was gone
-	Born     int64     // the life that left
+	At          time.Time   // when this box learned of it
+	Revision    uint64      // the platform's, at which it was seen
+	Draining    bool        // its entry said so; otherwise the entry was gone
+	Incarnation Incarnation // the life that left
 }
 
 // outlives says whether an entry is of a life that ended before the departure, or of one that said itself that it leaves.
 func (d Departure) outlives(s Server) bool {
-	return s.Born > 0 && (s.Born < d.Born || s.Born == d.Born && d.Draining && !s.Draining)
+	return s.Incarnation > 0 && (s.Incarnation < d.Incarnation || s.Incarnation == d.Incarnation && d.Draining && !s.Draining)
 }
 
 // Registry is what one box believes of the backend servers, from the lists that it takes one after the other: which may
@@ -48,17 +48,17 @@
 	until  time.Time // when it counts as gone
 }
 
-// Turn is what a list changed in what a box believes.
-type Turn struct {
-	Pools   map[string]bool // that have other servers now
-	Lapsed  []string        // servers that are kept without an entry
-	Back    []Return        // servers that had left and take work again
-	Ignored []Server        // entries that are older than what is known
-	Reborn  []Rebirth       // servers that began a new life under their id
+// Effects are what a list changed in what a box believes.
+type Effects struct {
+	Pools     map[string]bool // that have other servers now
+	Lapsed    []string        // servers that are kept without an entry
+	Back      []Return        // servers that had left and take work again
+	Ignored   []Server        // entries that are older than what is known
+	Restarted []Restart       // servers that began a new life under their id
 }
 
-// Rebirth is a server that began a new life, as it was listed last and as it is now.
-type Rebirth struct {
+// Restart is a server that began a new life, as it was listed last and as it is now.
+type Restart struct {
 	Before, Now Server
 }
 
@@ -70,11 +70,11 @@
 
 // Take takes the difference of a list as of a revision to the list before. returned is when the platform came back after it
 // had been away, zero for never.
-func (r *Registry) Take(now time.Time, change Difference, revision uint64, returned time.Time) Turn {
+func (r *Registry) Take(now time.Time, change Difference, revision uint64, returned time.Time) Effects {
 	if r.known == nil {
 		r.known, r.lapsed, r.left, r.ahead = map[string]Server{}, map[string]lapse{}, map[string]Departure{}, map[string]bool{}
 	}
-	t := Turn{Pools: map[string]bool{}}
+	t := Effects{Pools: map[string]bool{}}
 	r.forgetDepartures(now)
 	for _, s := range change.Put {
 		delete(r.ahead, s.ID)
@@ -92,7 +92,7 @@
 
 // takeAbsence takes that a list lacks a server. An entry that was written after the list's revision stays until a later
 // list lacks it too.
-func (r *Registry) takeAbsence(now time.Time, id string, revision uint64, returned time.Time, t *Turn) {
+func (r *Registry) takeAbsence(now time.Time, id string, revision uint64, returned time.Time, t *Effects) {
 	old, known := r.known[id]
 	if known && old.Revision > revision {
 		return
@@ -112,14 +112,14 @@
 }
 
 // takeEntry takes what a list says of one server.
-func (r *Registry) takeEntry(now time.Time, s Server, revision uint64, t *Turn) {
+func (r *Registry) takeEntry(now time.Time, s Server, revision uint64, t *Effects) {
 	old, known := r.known[s.ID]
 	l, lapsed := r.lapsed[s.ID]
 	if lapsed {
 		old = l.server
 	}
-	if s.Fault != "" && s.Born == 0 {
-		s.Born = old.Born // an entry that can't be read begins no life
+	if s.Fault != "" && s.Incarnation == 0 {
+		s.Incarnation = old.Incarnation // an entry that can't be read begins no life
 	}
 	left, departed := r.left[s.ID]
 	if (known || lapsed) && s.olderThan(old) || departed && left.outlives(s) {
@@ -131,8 +131,8 @@
 	t.Pools[s.Pool] = true
 	if known || lapsed {
 		t.Pools[old.Pool] = true
-		if s.Born != old.Born {
-			t.Reborn = append(t.Reborn, Rebirth{Before: old, Now: s})
+		if s.Incarnation != old.Incarnation {
+			t.Restarted = append(t.Restarted, Restart{Before: old, Now: s})
 		}
 	}
 	switch {
@@ -146,10 +146,10 @@
 
 // depart notes that a server left, as of when this box first knew.
 func (r *Registry) depart(now time.Time, s Server, revision uint64) {
-	if d, ok := r.left[s.ID]; ok && d.Born == s.Born {
+	if d, ok := r.left[s.ID]; ok && d.Incarnation == s.Incarnation {
 		return
 	}
-	r.left[s.ID] = Departure{At: now, Revision: revision, Draining: s.Draining, Born: s.Born}
+	r.left[s.ID] = Departure{At: now, Revision: revision, Draining: s.Draining, Incarnation: s.Incarnation}
 }
 
 func (r *Registry) forgetDepartures(now time.Time) {
@@ -230,10 +230,10 @@
 // life that has said since that it leaves. Where lives or revisions are not known the later list counts.
 func (s Server) olderThan(o Server) bool {
 	switch {
-	case s.Born > 0 && o.Born > 0 && s.Born != o.Born:
-		return s.Born < o.Born
+	case s.Incarnation > 0 && o.Incarnation > 0 && s.Incarnation != o.Incarnation:
+		return s.Incarnation < o.Incarnation
 	case s.Revision > 0 && s.Revision < o.Revision:
 		return true
 	}
-	return s.Born > 0 && s.Born == o.Born && o.Draining && !s.Draining
+	return s.Incarnation > 0 && s.Incarnation == o.Incarnation && o.Draining && !s.Draining
 }
--- a/src/catalog/registry_test.go
+++ b/src/catalog/registry_test.go
@@ -26,7 +26,7 @@
 	last map[string]Server
 }
 
-func (r *taker) take(now time.Time, list map[string]Server, revision uint64, returned time.Time) Turn {
+func (r *taker) take(now time.Time, list map[string]Server, revision uint64, returned time.Time) Effects {
 	change := Diff(r.last, list)
 	r.last = list
 	return r.Take(now, change, revision, returned)
@@ -56,9 +56,9 @@
 	r = &taker{}
 	r.take(start, all, 1, time.Time{})
 	back := start.Add(10 * time.Second)
-	turn := r.take(back, listOf(Server{ID: "a"}), 2, back)
-	if !slices.Equal(turn.Lapsed, []string{"b"}) {
-		t.Errorf("lapsed are %v, want b", turn.Lapsed)
+	effects := r.take(back, listOf(Server{ID: "a"}), 2, back)
+	if !slices.Equal(effects.Lapsed, []string{"b"}) {
+		t.Errorf("lapsed are %v, want b", effects.Lapsed)
 	}
 	expectWorking(t, r, "a", "b")
 	r.DropLapsed(back.Add(lapseGrace-time.Millisecond), true)
@@ -96,9 +96,9 @@
 	r := &taker{}
 	r.take(start, listOf(Server{ID: "a"}, Server{ID: "b"}), 1, time.Time{})
 	r.take(start, listOf(), 2, start)
-	turn := r.take(start, listOf(Server{ID: "b", Slots: 2}), 3, start)
-	if len(turn.Back) > 0 {
-		t.Errorf("%v had never left", turn.Back)
+	effects := r.take(start, listOf(Server{ID: "b", Slots: 2}), 3, start)
+	if len(effects.Back) > 0 {
+		t.Errorf("%v had never left", effects.Back)
 	}
 	r.DropLapsed(start.Add(lapseGrace), true)
 	expectWorking(t, r, "b")
@@ -137,17 +137,17 @@
 
 func TestAnOlderWordOfAServerChangesNothing(t *testing.T) {
 	cases := map[string]struct{ held, later Server }{
-		"an earlier life":                 {Server{ID: "a", Born: 20}, Server{ID: "a", Born: 10}},
-		"an earlier life, written later":  {Server{ID: "a", Born: 20, Revision: 5}, Server{ID: "a", Born: 10, Revision: 9}},
+		"an earlier life":                 {Server{ID: "a", Incarnation: 20}, Server{ID: "a", Incarnation: 10}},
+		"an earlier life, written later":  {Server{ID: "a", Incarnation: 20, Revision: 5}, Server{ID: "a", Incarnation: 10, Revision: 9}},
 		"an earlier writing":              {Server{ID: "a", Revision: 5, Draining: true}, Server{ID: "a", Revision: 4}},
-		"the same life that said it left": {Server{ID: "a", Born: 20, Draining: true}, Server{ID: "a", Born: 20}},
+		"the same life that said it left": {Server{ID: "a", Incarnation: 20, Draining: true}, Server{ID: "a", Incarnation: 20}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			r := &taker{}
 			r.take(start, listOf(c.held), 5, time.Time{})
-			turn := r.take(start, listOf(c.later), 9, time.Time{})
-			if s, works := r.Get("a"); s != c.held || works == c.held.Draining || len(turn.Ignored) != 1 {
+			effects := r.take(start, listOf(c.later), 9, time.Time{})
+			if s, works := r.Get("a"); s != c.held || works == c.held.Draining || len(effects.Ignored) != 1 {
 				t.Errorf("held is %+v (in use %v), want %+v", s, works, c.held)
 			}
 		})
@@ -157,37 +157,37 @@
 // A life that ended is not taken up again by a late word of it, and a newer one is a server like any other.
 func TestADepartedLifeStaysDeparted(t *testing.T) {
 	r := &taker{}
-	r.take(start, listOf(Server{ID: "a", Born: 20}), 1, time.Time{})
+	r.take(start, listOf(Server{ID: "a", Incarnation: 20}), 1, time.Time{})
 	r.take(start, listOf(), 2, time.Time{})
-	r.take(start, listOf(Server{ID: "a", Born: 10}), 3, time.Time{})
+	r.take(start, listOf(Server{ID: "a", Incarnation: 10}), 3, time.Time{})
 	expectWorking(t, r)
-	turn := r.take(start, listOf(Server{ID: "a", Born: 30}), 4, time.Time{})
+	effects := r.take(start, listOf(Server{ID: "a", Incarnation: 30}), 4, time.Time{})
 	expectWorking(t, r, "a")
-	if len(turn.Back) != 1 || turn.Back[0].Left.Born != 20 {
-		t.Errorf("back are %+v", turn.Back)
+	if len(effects.Back) != 1 || effects.Back[0].Left.Incarnation != 20 {
+		t.Errorf("back are %+v", effects.Back)
 	}
 }
 
 // A life that said that it leaves stays so also when its entry went and is back; one whose entry only went may be back.
 func TestALifeThatSaidItLeavesStaysSo(t *testing.T) {
 	r := &taker{}
-	r.take(start, listOf(Server{ID: "said", Born: 20, Draining: true}, Server{ID: "silent", Born: 20}), 1, time.Time{})
+	r.take(start, listOf(Server{ID: "said", Incarnation: 20, Draining: true}, Server{ID: "silent", Incarnation: 20}), 1, time.Time{})
 	r.take(start, listOf(), 2, time.Time{})
-	r.take(start, listOf(Server{ID: "said", Born: 20}, Server{ID: "silent", Born: 20}), 3, time.Time{})
+	r.take(start, listOf(Server{ID: "said", Incarnation: 20}, Server{ID: "silent", Incarnation: 20}), 3, time.Time{})
 	expectWorking(t, r, "silent")
 }
 
 // A new life is told also where all else in the entry is equal.
 func TestANewLifeUnderAnIDIsAChange(t *testing.T) {
-	before, after := listOf(Server{ID: "a", Pool: "p", Born: 10}), listOf(Server{ID: "a", Pool: "p", Born: 20})
+	before, after := listOf(Server{ID: "a", Pool: "p", Incarnation: 10}), listOf(Server{ID: "a", Pool: "p", Incarnation: 20})
 	if Digest(before) == Digest(after) || len(Diff(before, after).Put) != 1 {
 		t.Error("digest or difference do not show it")
 	}
 	r := &taker{}
 	r.take(start, before, 1, time.Time{})
-	turn := r.take(start, after, 2, time.Time{})
-	if len(turn.Reborn) != 1 || turn.Reborn[0].Before.Born != 10 || !turn.Pools["p"] {
-		t.Errorf("the turn is %+v", turn)
+	effects := r.take(start, after, 2, time.Time{})
+	if len(effects.Restarted) != 1 || effects.Restarted[0].Before.Incarnation != 10 || !effects.Pools["p"] {
+		t.Errorf("the effects is %+v", effects)
 	}
 }
 
--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -307,7 +307,7 @@
 	g := v.gateway
 	now := g.now()
 	e.mu.Lock()
-	rests := e.picker.Lives(s) && e.picker.Ended(now, s.ID, &v.wish, o)
+	rests := e.picker.Current(s) && e.picker.Ended(now, s.ID, &v.wish, o)
 	e.mu.Unlock()
 	took := now.Sub(began)
 	g.Log.Info("exchange", "request", v.request.ID, "pool", e.name, "server", s.ID, "domain", s.Domain, "outcome", o.String(), "took_ms", took.Milliseconds(), "detail", detail, "chosen", why, "rests", rests)
--- a/src/gateway/reading.go
+++ b/src/gateway/reading.go
@@ -70,48 +70,59 @@
 func (g *Gateway) readCatalog(ctx context.Context) {
 	defer g.background.Done()
 	r := &reader{gateway: g, document: port.DocumentConfig, feed: g.published.catalogs}
-	at, unreadable := uint64(0), uint64(0)
-	var held *catalog.Catalog // as of at
+	var f catalogFollower
 	for r.wait(ctx) {
-		began := g.now()
-		var after *catalog.Catalog
-		var change CatalogChange
-		var err error
-		if at == 0 {
-			one, cancel := context.WithTimeout(ctx, readLimit)
-			change, at, err = g.Store.Catalog(one)
-			cancel()
-			if held == nil {
-				held = g.published.heldCatalog() // what stays in force should this one be unreadable
-			}
-			after = change.whole(held)
-		} else {
-			one, cancel := context.WithTimeout(ctx, watchWait+readLimit)
-			change, at, err = g.Store.WatchCatalog(one, at, watchWait)
-			cancel()
-			after = change.apply(held)
-			began = g.now()
-		}
-		if u := change.Unreadable; u != nil && u.Revision != unreadable {
-			unreadable = u.Revision
-			g.logUnreadable(u, held)
-		}
-		if err == ErrHistoryGone {
-			at, err = 0, nil
-		} else if err != nil {
-			at = 0
-		}
+		after, began, err := f.next(ctx, g)
 		r.ended(err)
 		switch {
-		case at > 0 && after != nil && (held == nil || after.Digest() != held.Digest() || after.Version > g.Version()):
-			held = after
-			g.takeCatalog(after, nil, at, began, "store")
-		case at > 0:
-			g.confirmCatalog(began, at)
+		case f.at == 0:
+		case after != nil && (f.held == nil || after.Digest() != f.held.Digest() || after.Version > g.Version()):
+			f.held = after
+			g.takeCatalog(after, nil, f.at, began, "store")
+		default:
+			g.confirmCatalog(began, f.at)
 		}
 	}
 }
 
+// catalogFollower is the configuration as one reader of the store follows it.
+type catalogFollower struct {
+	at         uint64           // revision of the store, 0 to read it whole next
+	held       *catalog.Catalog // as of at
+	unreadable uint64           // revision of the last configuration that could not be read
+}
+
+// next reads the configuration whole or waits for its changes. It gives what holds after that, nil for nothing, and since
+// when that is known.
+func (f *catalogFollower) next(ctx context.Context, g *Gateway) (after *catalog.Catalog, began time.Time, err error) {
+	ctx, cancel := context.WithTimeout(ctx, readLimit+watchWait)
+	defer cancel()
+	began = g.now()
+	var change CatalogChange
+	if f.at == 0 {
+		change, f.at, err = g.Store.Catalog(ctx)
+		if f.held == nil {
+			f.held = g.published.heldCatalog() // what stays in force should this one be unreadable
+		}
+		after = change.whole(f.held)
+	} else {
+		change, f.at, err = g.Store.WatchCatalog(ctx, f.at, watchWait)
+		after = change.apply(f.held)
+		began = g.now()
+	}
+	if u := change.Unreadable; u != nil && u.Revision != f.unreadable {
+		f.unreadable = u.Revision
+		g.logUnreadable(u, f.held)
+	}
+	switch {
+	case err == ErrHistoryGone:
+		f.at, err = 0, nil
+	case err != nil:
+		f.at = 0
+	}
+	return after, began, err
+}
+
 // logUnreadable tells of a configuration that can't be read, once for each revision.
 func (g *Gateway) logUnreadable(u *Unreadable, held *catalog.Catalog) {
 	g.Log.Error("configuration can't be read, nothing changes", "revision", u.Revision, "held_version", versionOf(held), "cause", u.Cause.Error())
--- a/src/gateway/relay.go
+++ b/src/gateway/relay.go
@@ -127,7 +127,7 @@
 		v.caller.Begin(reply.Status, reply.Header)
 		g.estimates.learn(v.pipeline.Name, v.firstOut.Sub(began))
 		e.mu.Lock()
-		if e.picker.Lives(s) {
+		if e.picker.Current(s) {
 			e.picker.Read(g.now(), s.ID, &v.wish)
 		}
 		e.mu.Unlock()
--- a/src/gateway/lives_test.go
+++ b/src/gateway/restarts_test.go
@@ -21,7 +21,7 @@
 	list := slices.Clone(f.servers)
 	for i := range list {
 		if list[i].ID == id {
-			list[i].Born += 1000
+			list[i].Incarnation += 1000
 		}
 	}
 	f.list(list)
@@ -42,13 +42,13 @@
 		f.streams(2)
 		f.twoStages()
 		var mu sync.Mutex
-		holder, born, made := "", int64(0), map[int]int{}
+		holder, made := "", map[int]int{}
 		f.runPieces = func(ctx context.Context, _ string, s catalog.Server, items []batch.Item) (batch.CallOutcome, []batch.ItemResult) {
 			mu.Lock()
 			made[items[0].Stage]++
 			first := items[0].Stage == 0 && holder == ""
 			if first {
-				holder, born = s.ID, s.Born
+				holder = s.ID
 			}
 			restarted := items[0].Stage == 1 && made[0] == 1
 			mu.Unlock()
@@ -66,7 +66,7 @@
 			t.Errorf("the caller got %+v", a)
 		}
 		if made[0] != 2 {
-			t.Errorf("the first stage was made %d times, want twice; its results lay at %s, born %d", made[0], holder, born)
+			t.Errorf("the first stage was made %d times, want twice; its results lay at %s", made[0], holder)
 		}
 		if a.took > time.Second {
 			t.Errorf("took %s: the loss was found out by a failed call", a.took)
--- a/src/gateway/serverlist.go
+++ b/src/gateway/serverlist.go
@@ -33,12 +33,12 @@
 	p.history.Add(p.digest, digest, change)
 	p.servers, p.digest = after, digest
 	p.recent = append(p.recent[max(0, len(p.recent)+1-recentLists):], recentList{digest: digest, servers: after})
-	turn := p.registry.Take(now, change, catalog.RevisionOf(asOf), p.lists.Returned())
+	effects := p.registry.Take(now, change, catalog.RevisionOf(asOf), p.lists.Returned())
 	p.mu.Unlock()
 	g.logServers(before, change, asOf, from)
-	g.logTurn(turn, catalog.RevisionOf(asOf), from)
-	g.applyServers(turn.Pools)
-	g.takeLives(turn.Reborn, catalog.RevisionOf(asOf), from)
+	g.logEffects(effects, catalog.RevisionOf(asOf), from)
+	g.applyServers(effects.Pools)
+	g.takeRestarts(effects.Restarted, catalog.RevisionOf(asOf), from)
 	g.announce()
 }
 
@@ -71,7 +71,7 @@
 		if s.Cold <= 0 {
 			continue
 		}
-		if old := before[id]; old.Cold == s.Cold && old.Born == s.Born {
+		if old := before[id]; old.Cold == s.Cold && old.Incarnation == s.Incarnation {
 			s.ColdUntil = old.ColdUntil
 		} else {
 			s.ColdUntil = now.Add(s.Cold)
--- a/src/gateway/starting.go
+++ b/src/gateway/starting.go
@@ -41,8 +41,8 @@
 	g.Log.Info("nothing sent to a server that left", line...)
 }
 
-// logTurn tells what a list changed in what this box believes, beside the changes of the list itself.
-func (g *Gateway) logTurn(t catalog.Turn, revision uint64, from string) {
+// logEffects tells what a list changed in what this box believes, beside the changes of the list itself.
+func (g *Gateway) logEffects(t catalog.Effects, revision uint64, from string) {
 	now := g.now()
 	if len(t.Lapsed) > 0 {
 		g.Log.Warn("servers kept without an entry after an outage", "servers", len(t.Lapsed), "names", firstOf(t.Lapsed), "revision", revision, "from", from)
@@ -50,12 +50,12 @@
 	for i, b := range t.Back {
 		if i < serverLines {
 			g.Log.Info("server that had left is back", "server", b.Server.ID, "was_draining", b.Left.Draining, "left_ms", now.Sub(b.Left.At).Milliseconds(),
-				"left_revision", b.Left.Revision, "left_born", b.Left.Born, "born", b.Server.Born, "revision", revision, "from", from)
+				"left_revision", b.Left.Revision, "left_incarnation", b.Left.Incarnation, "incarnation", b.Server.Incarnation, "revision", revision, "from", from)
 		}
 	}
 	for i, s := range t.Ignored {
 		if i < serverLines {
-			g.Log.Warn("older word of a server passed over", "server", s.ID, "draining", s.Draining, "born", s.Born, "entry_revision", s.Revision, "revision", revision, "from", from)
+			g.Log.Warn("older word of a server passed over", "server", s.ID, "draining", s.Draining, "incarnation", s.Incarnation, "entry_revision", s.Revision, "revision", revision, "from", from)
 		}
 	}
 }
