--- a/src/gateway/reading.go
+++ b/src/gateway/reading.go
@@ -95,7 +95,11 @@
 // next reads the configuration whole or waits for its changes. It gives what holds after that, nil for nothing, and since
 // when that is known.
 func (f *catalogFollower) next(ctx context.Context, g *Gateway) (after *catalog.Catalog, began time.Time, err error) {
-	ctx, cancel := context.WithTimeout(ctx, readLimit+watchWait)
+	limit := readLimit
+	if f.at > 0 {
+		limit += watchWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	began = g.now()
 	var change CatalogChange
