--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -9,6 +9,7 @@
 	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/crasher"
 )
 
 // visit is one request on its way through the gateway.
@@ -19,6 +20,7 @@
 	pipeline  *catalog.Pipeline
 	pool      string
 	workspace string
+	content   crasher.Content
 	priority  int
 	version   uint64
 	began     time.Time
@@ -91,6 +93,7 @@
 			v.priority += 3 * w.Priority
 		}
 	}
+	v.content = crasher.ContentOf(v.workspace, r.Method, r.Host, r.Target, r.Body)
 	v.deadline, v.limitedBy = v.began.Add(p.Timeout), "pipeline"
 	if r.Left > 0 && r.Left < p.Timeout {
 		v.deadline, v.limitedBy = v.began.Add(r.Left), "caller"
@@ -214,7 +217,7 @@
 		first = v.firstOut.Sub(v.began)
 	}
 	took := now.Sub(v.began)
-	g.Log.Info("request ended", append([]any{"request", v.request.ID, "pipeline", name, "workspace", v.workspace,
+	g.Log.Info("request ended", append([]any{"request", v.request.ID, "content", v.content.String(), "pipeline", name, "workspace", v.workspace,
 		"result", result, "took_ms", took.Milliseconds(), "first_ms", first.Milliseconds(), "objective_ms", objective.Milliseconds(), "attempts", v.attempts,
 		"version", v.version}, more...)...)
 	if g.Watch.Ended != nil {
