A change before the first whole read does not end the process

Traced, no chance of load: the order alone. Ruled out: that a reader reaches it (it reads whole first).

--- a/src/catalog/listing.go
+++ b/src/catalog/listing.go
@@ -27,6 +27,9 @@
 // Put notes that a server's entry was written.
 func (l *Listing) Put(s Server) {
 	l.changed = true
+	if l.listed == nil { // a change before the first whole read must not end the process
+		l.listed = map[string]Server{}
+	}
 	l.listed[s.ID] = s
 }
 
--- a/src/catalog/listing_test.go
+++ b/src/catalog/listing_test.go
@@ -35,6 +35,15 @@
 	}
 }
 
+func TestAListingTakesAChangeBeforeItsFirstWholeRead(t *testing.T) {
+	l := &Listing{}
+	l.Remove("a")
+	l.Put(Server{ID: "b"})
+	if got := l.Servers(); !maps.Equal(got, map[string]Server{"b": {ID: "b"}}) {
+		t.Errorf("listed %v", got)
+	}
+}
+
 // A list that was given away must not change under whoever holds it.
 func TestWhatAListingGaveStays(t *testing.T) {
 	l := &Listing{}
