A content that crashes servers is known to all boxes and refused after the third end

Cause: all that a box knew of a request was its id, new at each try, and a break spoke against the server alone. Now a register (src/crasher, pure) counts ends of servers' lives, proven by a refused connection or by the list, against the contents that ran there; good answers clear; boxes tell one another what changed. From the first end on a content goes to the server with least work and shares calls of stages with few other suspects, from the second it is alone and not repeated by the box, after the third it is refused at once with CRASHES_SERVERS, not run, and when to come back.

Ruled out by the test's routes: that the repeats are ours alone (routes that may run once were as bad). The fixture's address of an ended stage server now says that nothing was sent (absent), as the adapter does.

--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -15,7 +15,7 @@
 	Domain      string          // where its inputs lie, "" for none
 	InputBytes  float64         // size of the inputs
 	Exclude     map[string]bool // servers tried already
-	LeastLoaded bool            // ignore prompts and places
+	LeastLoaded bool            // the server with the fewest requests; prompts and places come second
 	Makers      map[string]int  // servers by domain that make its large inputs; nil when it has none
 }
 
@@ -286,7 +286,11 @@
 	if p.doubtful(now, v, l) {
 		cost += doubtPenalty
 	}
-	return cost * max(1, v.pace)
+	cost *= max(1, v.pace)
+	if w.LeastLoaded {
+		cost += leastLoadedPenalty * float64(l.Requests)
+	}
+	return cost
 }
 
 // Domains counts the servers of each failure domain.
--- a/src/balance/constants.go
+++ b/src/balance/constants.go
@@ -29,5 +29,7 @@
 	failureLearning = 0.15             // weight of a new outcome in a server's share of failures
 	greyShare       = 0.3              // share of failures above the pool's at which a server rests
 	paceLearning    = 0.2
-	slowRatio       = 2.5
+
+	leastLoadedPenalty = 30.0 // ms that each request costs beyond that where few are to be at risk: over the prompt of a typical one
+	slowRatio          = 2.5
 )
--- a/src/batch/call.go
+++ b/src/batch/call.go
@@ -5,11 +5,13 @@
 	"time"
 
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/crasher"
 )
 
 // Item is one piece in a call.
 type Item struct {
 	Request   string
+	Content   crasher.Key
 	Stage     int
 	Piece     int
 	Remaining time.Duration
@@ -60,6 +62,8 @@
 		return "moved"
 	case CallWithheld:
 		return "withheld"
+	case CallAbsent:
+		return "absent"
 	}
 	return "unknown"
 }
@@ -120,4 +124,5 @@
 	CallBroken               // connection, time-out or an answer that makes no sense
 	CallMoved                // another server has the address
 	CallWithheld             // nothing was sent: the server takes no new work any more
+	CallAbsent               // nothing was sent: no process listens at the address
 )
--- a/src/batch/forming.go
+++ b/src/batch/forming.go
@@ -59,6 +59,7 @@
 	if s.pool.Batch == nil || len(s.jobs) == 0 || now.Before(s.holds) {
 		return out
 	}
+	s.endBarred(now, &out)
 	free := s.free(now)
 	if len(free) == 0 {
 		return out
@@ -102,7 +103,7 @@
 		if t.ended || len(t.pending) == 0 || len(c.Items) >= limit {
 			continue
 		}
-		if !s.fitsDomain(now, t, v) {
+		if !s.fitsDomain(now, t, v) || !s.fitsCall(t, rc) {
 			continue
 		}
 		n := min(len(t.pending), limit-len(c.Items))
@@ -113,10 +114,11 @@
 			continue
 		}
 		for _, piece := range t.pending[:n] {
-			c.Items = append(c.Items, Item{Request: t.Request, Stage: t.Stage, Piece: piece, Remaining: t.Deadline.Sub(now), Key: t.Key, Inputs: t.Inputs})
+			c.Items = append(c.Items, Item{Request: t.Request, Content: t.Content, Stage: t.Stage, Piece: piece, Remaining: t.Deadline.Sub(now), Key: t.Key, Inputs: t.Inputs})
 			rc.jobs, rc.pieces = append(rc.jobs, t), append(rc.pieces, piece)
 			rc.expected += s.pieceTime(t.Class)
 		}
+		rc.suspects = max(rc.suspects, s.judge(t).Ends)
 		t.pending = t.pending[n:]
 		t.running += n
 		t.sent = now
--- a/src/batch/message.go
+++ b/src/batch/message.go
@@ -9,7 +9,11 @@
 // schedulers in a partition are harmless: a full server says so, and a piece may be made again.
 package batch
 
-import "time"
+import (
+	"time"
+
+	"github.com/stilemast/stilemast/src/crasher"
+)
 
 // JobID names one job: the box that owns it, that box's life, and a number of its own.
 type JobID struct {
@@ -22,8 +26,9 @@
 type Job struct {
 	ID          JobID
 	Pool        string
-	Request     string // the caller's attempt
-	Class       string // pipeline and stage, for what is learned of their pieces
+	Request     string      // the caller's attempt
+	Content     crasher.Key // what it asks, whatever the attempt
+	Class       string      // pipeline and stage, for what is learned of their pieces
 	Stage       int
 	Pieces      int
 	Inputs      []string // handles of results that each piece needs
@@ -47,6 +52,7 @@
 	NoPool                        // the scheduler knows no such pool
 	Stopped                       // the owner withdrew it
 	Moved                         // another box schedules the pool now; ask there
+	Barred                        // its content crashes the pool's servers
 	Unreachable                   // no process listens where the scheduler was; said by the owner's own box
 )
 
@@ -65,6 +71,8 @@
 		return "withdrawn"
 	case Moved:
 		return "moved"
+	case Barred:
+		return "barred"
 	case Unreachable:
 		return "unreachable"
 	}
@@ -93,6 +101,7 @@
 	ID          JobID         `msgpack:"i"`
 	Pool        string        `msgpack:"p"`
 	Request     string        `msgpack:"q"`
+	Content     crasher.Key   `msgpack:"o"`
 	Class       string        `msgpack:"c"`
 	Stage       int           `msgpack:"s"`
 	Pieces      int           `msgpack:"n"`
@@ -169,7 +178,7 @@
 // Submission makes the message of a job at a moment.
 func (j *Job) Submission(now time.Time) *Submit {
 	return &Submit{
-		ID: j.ID, Pool: j.Pool, Request: j.Request, Class: j.Class, Stage: j.Stage, Pieces: j.Pieces,
+		ID: j.ID, Pool: j.Pool, Request: j.Request, Content: j.Content, Class: j.Class, Stage: j.Stage, Pieces: j.Pieces,
 		Inputs: j.Inputs, InputDomain: j.InputDomain, CrossBytes: j.CrossBytes, Key: j.Key, ResultBytes: j.ResultBytes,
 		Priority: j.Priority, DueIn: j.Due.Sub(now), DeadlineIn: j.Deadline.Sub(now),
 	}
@@ -178,7 +187,7 @@
 // Job turns a submission into a job on the receiver's clock.
 func (s *Submit) Job(now time.Time) *Job {
 	return &Job{
-		ID: s.ID, Pool: s.Pool, Request: s.Request, Class: s.Class, Stage: s.Stage, Pieces: s.Pieces,
+		ID: s.ID, Pool: s.Pool, Request: s.Request, Content: s.Content, Class: s.Class, Stage: s.Stage, Pieces: s.Pieces,
 		Inputs: s.Inputs, InputDomain: s.InputDomain, CrossBytes: s.CrossBytes, Key: s.Key, ResultBytes: s.ResultBytes,
 		Priority: s.Priority, Due: now.Add(s.DueIn), Deadline: now.Add(s.DeadlineIn),
 	}
--- a/src/batch/scheduler.go
+++ b/src/batch/scheduler.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/crasher"
 )
 
 type job struct {
@@ -45,6 +46,7 @@
 	began       time.Time
 	expected    time.Duration // of a server of ratio 1
 	bytes       float64
+	suspects    int // the most ends against a content in it
 }
 
 type held struct {
@@ -63,7 +65,8 @@
 // Scheduler forms the calls of one pool. It is pure: time comes in, actions go out. Not safe for
 // concurrent use.
 type Scheduler struct {
-	Self string
+	Self  string
+	Judge func(crasher.Key) crasher.Verdict // what speaks against a content; nil finds nothing
 
 	pool    catalog.Pool
 	jobs    map[JobID]*job
--- /dev/null
+++ b/src/batch/suspects_test.go
@@ -0,0 +1,102 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stilemast/stilemast/src/crasher"
+)
+
+// contentJob is a job of one piece whose content is named by a number.
+func contentJob(n uint64, content byte) *Job {
+	j := testJob("box", n, 1)
+	j.Content = crasher.Key{content}
+	return j
+}
+
+// suspecting makes a scheduler that judges as a table says.
+func suspecting(servers int, ends map[byte]crasher.Verdict) *Scheduler {
+	s := testScheduler(servers)
+	s.Judge = func(k crasher.Key) crasher.Verdict { return ends[k[0]] }
+	return s
+}
+
+// contentsIn lists the contents of each call.
+func contentsIn(calls []Call) [][]byte {
+	var out [][]byte
+	for _, c := range calls {
+		var in []byte
+		for _, it := range c.Items {
+			in = append(in, it.Content[0])
+		}
+		out = append(out, in)
+	}
+	return out
+}
+
+// submitted submits jobs while all servers are held, and gives the calls that are then formed.
+func submitted(s *Scheduler, jobs ...*Job) []Call {
+	s.HoldUntil(start.Add(time.Millisecond))
+	for _, j := range jobs {
+		s.Submit(start, j, "")
+	}
+	return s.Tick(start.Add(2 * time.Millisecond)).Calls
+}
+
+func TestSuspectsShareNoCallWithOthers(t *testing.T) {
+	s := suspecting(4, map[byte]crasher.Verdict{9: {Ends: 1}, 8: {Ends: 1}})
+	for _, in := range contentsIn(submitted(s, contentJob(1, 1), contentJob(2, 9), contentJob(3, 2), contentJob(4, 8))) {
+		for _, c := range in {
+			if (c >= 8) != (in[0] >= 8) {
+				t.Errorf("a call holds %v: 8 and 9 are suspects", in)
+			}
+		}
+	}
+}
+
+func TestFewSuspectsShareACall(t *testing.T) {
+	ends := map[byte]crasher.Verdict{}
+	var jobs []*Job
+	for i := range byte(7) {
+		ends[i+1] = crasher.Verdict{Ends: 1}
+		jobs = append(jobs, contentJob(uint64(i), i+1))
+	}
+	calls := contentsIn(submitted(suspecting(4, ends), jobs...))
+	if len(calls) != 3 {
+		t.Fatalf("%d calls of 7 suspects: %v", len(calls), calls)
+	}
+	for _, in := range calls {
+		if len(in) > suspectsPerCall {
+			t.Errorf("a call holds %v", in)
+		}
+	}
+}
+
+func TestAContentWithTwoEndsIsInOneCallAloneAtATime(t *testing.T) {
+	s := suspecting(4, map[byte]crasher.Verdict{9: {Ends: 2}, 8: {Ends: 1}})
+	calls := submitted(s, contentJob(1, 9), contentJob(2, 9), contentJob(3, 8))
+	if got := contentsIn(calls); len(got) != 2 {
+		t.Fatalf("calls of %v, want one of 9 and one of 8", got)
+	}
+	for _, in := range contentsIn(calls) {
+		if len(in) > 1 && in[0] != in[1] {
+			t.Errorf("a call holds %v", in)
+		}
+	}
+}
+
+func TestAContentThatIsBarredEndsItsJob(t *testing.T) {
+	ends := map[byte]crasher.Verdict{}
+	s := suspecting(1, ends)
+	if calls := submitted(s, contentJob(1, 9)); len(calls) != 1 {
+		t.Fatalf("%d calls", len(calls))
+	}
+	s.Submit(start, contentJob(2, 9), "")
+	ends[9] = crasher.Verdict{Ends: 3, Barred: true}
+	if f := failedOf(s.Tick(start.Add(10 * time.Millisecond))); f == nil || f.Reason != Barred {
+		t.Errorf("the job ended by %+v", f)
+	}
+	if len(s.jobs) != 0 {
+		t.Errorf("%d jobs are left", len(s.jobs))
+	}
+}
--- a/src/core/rumour.go
+++ b/src/core/rumour.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/stilemast/stilemast/src/crasher"
 )
 
 // Rumour is news of a member that boxes pass on.
@@ -80,6 +82,8 @@
 	Waits    []WaitNote    `msgpack:"t,omitempty"`
 	Reads    []ReadNote    `msgpack:"e,omitempty"`
 	Asked    []AskNote     `msgpack:"h,omitempty"`
+
+	Suspects []crasher.Note `msgpack:"u,omitempty"` // contents under which servers ended
 }
 
 // BeatTo is a heartbeat to be sent.
--- a/src/crasher/content.go
+++ b/src/crasher/content.go
@@ -1,4 +1,3 @@
-// Package crasher knows requests that crash the servers which run them.
 package crasher
 
 import (
@@ -6,8 +5,6 @@
 	"encoding/binary"
 	"encoding/hex"
 	"io"
-
-	"github.com/stilemast/stilemast/src/catalog"
 )
 
 // Content names what a request asks, whatever the id of the try: requests of one workspace with the same method, host,
@@ -36,13 +33,8 @@
 
 // At is the key of a content at a pool.
 func (c Content) At(pool string) Key {
-	k := Key(c)
-	var hash [8]byte
-	binary.BigEndian.PutUint64(hash[:], catalog.Hash(pool))
-	for i, b := range hash {
-		k[i] ^= b
-	}
-	return k
+	sum := sha256.Sum256(append(c[:], pool...))
+	return Key(sum[:])
 }
 
 // String is the beginning of the key, for logs.
@@ -51,9 +43,8 @@
 // Life names one life of a server: its id and the incarnation, so that one end that several boxes saw counts once.
 type Life uint64
 
-// LifeOf names the life of a server as it is listed.
-func LifeOf(s catalog.Server) Life {
-	var born [8]byte
-	binary.BigEndian.PutUint64(born[:], uint64(s.Incarnation))
-	return Life(catalog.Hash(s.ID + string(born[:])))
+// LifeOf names the life of a server by its id and its incarnation.
+func LifeOf(server string, incarnation int64) Life {
+	sum := sha256.Sum256(binary.BigEndian.AppendUint64([]byte(server), uint64(incarnation)))
+	return Life(binary.BigEndian.Uint64(sum[:]))
 }
--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -378,6 +378,15 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// Probe opens a connection to an address and closes it again; the error is that of opening.
+func Probe(ctx context.Context, address string) error {
+	cn, err := Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	return cn.Close()
+}
+
 // Sweep drops the kept connections whose time is over.
 func (c *Client) Sweep() {
 	now := time.Now()
--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -10,6 +10,7 @@
 	"github.com/stilemast/stilemast/src/balance"
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/crasher"
 	"github.com/stilemast/stilemast/src/exchange"
 )
 
@@ -121,6 +122,9 @@
 	g := v.gateway
 	e := g.pools.get(v.pool)
 	now := g.now()
+	if err := v.mayTry(); err != nil {
+		return over, err, false
+	}
 	e.mu.Lock()
 	s, why, ok := e.picker.Pick(now, &v.wish)
 	source, copied := e.picker.Source(now, s.ID, &v.wish)
@@ -155,6 +159,7 @@
 		switch {
 		case exchange.Refused(err):
 			outcome = balance.Absent
+			g.suspects.lifeEnded(s, proofRefused)
 		case errors.Is(err, ErrServerLeft):
 			outcome = balance.Dropped
 		}
@@ -164,12 +169,43 @@
 	v.attempts++
 	if err != nil {
 		v.maybeRan = true
+		v.broke(ctx, s)
 		v.settle(e, s, v.blame(ctx), began, err.Error(), why)
 		return v.afterBreak(), code.New(code.OutcomeUnknown, "", "%s gave no answer: %v", s.ID, err), true
 	}
 	return v.take(ctx, e, s, reply, began, watch, why)
 }
 
+// mayTry says whether the request may be sent once more, for all that is known of its content. Where servers have ended under
+// it, it is given to the server with the least work, and not repeated from the second end on: of what is at work
+// there as little as can be may be lost with it.
+func (v *visit) mayTry() *code.Error {
+	g := v.gateway
+	if err := g.barredAt(v.content, v.pool); err != nil {
+		return err
+	}
+	d := g.suspects.judge(v.content.At(v.pool))
+	v.wish.LeastLoaded = d.Ends > 0
+	if d.Ends >= crasher.AloneFrom && v.attempts > 0 {
+		return code.New(code.CrashesServers, "body", "%d servers of %s ended while they ran this content", d.Ends, v.pool)
+	}
+	return nil
+}
+
+// broke tells that the exchange with a server broke, unless the caller ended it.
+func (v *visit) broke(ctx context.Context, s catalog.Server) {
+	if !v.callerLeft(ctx) || errors.Is(context.Cause(ctx), errSilent) {
+		v.gateway.suspects.broke(s, v.content.At(v.pool))
+	}
+}
+
+// went tells of a whole answer. Only a success that the server signed shows that it ran the content and lives.
+func (v *visit) went(reply *Reply) {
+	if reply.Signed && isSuccess(reply.Status) {
+		v.gateway.suspects.good(v.content.At(v.pool))
+	}
+}
+
 // blame says how far a broken exchange speaks against the server: not at all when the caller left, and
 // no more than a failure when the deadline passed, which may be too short for any server.
 func (v *visit) blame(ctx context.Context) balance.Outcome {
@@ -254,6 +290,7 @@
 	body, err := readWhole(reply)
 	if err != nil {
 		reply.Close(false)
+		v.broke(ctx, s)
 		v.settle(e, s, v.blame(ctx), began, "answer broke off: "+err.Error(), why)
 		return v.afterBreak(), code.New(code.OutcomeUnknown, "", "the answer of %s broke off: %v", s.ID, err), true
 	}
@@ -277,6 +314,7 @@
 		outcome = balance.Failed
 	}
 	v.settle(e, s, outcome, began, "status "+http.StatusText(reply.Status), why)
+	v.went(reply)
 	v.firstOut = v.gateway.now()
 	v.ended("answered", "status", reply.Status, "server", s.ID, "bytes", len(body))
 	v.caller.Whole(reply.Status, reply.Header, body)
--- a/src/gateway/crashing_test.go
+++ b/src/gateway/crashing_test.go
@@ -35,6 +35,7 @@
 type crashSite struct {
 	f      *testFleet
 	at     string        // the pool whose servers it ends
+	dark   bool          // an ended server answers no connection; its entry goes after three heartbeats
 	newID  bool          // a new life has a new id, and the entry of the old one is removed
 	downAt time.Duration // time from the beginning of a run to the server's end
 	downs  time.Duration // that an ended server refuses connections
@@ -69,7 +70,7 @@
 		s.lives[v.ID] = make(chan struct{})
 	}
 	f.setStore(true, servers)
-	f.send, f.runPieces = s.send, s.runPieces
+	f.send, f.runPieces, f.probe = s.send, s.runPieces, s.probe
 	return s
 }
 
@@ -92,6 +93,10 @@
 	if s.ended++; s.ended == 3 {
 		s.third = time.Now()
 	}
+	if s.dark {
+		time.AfterFunc(3600*time.Millisecond, func() { s.f.remove(id) })
+		return
+	}
 	time.AfterFunc(s.downs, func() { s.begin(id) })
 }
 
@@ -111,7 +116,7 @@
 	defer s.f.mu.Unlock()
 	list := slices.Clone(s.f.servers)
 	i := slices.IndexFunc(list, func(v catalog.Server) bool { return v.ID == id })
-	list[i].ID = born
+	list[i].ID, list[i].Address = born, born
 	s.f.list(list)
 }
 
@@ -132,7 +137,7 @@
 func (s *crashSite) send(ctx context.Context, _ string, c *Call) (*Reply, error) {
 	life := s.life(c.Server.ID)
 	if life == nil {
-		return nil, &exchange.NotSent{Cause: syscall.ECONNREFUSED}
+		return nil, &exchange.NotSent{Cause: s.unreached(ctx)}
 	}
 	if err := c.Start(); err != nil {
 		return nil, &exchange.NotSent{Cause: err}
@@ -151,10 +156,27 @@
 	return textReply(http.StatusOK, "ok"), nil
 }
 
+// probe answers as the address of a server does, which is its id.
+func (s *crashSite) probe(address string) error {
+	if s.life(address) == nil {
+		return s.unreached(s.f.ctx)
+	}
+	return nil
+}
+
+// unreached is the error of a connection to a server that has ended.
+func (s *crashSite) unreached(ctx context.Context) error {
+	if !s.dark {
+		return syscall.ECONNREFUSED
+	}
+	sleep(ctx, 300*time.Millisecond)
+	return context.DeadlineExceeded
+}
+
 func (s *crashSite) runPieces(ctx context.Context, _ string, v catalog.Server, items []batch.Item) (batch.CallOutcome, []batch.ItemResult) {
 	life := s.life(v.ID)
 	if life == nil {
-		return batch.CallBroken, nil
+		return batch.CallAbsent, nil
 	}
 	struck := map[string]bool{}
 	for _, it := range items {
@@ -303,3 +325,77 @@
 		})
 	}
 }
+
+// A box that starts after the verdict knows it before it serves such a request.
+func TestABoxThatStartsLaterSendsNoRequestThatCrashesServers(t *testing.T) {
+	for _, boxes := range []int{6, 61} {
+		t.Run(fmt.Sprint(boxes, " boxes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newCrashSite(t, boxes, "model")
+				settle()
+				s.play("/look/x", boxes, 300*time.Millisecond, 6*time.Second)
+				before := s.sends
+				for i := range 4 {
+					name := fmt.Sprint("box", i+1)
+					s.f.kill(name)
+					time.Sleep(time.Second)
+					s.f.start(name)
+					for range 20 {
+						s.askAs(name, "/look/x", "bad", "the same")
+						time.Sleep(100 * time.Millisecond)
+					}
+				}
+				if s.sends > before || s.late > 0 {
+					t.Errorf("boxes that started later sent it %d times", s.sends-before)
+				}
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
+// The content comes at several boxes at the same moment, again and again.
+func TestARequestThatComesAtSeveralBoxesAtOnceIsNotSentOn(t *testing.T) {
+	for _, boxes := range []int{6, 61} {
+		t.Run(fmt.Sprint(boxes, " boxes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newCrashSite(t, boxes, "model")
+				settle()
+				var all sync.WaitGroup
+				for i := range 10 {
+					for b := range 5 {
+						all.Go(func() { s.askAs(fmt.Sprint("box", b), "/stamp/x", fmt.Sprint("bad", i, "-", b), "the same") })
+					}
+					time.Sleep(2 * time.Second)
+				}
+				all.Wait()
+				if s.late > 0 || s.ended > 5 {
+					t.Errorf("%d servers ended, %d sends were late", s.ended, s.late)
+				}
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
+// Servers that end refuse no connections, as when a machine is lost: only the list shows the end.
+func TestARequestThatTakesMachinesWithItIsNotSentOn(t *testing.T) {
+	for _, pace := range []time.Duration{300 * time.Millisecond, time.Second, 3 * time.Second} {
+		t.Run(pace.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newCrashSite(t, 6, "model")
+				s.dark = true
+				settle()
+				_, last := s.play("/stamp/x", 6, pace, 30*time.Second)
+				t.Logf("%d ended, %d sends, %d late", s.ended, s.sends, s.late)
+				if s.late > lateSends {
+					t.Errorf("sent %d times later than %s after the third server's end", s.late, knownWithin)
+				}
+				if last.refused == nil || last.refused.Code != code.CrashesServers {
+					t.Errorf("the last try got %v", last.refused)
+				}
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -147,6 +147,7 @@
 	return func(b *core.Beat) {
 		g.published.say(now, b)
 		b.Backends, b.Waits, b.Reads, b.Asked = loads, waits, reads, asked
+		b.Suspects = g.suspects.notes(b.News)
 	}
 }
 
@@ -241,6 +242,7 @@
 	if behind := g.published.hear(m, h.AskedAt); behind || g.published.empty() {
 		g.pullPublished(f.gateway.stages) // without waiting for the next tick
 	}
+	g.suspects.hear(m.Suspects, m.From.ID.Name)
 	g.takeLoads(now, m)
 }
 
--- a/src/gateway/fleet_test.go
+++ b/src/gateway/fleet_test.go
@@ -45,6 +45,7 @@
 
 	runPieces func(ctx context.Context, box string, s catalog.Server, items []batch.Item) (batch.CallOutcome, []batch.ItemResult)
 	send      func(ctx context.Context, box string, c *Call) (*Reply, error)
+	probe     func(address string) error // opens a connection to a server; nil finds that its process is there
 }
 
 func newTestFleet(t *testing.T, boxes int) *testFleet {
@@ -133,6 +134,12 @@
 				}
 				return f.runPieces(ctx, name, c.Server, c.Items)
 			},
+			Probe: func(_ context.Context, address string) error {
+				if f.probe == nil || !wait(f.ctx, 2*time.Millisecond) {
+					return nil
+				}
+				return f.probe(address)
+			},
 			FreePieces: func(context.Context, catalog.Server, []string) {},
 		},
 		Store: f.store(name),
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -57,6 +57,7 @@
 	waiting   waiting
 	estimates estimates
 	holdings  holdings
+	suspects  suspects
 
 	stages     context.Context // ends when no more stages are waited for
 	endStages  context.CancelFunc
@@ -79,6 +80,7 @@
 	Retried   func(pool string, allowed bool)
 	Refused   func(document, reason string) // an entry or a configuration that can't be used was read
 	Withheld  func(pool string)             // a server that was chosen takes no new work when the first byte is due
+	Suspected func(contents int)            // a server ended under so many contents
 }
 
 // Run works until the context ends. Init must have been called.
@@ -90,6 +92,8 @@
 	g.every(ctx, introduceEvery, g.introduce)
 	g.every(ctx, scheduleTick, g.desk.tick)
 	g.every(ctx, tickEvery, g.pullPublished)
+	g.every(ctx, suspectSweep, g.suspects.sweep)
+	g.every(ctx, tickEvery, g.suspects.askAgain)
 	g.background.Add(2)
 	go g.readCatalog(ctx)
 	go g.readServers(ctx)
@@ -118,6 +122,7 @@
 	g.waiting.init(g)
 	g.estimates.init()
 	g.holdings.init(g)
+	g.suspects.init(g)
 }
 
 func (g *Gateway) now() time.Time { return g.Clock() }
--- a/src/gateway/ports.go
+++ b/src/gateway/ports.go
@@ -89,6 +89,8 @@
 	RunPieces func(ctx context.Context, c PieceCall) (batch.CallOutcome, []batch.ItemResult)
 	// FreePieces gives up results.
 	FreePieces func(ctx context.Context, s catalog.Server, handles []string)
+	// Probe opens a connection to an address and closes it; the error is that of opening. nil asks nobody.
+	Probe func(ctx context.Context, address string) error
 	// Forget drops the idle connections to an address whose server has started again; nil keeps none.
 	Forget func(address string)
 }
--- a/src/gateway/relay.go
+++ b/src/gateway/relay.go
@@ -93,6 +93,7 @@
 		if err == io.EOF && len(split.held) == 0 && v.begun {
 			reply.Close(true)
 			v.settle(e, s, balance.Good, began, "stream ended", why)
+			v.went(reply)
 			v.ended("answered", "status", reply.Status, "server", s.ID, "last_event", v.lastEvent)
 			v.caller.End()
 			return answered, nil, true
@@ -110,6 +111,7 @@
 		if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
 			err = cause
 		}
+		v.broke(ctx, s)
 		v.settle(e, s, v.blame(ctx), began, "stream broke off: "+err.Error(), why)
 		return v.afterBreak(), code.New(code.AnswerInterrupted, "", "the stream of %s broke off after event %q: %v", s.ID, v.lastEvent, err), true
 	}
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -53,6 +53,7 @@
 	s := d.all[pool]
 	if s == nil {
 		s = &scheduler{core: batch.NewScheduler(d.gateway.ID.Name, *p), pool: pool}
+		s.core.Judge = d.gateway.suspects.judge
 		s.core.Configure(d.gateway.now(), *p, d.servers[pool])
 		s.foreign = true
 		d.all[pool] = s
@@ -259,6 +260,7 @@
 	}
 	outcome, results := g.Backends.RunPieces(ctx, PieceCall{Server: c.Server, Items: c.Items, Start: g.startOf(ctx, c.Server, "pieces", began)})
 	cancel()
+	d.noteContents(c, outcome, results)
 	now := g.now()
 	took := now.Sub(began)
 	s.mu.Lock()
@@ -273,6 +275,25 @@
 	d.carry(s, a)
 }
 
+// noteContents tells what the end of a call says of the contents in it.
+func (d *desk) noteContents(c batch.Call, outcome batch.CallOutcome, results []batch.ItemResult) {
+	u := &d.gateway.suspects
+	switch outcome {
+	case batch.CallBroken:
+		u.broke(c.Server, contentsOf(c.Items)...)
+	case batch.CallAbsent:
+		u.lifeEnded(c.Server, proofRefused)
+	case batch.CallDone:
+		var made []batch.Item
+		for i, r := range results[:min(len(results), len(c.Items))] {
+			if r.Handle != "" {
+				made = append(made, c.Items[i])
+			}
+		}
+		u.good(contentsOf(made)...)
+	}
+}
+
 // reply sends an answer to the owner of a job.
 func (d *desk) reply(r batch.Reply) {
 	g := d.gateway
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -134,13 +134,17 @@
 // run takes a routed request to its end.
 func (v *visit) run(ctx context.Context) {
 	g, p := v.gateway, v.pipeline
+	if err := v.barred(); err != nil {
+		v.refuse(err)
+		return
+	}
 	e := g.pools.get(v.pool)
 	e.mu.Lock()
 	e.budget.Request(g.now())
 	e.mu.Unlock()
 	// The stages may take all that the caller's time leaves: a late answer is worth more than a second try, which is late
 	// too. It gains 0.003 to 0.013 of worth over 0.45 of the time (four sites, 6 and 15 runs of each way).
-	v.stages = &stageRun{gateway: g, pipeline: p, request: v.request, priority: v.priority, objective: v.objective, deadline: v.deadline}
+	v.stages = &stageRun{gateway: g, pipeline: p, request: v.request, content: v.content, priority: v.priority, objective: v.objective, deadline: v.deadline}
 	v.stages.followers = followersOf(p)
 	if err := g.admit(v.stages); err != nil {
 		v.refuse(err)
@@ -191,6 +195,11 @@
 	case r == batch.Late || ctx.Err() != nil:
 		return refusal(code.CannotFinish, "deadline", leastReturn, "the stages could not be made in time")
 	}
+	if r == batch.Barred {
+		if err := v.barred(); err != nil {
+			return err
+		}
+	}
 	return refusal(code.BackendsDown, "stages", leastReturn, "the stages could not be made: %s", r)
 }
 
--- a/src/gateway/stages.go
+++ b/src/gateway/stages.go
@@ -7,6 +7,7 @@
 
 	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/crasher"
 )
 
 // results are what the stages of one request made.
@@ -92,6 +93,7 @@
 	gateway   *Gateway
 	pipeline  *catalog.Pipeline
 	request   *Request
+	content   crasher.Content
 	priority  int
 	objective time.Time
 	deadline  time.Time
@@ -222,7 +224,7 @@
 func (s *stageRun) job(i int) *batch.Job {
 	st, rest := s.pipeline.Stages[i], s.rest(i)
 	j := &batch.Job{
-		Pool: st.Pool, Request: s.request.ID, Class: s.pipeline.Name + "/" + st.Pool + "/" + string(rune('0'+i%10)),
+		Pool: st.Pool, Request: s.request.ID, Content: s.content.At(st.Pool), Class: s.pipeline.Name + "/" + st.Pool + "/" + string(rune('0'+i%10)),
 		Stage: i, Pieces: s.request.Pieces[i], ResultBytes: float64(st.ResultBytes), Priority: s.priority,
 		Due: s.objective.Add(-rest), Deadline: s.deadline.Add(-rest),
 	}
--- a/src/metrics/gateway.go
+++ b/src/metrics/gateway.go
@@ -29,6 +29,7 @@
 	retries   *prometheus.CounterVec
 	withheld  *prometheus.CounterVec
 	refused   *prometheus.CounterVec
+	suspected prometheus.Counter
 }
 
 // NewGateway makes an empty set.
@@ -43,15 +44,17 @@
 		batches:   counters("gateway_batches_total", "Calls that make pieces, by outcome.", "pool", "outcome"),
 		pieces: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "stilemast_gateway_batch_pieces",
 			Help: "Pieces in one call.", Buckets: prometheus.ExponentialBuckets(1, 2, 8)}, []string{"pool"}),
-		batched:  histograms("gateway_batch_seconds", "Time of one call that makes pieces.", "pool"),
-		reads:    counters("gateway_store_reads_total", "Reads of the platform's store.", "document", "ok"),
-		pulls:    counters("gateway_pulls_total", "Documents asked of other boxes.", "document", "ok"),
-		pulled:   histograms("gateway_pull_seconds", "Time of one document asked of another box.", "document"),
-		retries:  counters("gateway_retries_total", "Repeated sends asked of the shared budget.", "pool", "allowed"),
-		refused:  counters("gateway_unusable_documents_total", "Server entries and configurations that can't be used, by reason.", "document", "reason"),
+		batched: histograms("gateway_batch_seconds", "Time of one call that makes pieces.", "pool"),
+		reads:   counters("gateway_store_reads_total", "Reads of the platform's store.", "document", "ok"),
+		pulls:   counters("gateway_pulls_total", "Documents asked of other boxes.", "document", "ok"),
+		pulled:  histograms("gateway_pull_seconds", "Time of one document asked of another box.", "document"),
+		retries: counters("gateway_retries_total", "Repeated sends asked of the shared budget.", "pool", "allowed"),
+		refused: counters("gateway_unusable_documents_total", "Server entries and configurations that can't be used, by reason.", "document", "reason"),
+		suspected: prometheus.NewCounter(prometheus.CounterOpts{Name: "stilemast_gateway_suspects_total",
+			Help: "Ends of servers counted against contents that ran there."}),
 		withheld: counters("gateway_withheld_total", "Sends held back since the server took no new work any more when the first byte was due.", "pool"),
 	}
-	s.registry.MustRegister(s.ended, s.took, s.first, s.exchanges, s.exchanged, s.batches, s.pieces, s.batched, s.reads, s.pulls, s.pulled, s.retries, s.withheld, s.refused,
+	s.registry.MustRegister(s.ended, s.took, s.first, s.exchanges, s.exchanged, s.batches, s.pieces, s.batched, s.reads, s.pulls, s.pulled, s.retries, s.withheld, s.refused, s.suspected,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -80,9 +83,10 @@
 			s.pulls.WithLabelValues(document, strconv.FormatBool(ok)).Inc()
 			s.pulled.WithLabelValues(document).Observe(took.Seconds())
 		},
-		Retried:  func(pool string, allowed bool) { s.retries.WithLabelValues(pool, strconv.FormatBool(allowed)).Inc() },
-		Refused:  func(document, reason string) { s.refused.WithLabelValues(document, reason).Inc() },
-		Withheld: func(pool string) { s.withheld.WithLabelValues(pool).Inc() },
+		Retried:   func(pool string, allowed bool) { s.retries.WithLabelValues(pool, strconv.FormatBool(allowed)).Inc() },
+		Refused:   func(document, reason string) { s.refused.WithLabelValues(document, reason).Inc() },
+		Suspected: func(contents int) { s.suspected.Add(float64(contents)) },
+		Withheld:  func(pool string) { s.withheld.WithLabelValues(pool).Inc() },
 	}
 }
 
