--- a/src/faults/fleet_test.go
+++ b/src/faults/fleet_test.go
@@ -35,6 +35,7 @@
 	cut     map[[2]string]bool
 	record  func(step string, who *fakeBox, server string, r port.CallRequest)
 	tokens  map[string]string
+	crashes *crashes // servers that a request may end; nil for none
 	entropy *rand.ChaCha8
 	hook    func(step string, who *fakeBox, server string, r port.CallRequest)
 }
