The product's own path knows contents that crash servers, too; one tracker for both

Cause: as at the gateway: all that src/box knew of a request was its key. What the gateway had beside the register (who is asked, who is told) is src/suspects now, used by both; a server's life is the incarnation of its report here, and a server under which a call broke is asked for a report at once. A call that waits in a pool looks once more before it is sent. Also: a server that does not answer two tries in 850 ms, alone of all, counts as ended. A cleared content with one end is no news for all.

--- a/src/backend/client.go
+++ b/src/backend/client.go
@@ -13,6 +13,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -82,7 +83,7 @@
 	}
 	resp, err := service.DoRequest(req)
 	if err != nil {
-		return port.CallResult{}, &port.CallError{Failure: sendFailure(ctx, connected.Load()), Message: err.Error()}
+		return port.CallResult{}, &port.CallError{Failure: sendFailure(ctx, connected.Load()), Message: err.Error(), Refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
--- a/src/box/beats.go
+++ b/src/box/beats.go
@@ -83,6 +83,7 @@
 		b.docs.say(now, m)
 		m.Loads = loads
 		m.Leavings = b.fleet.leavingNotes()
+		m.Suspects = b.suspects.Notes(m.News)
 	}
 }
 
@@ -137,6 +138,7 @@
 	if !m.News {
 		b.docs.hear(now, m.From.ID.Name, m, h.AskedAt)
 	}
+	b.suspects.Hear(m.Suspects, m.From.ID.Name)
 	b.takeLoads(now, m)
 	if changed {
 		b.membersChanged()
@@ -290,6 +292,9 @@
 	case q.Handover != nil:
 		return port.Answer{Taken: b.takeHandover(*q.Handover)}
 	}
+	if q.Suspects != nil {
+		return port.Answer{Suspects: &port.Suspects{From: b.ID.Name, Notes: b.suspects.AddUp(q.Suspects.Notes, q.Suspects.From)}}
+	}
 	return port.Answer{}
 }
 
--- a/src/box/box.go
+++ b/src/box/box.go
@@ -24,6 +24,7 @@
 	"github.com/stilemast/stilemast/src/config"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/port"
+	"github.com/stilemast/stilemast/src/suspects"
 )
 
 // shardCount is how many locks the requests are spread over.
@@ -63,6 +64,7 @@
 	lastTick   atomic.Int64 // unix nanoseconds
 	wokenAt    atomic.Int64 // when the last pause ended, 0 for none
 	imported   closedLives
+	suspects   suspects.Tracker
 	background sync.WaitGroup
 }
 
@@ -128,6 +130,7 @@
 	b.fleet.init(b)
 	b.past.init()
 	b.imported.init()
+	b.initSuspects()
 	b.lastTick.Store(b.Clock().UnixNano())
 }
 
@@ -192,6 +195,7 @@
 		b.Log.Warn("process was paused", "gap", now.Sub(last).String())
 	}
 	b.pools.kickAll()
+	b.suspects.Tick()
 }
 
 // awake says whether this process can trust what it believed: it was not paused since its
--- a/src/box/flight.go
+++ b/src/box/flight.go
@@ -8,6 +8,7 @@
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/config"
 	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/crasher"
 	"github.com/stilemast/stilemast/src/port"
 )
 
@@ -19,6 +20,8 @@
 	conf  *config.Config
 	begun time.Time
 
+	content crasher.Content
+
 	mu       sync.Mutex
 	queue    []core.Event
 	stepping bool
@@ -118,6 +121,10 @@
 }
 
 func (f *flight) enqueue(c *core.Call) {
+	if err := f.barred(c.Stage); err != nil {
+		f.post(core.Refused{Attempt: c.Attempt, Err: err.WithRan(code.RanUnknown)})
+		return
+	}
 	p := f.box.pools.get(c.Stage.Pool())
 	if p == nil {
 		f.post(core.Refused{Attempt: c.Attempt, Err: code.New(code.NowhereToRun, "", "no pool %s", c.Stage.Pool())})
@@ -162,6 +169,7 @@
 		f.post(core.Chunk{Attempt: a.Attempt, Offset: offset, Data: data})
 	}
 	res, err := f.box.Backends.Call(ctx, server, f.request(a, stage), emit)
+	f.noteCall(server, stage, err)
 	if err != nil {
 		f.post(core.Failed{Attempt: a.Attempt, Failure: err.Failure, Message: err.Message})
 		return
@@ -197,7 +205,7 @@
 			return nil, core.NotSent
 		}
 	}
-	if server.Leaving() && !a.Resume {
+	if server.Leaving() && !a.Resume || f.barred(stage) != nil {
 		return nil, core.NotSent
 	}
 	return server, 0
--- a/src/box/serve.go
+++ b/src/box/serve.go
@@ -173,9 +173,14 @@
 	}
 	req := core.NewRequest(q.key, q.workspace, q.pipeline, q.input, q.deadline, q.maxTokens, b.est)
 	f := newFlight(b, req, q.conf)
+	f.content = contentOf(q.workspace.Name(), q.pipeline.Name(), q.input)
 	s.flights[q.key.ID] = f
 	s.mu.Unlock()
-	if err := b.admit(q); err != nil {
+	err = f.barredAnywhere()
+	if err == nil {
+		err = b.admit(q)
+	}
+	if err != nil {
 		f.finish(err)
 		return f, core.Entry{}, nil
 	}
--- a/src/box/watch.go
+++ b/src/box/watch.go
@@ -64,6 +64,7 @@
 		}
 		return
 	}
+	b.takeLife(v.Name, v.Report, r)
 	var fresh bool
 	p.locked(func(c *core.Pool) { fresh = c.Report(now, v.Name, r) })
 	if fresh && r.Leaving && !v.Leaving {
--- a/src/core/poolnews.go
+++ b/src/core/poolnews.go
@@ -15,6 +15,14 @@
 	return s != nil && s.take(now, r)
 }
 
+// LastReport is the last report that was taken of a server, the zero report when none was.
+func (p *Pool) LastReport(name string) Report {
+	if s := p.servers[name]; s != nil {
+		return s.report
+	}
+	return Report{}
+}
+
 // ReportFailed notes that a server did not answer for its report.
 func (p *Pool) ReportFailed(now time.Time, name string) {
 	if s := p.servers[name]; s != nil {
--- a/src/crasher/register.go
+++ b/src/crasher/register.go
@@ -21,6 +21,7 @@
 // Verdict says what speaks against a content at a pool.
 type Verdict struct {
 	Ends   int           // lives of servers that ended under it and for which no good answer makes up
+	Seen   int           // the same, with those for which one does
 	Barred bool          // it is not to be sent
 	Left   time.Duration // until it may be tried again, when it is barred
 }
@@ -181,7 +182,7 @@
 		return Verdict{}
 	}
 	n := e.counted()
-	v := Verdict{Ends: n}
+	v := Verdict{Ends: n, Seen: len(e.ends)}
 	if left := e.last().Add(barFor(n)).Sub(now); n >= barFrom && left > 0 {
 		v.Barred, v.Left = true, left
 	}
--- a/src/faults/links_test.go
+++ b/src/faults/links_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/stilemast/stilemast/src/config"
@@ -28,7 +29,7 @@
 	if f.crashes != nil {
 		life := f.crashes.begin(s.Name(), r)
 		if life == nil {
-			return port.CallResult{}, &port.CallError{Failure: core.NotSent, Message: "connection refused"}
+			return port.CallResult{}, &port.CallError{Failure: core.NotSent, Message: "connection refused", Refused: true}
 		}
 		go func() {
 			select {
@@ -102,7 +103,7 @@
 	}
 	report, up := f.crashes.report(s.Name(), report)
 	if !up {
-		return core.Report{}, errLost
+		return core.Report{}, syscall.ECONNREFUSED
 	}
 	return report, nil
 }
--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -12,6 +12,7 @@
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/crasher"
 	"github.com/stilemast/stilemast/src/exchange"
+	"github.com/stilemast/stilemast/src/suspects"
 )
 
 // errSilent ends an attempt whose server stayed silent too long.
@@ -159,7 +160,7 @@
 		switch {
 		case exchange.Refused(err):
 			outcome = balance.Absent
-			g.suspects.lifeEnded(s, proofRefused)
+			g.suspects.Ended(lifeOf(s), suspects.Refused)
 		case errors.Is(err, ErrServerLeft):
 			outcome = balance.Dropped
 		}
@@ -184,7 +185,7 @@
 	if err := g.barredAt(v.content, v.pool); err != nil {
 		return err
 	}
-	d := g.suspects.judge(v.content.At(v.pool))
+	d := g.suspects.Judge(v.content.At(v.pool))
 	v.wish.LeastLoaded = d.Ends > 0
 	if d.Ends >= crasher.AloneFrom && v.attempts > 0 {
 		return code.New(code.CrashesServers, "body", "%d servers of %s ended while they ran this content", d.Ends, v.pool)
@@ -195,14 +196,14 @@
 // broke tells that the exchange with a server broke, unless the caller ended it.
 func (v *visit) broke(ctx context.Context, s catalog.Server) {
 	if !v.callerLeft(ctx) || errors.Is(context.Cause(ctx), errSilent) {
-		v.gateway.suspects.broke(s, v.content.At(v.pool))
+		v.gateway.brokeAt(s, v.content.At(v.pool))
 	}
 }
 
 // went tells of a whole answer. Only a success that the server signed shows that it ran the content and lives.
 func (v *visit) went(reply *Reply) {
 	if reply.Signed && isSuccess(reply.Status) {
-		v.gateway.suspects.good(v.content.At(v.pool))
+		v.gateway.suspects.Good(v.content.At(v.pool))
 	}
 }
 
--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -45,20 +45,6 @@
 	unsureBoxes     = 40              // and counts on so many
 )
 
-// Tunables of finding out which requests crash servers.
-const (
-	probeTime         = 300 * time.Millisecond // that a connection may take which asks whether a server's process is there
-	tellSuspectsAfter = 10 * time.Millisecond  // in which what is counted at one end is told together
-	tellSuspectsTime  = 400 * time.Millisecond // for an answer of a box that adds up the ends of servers
-	silentCounters    = 3                      // of these boxes that are passed over in turn: 1.6 s at worst, of the 3 s in which all must know
-	suspectSweep      = time.Second
-	suspectLines      = 8 // lines for the suspects of one end; their number stands in each
-
-	// A process that is ending may still take connections for a moment, so its address is tried again.
-	probeTries = 2
-	probeAgain = 250 * time.Millisecond
-)
-
 // Paces of the background work.
 const (
 	tickEvery    = 100 * time.Millisecond
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -147,7 +147,7 @@
 	return func(b *core.Beat) {
 		g.published.say(now, b)
 		b.Backends, b.Waits, b.Reads, b.Asked = loads, waits, reads, asked
-		b.Suspects = g.suspects.notes(b.News)
+		b.Suspects = g.suspects.Notes(b.News)
 	}
 }
 
@@ -242,7 +242,7 @@
 	if behind := g.published.hear(m, h.AskedAt); behind || g.published.empty() {
 		g.pullPublished(f.gateway.stages) // without waiting for the next tick
 	}
-	g.suspects.hear(m.Suspects, m.From.ID.Name)
+	g.suspects.Hear(m.Suspects, m.From.ID.Name)
 	g.takeLoads(now, m)
 }
 
@@ -429,7 +429,7 @@
 func (g *Gateway) TakeQuestion(_ context.Context, q port.Question) port.Answer {
 	switch {
 	case q.Suspects != nil:
-		return port.Answer{Suspects: g.suspects.addUp(q.Suspects)}
+		return port.Answer{Suspects: &port.Suspects{From: g.ID.Name, Notes: g.suspects.AddUp(q.Suspects.Notes, q.Suspects.From)}}
 	case q.Publish != nil:
 		return port.Answer{Publish: g.give(q.Publish)}
 	}
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/port"
+	"github.com/stilemast/stilemast/src/suspects"
 )
 
 // Settings are what a gateway is told at its start.
@@ -57,7 +58,7 @@
 	waiting   waiting
 	estimates estimates
 	holdings  holdings
-	suspects  suspects
+	suspects  suspects.Tracker
 
 	stages     context.Context // ends when no more stages are waited for
 	endStages  context.CancelFunc
@@ -92,8 +93,6 @@
 	g.every(ctx, introduceEvery, g.introduce)
 	g.every(ctx, scheduleTick, g.desk.tick)
 	g.every(ctx, tickEvery, g.pullPublished)
-	g.every(ctx, suspectSweep, g.suspects.sweep)
-	g.every(ctx, tickEvery, g.suspects.askAgain)
 	g.background.Add(2)
 	go g.readCatalog(ctx)
 	go g.readServers(ctx)
@@ -122,7 +121,7 @@
 	g.waiting.init(g)
 	g.estimates.init()
 	g.holdings.init(g)
-	g.suspects.init(g)
+	g.initSuspects()
 }
 
 func (g *Gateway) now() time.Time { return g.Clock() }
@@ -155,6 +154,7 @@
 		g.Log.Warn("process was paused", "gap_ms", now.Sub(last).Milliseconds())
 	}
 	g.dropLapsed(now)
+	g.suspects.Tick()
 }
 
 // awake says whether this process can trust what it believes: it was not paused since its documents
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -9,6 +9,7 @@
 	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/suspects"
 )
 
 // desk holds the schedulers of the pools that this box forms calls for.
@@ -53,7 +54,7 @@
 	s := d.all[pool]
 	if s == nil {
 		s = &scheduler{core: batch.NewScheduler(d.gateway.ID.Name, *p), pool: pool}
-		s.core.Judge = d.gateway.suspects.judge
+		s.core.Judge = d.gateway.suspects.Judge
 		s.core.Configure(d.gateway.now(), *p, d.servers[pool])
 		s.foreign = true
 		d.all[pool] = s
@@ -277,12 +278,12 @@
 
 // noteContents tells what the end of a call says of the contents in it.
 func (d *desk) noteContents(c batch.Call, outcome batch.CallOutcome, results []batch.ItemResult) {
-	u := &d.gateway.suspects
+	g := d.gateway
 	switch outcome {
 	case batch.CallBroken:
-		u.broke(c.Server, contentsOf(c.Items)...)
+		g.brokeAt(c.Server, contentsOf(c.Items)...)
 	case batch.CallAbsent:
-		u.lifeEnded(c.Server, proofRefused)
+		g.suspects.Ended(lifeOf(c.Server), suspects.Refused)
 	case batch.CallDone:
 		var made []batch.Item
 		for i, r := range results[:min(len(results), len(c.Items))] {
@@ -290,7 +291,7 @@
 				made = append(made, c.Items[i])
 			}
 		}
-		u.good(contentsOf(made)...)
+		g.suspects.Good(contentsOf(made)...)
 	}
 }
 
--- a/src/gateway/serverlist.go
+++ b/src/gateway/serverlist.go
@@ -38,7 +38,7 @@
 	g.logServers(before, change, asOf, from)
 	g.logEffects(effects, catalog.RevisionOf(asOf), from)
 	g.applyServers(effects.Pools)
-	g.suspects.listEnds(before, change.Gone, effects)
+	g.listEnds(before, change.Gone, effects)
 	g.takeRestarts(effects.Restarted, catalog.RevisionOf(asOf), from)
 	g.announce()
 }
--- a/src/port/port.go
+++ b/src/port/port.go
@@ -45,6 +45,7 @@
 type CallError struct {
 	Failure core.Failure
 	Message string
+	Refused bool // no process listens at the server's address
 }
 
 // Error implements error.
