--- a/src/gateway/crashing_test.go
+++ b/src/gateway/crashing_test.go
@@ -430,7 +430,7 @@
 					time.Sleep(200 * time.Millisecond)
 				}
 				all.Wait()
-				perBox := s.f.notes / boxes / 12
+				perBox := s.f.noteBytes() / boxes / 12
 				t.Logf("%d servers ended, %d sends, %d late; %d others unserved; %d bytes of notes a second and box", s.ended, s.sends, s.late, others.unserved, perBox)
 				if s.late > 0 {
 					t.Errorf("%d sends were late", s.late)
--- a/src/gateway/fleet_test.go
+++ b/src/gateway/fleet_test.go
@@ -206,6 +206,12 @@
 	f.notes += len(raw)
 }
 
+func (f *testFleet) noteBytes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.notes
+}
+
 // reach gives the box at an address unless a message can't get there.
 func (f *testFleet) reach(from, to string) *Gateway {
 	f.mu.Lock()
