--- a/src/balance/constants.go
+++ b/src/balance/constants.go
@@ -30,6 +30,6 @@
 	greyShare       = 0.3              // share of failures above the pool's at which a server rests
 	paceLearning    = 0.2
 
-	leastLoadedPenalty = 30.0 // ms that each request costs beyond that where few are to be at risk: over the prompt of a typical one
+	leastLoadedPenalty = 30.0 // ms that each request costs beyond that where few are to be at risk: a prompt of 1,500 tokens weighs as much
 	slowRatio          = 2.5
 )
