Readers that the store does not answer ask the next boxes to read

Cause, traced in virtual time: the three boxes that read the store for all were turned away, and nobody was told. The others took over only once nobody had confirmed their content for 1.4 s, 0.6 s more for each doubling of the fleet beyond 16 boxes and of the boxes ahead: a time that grows with the fleet, and was past the bound of 4 s at 295 boxes. Ruled out: the spreading itself (295 boxes know within 0.5 s of one that does) and the pace of a reader's tries.

Now a reader without an answer says so to those beside it, also when a watch is overdue; when all of them have, each asks the next three, then six, then twelve, which read at once: 24 boxes at most in a fleet of any size. The waits stay for what no word reaches.

Messages: one new field of heartbeats; an older box passes over it and reads as before.

--- a/src/catalog/feed.go
+++ b/src/catalog/feed.go
@@ -27,9 +27,9 @@
 // Idea. A document is known as of a revision of the platform's store, which orders all its states.
 // A few living boxes read (Readers); the others hear of revisions by heartbeat and pull a state that is
 // newer. A statement in answer to a question sent at t that gives the age a
-// confirms the same content as of t-a, whatever clocks and pauses do. A box that nobody confirms
-// reads by itself, the later the more boxes are ahead of it, and one that the platform turns away lives
-// on its peers. One that knows of newer content and does not get it reads by itself soon. At a start of
+// confirms the same content as of t-a, whatever clocks and pauses do. Readers that get no answer ask the
+// next boxes to read (relief). A box that nobody confirms reads by itself, the later the more boxes are
+// ahead of it, and one that the platform turns away lives on its peers. One that knows of newer content and does not get it reads by itself soon. At a start of
 // all only the seeds, which all boxes ask, read at once.
 //
 // Cost. A constant number of readers; one pull for each box and change. Not safe for concurrent use.
@@ -52,11 +52,12 @@
 	behind    time.Time            // since when such a revision is known, zero for none
 	answered  time.Time            // when the platform last answered any box, as far as this one knows
 	returned  time.Time            // when it answered again after it had been away, zero for never
+	relief    relief
 }
 
 // NewFeed holds nothing yet.
 func NewFeed(self string) *Feed {
-	return &Feed{Self: self, told: map[string]core.Statement{}, passed: map[string]time.Time{}}
+	return &Feed{Self: self, told: map[string]core.Statement{}, passed: map[string]time.Time{}, relief: relief{unanswered: map[string]time.Time{}}}
 }
 
 // AsOf is the revision at which the held content was the newest; 0 when nothing is held.
@@ -181,16 +182,17 @@
 func (f *Feed) Forget(box string) {
 	delete(f.told, box)
 	delete(f.passed, box)
+	delete(f.relief.unanswered, box)
 }
 
-// Reads says whether this box should read the platform now: it is among the first of the living, or
+// Reads says whether this box should read the platform now: it is among the first of the living, those ask it to, or
 // nobody has confirmed its content for a while.
 func (f *Feed) Reads(now time.Time, living []string) bool {
 	ahead := f.Ahead(living)
 	if f.asOf == 0 {
 		return f.First || now.Sub(f.Started) > firstReadAfter+f.spread()
 	}
-	if ahead < readers {
+	if _, relieves := f.Relieves(now); ahead < readers || relieves {
 		return true
 	}
 	if since, _ := f.Behind(); !since.IsZero() && now.Sub(since) > behindAfter+f.spread() {
--- a/src/core/rumour.go
+++ b/src/core/rumour.go
@@ -84,6 +84,14 @@
 	Asked    []AskNote     `msgpack:"h,omitempty"`
 
 	Suspects []crasher.Note `msgpack:"u,omitempty"` // contents under which servers ended
+
+	Unanswered *Unanswered `msgpack:"n,omitempty"`
+}
+
+// Unanswered is a box's word that its own reads of a published document bring nothing.
+type Unanswered struct {
+	Document string `msgpack:"d"`
+	Round    uint8  `msgpack:"r,omitempty"` // in which the receiver is asked to read, 0 for not asked
 }
 
 // BeatTo is a heartbeat to be sent.
--- a/src/gateway/budgets_test.go
+++ b/src/gateway/budgets_test.go
@@ -13,7 +13,7 @@
 // budget is one bound of the users' sheets.
 type budget struct {
 	name   string
-	bounds map[int]time.Duration // by the number of boxes: what the sheets of sites of about that size say
+	bounds map[int]time.Duration // by the number of boxes: what the sheets of sites of about that size say; of twice a size, as of that size
 	change func(f *testFleet)
 	// holds says whether a box still acts as before the change.
 	holds func(g *Gateway) bool
@@ -23,8 +23,8 @@
 // connections, slow machines and slow links, of which there are none in virtual time.
 func budgets() []budget {
 	uses := func(g *Gateway) bool { return g.mayUse("model1") }
-	soon := map[int]time.Duration{6: 2 * time.Second, 61: 3 * time.Second, 295: 4 * time.Second}
-	later := map[int]time.Duration{6: 5 * time.Second, 61: 5 * time.Second, 295: 5 * time.Second}
+	soon := map[int]time.Duration{6: 2 * time.Second, 61: 3 * time.Second, 295: 4 * time.Second, 985: 5 * time.Second}
+	later := map[int]time.Duration{6: 5 * time.Second, 61: 5 * time.Second, 295: 5 * time.Second, 985: 5 * time.Second}
 	return []budget{
 		{"a server leaves, its entry says so", soon, func(f *testFleet) {
 			list := slices.Clone(f.servers)
@@ -66,8 +66,23 @@
 		f.turnAway(func(box string) bool { return slices.Contains(readers, box) })
 		time.Sleep(500 * time.Millisecond)
 	}}
+	heardNothing = budgetTrouble{"the readers hear nothing", func(f *testFleet, readers []string) {
+		f.silence(func(box string) bool { return slices.Contains(readers, box) })
+		time.Sleep(500 * time.Millisecond)
+	}}
+	mostTurnedAway = budgetTrouble{"the readers and half of all others are turned away", func(f *testFleet, readers []string) {
+		f.turnAway(func(box string) bool { return slices.Contains(readers, box) || catalog.Hash(box)%2 == 0 })
+		time.Sleep(3 * time.Second)
+	}}
 )
 
+// silence has the store say nothing to some boxes.
+func (f *testFleet) silence(unheard func(box string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = unheard
+}
+
 // Within two thirds of each bound the last box knows: on a quiet day, when a reader dies at the moment of the change and, in a small
 // fleet, when the store has turned the three readers away since half a second before and goes on to.
 func TestBudgetsOfBounds(t *testing.T) {
@@ -83,11 +98,19 @@
 	}
 }
 
-// The same in larger fleets while the three readers are turned away.
+// The same in larger fleets while the three readers are turned away or hear nothing, and half of the others besides.
 func TestBudgetsOfBoundsWithoutReadersInLargeFleets(t *testing.T) {
 	for _, b := range budgets() {
 		b.play(t, turnedAway, 61)
 		b.play(t, turnedAway, 295)
+		b.play(t, heardNothing, 61)
+		b.play(t, mostTurnedAway, 61)
+		if *spreadTable {
+			b.play(t, heardNothing, 295)
+			b.play(t, mostTurnedAway, 295)
+			b.play(t, turnedAway, 985)
+			b.play(t, heardNothing, 985)
+		}
 	}
 }
 
--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -86,6 +86,7 @@
 	readLimit    = 10 * time.Second       // for one read, however it comes on: the longest answer taken, 16 MB, needs 13 Mbit/s, one of 1.4 MB 1.1
 	readBackoff  = 150 * time.Millisecond // after a failed read, doubled with each
 	maxBackoff   = time.Second            // of the boxes that read first
+	overdueAfter = 350 * time.Millisecond // by which a watch is late when others are told; longer than a slow store took (240 ms)
 	backoffBoxes = 8                      // boxes ahead that add as much to it, so that a fleet of any size makes some 10 to 20 calls a second
 	mostBackoffs = 8                      // doublings
 	listPace     = 100 * time.Microsecond // that a reader waits after a change of the list, for each server in it
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -130,15 +130,20 @@
 	if len(to) == 0 {
 		return
 	}
+	b := g.newsBeat(g.now())
+	for _, address := range to {
+		g.Peers.Beat(address, b)
+	}
+}
+
+// newsBeat is a heartbeat that tells of what this box holds and has and wants no answer.
+func (g *Gateway) newsBeat(now time.Time) core.Beat {
 	f := &g.fleet
-	now := g.now()
 	f.mu.Lock()
 	b := f.core.News(now)
 	f.mu.Unlock()
 	g.news(now)(&b)
-	for _, address := range to {
-		g.Peers.Beat(address, b)
-	}
+	return b
 }
 
 // news fills heartbeats with what other parts of the box tell.
--- a/src/gateway/fleet_test.go
+++ b/src/gateway/fleet_test.go
@@ -46,6 +46,7 @@
 	restored  []string                                                          // failure domains of which an evacuation was taken back
 	lists     int                                                               // whole lists of servers that one box gave another
 	turnsAway func(box string) bool                                             // whether the store answers a box with an error; nil for none
+	silent    func(box string) bool                                             // whether a box hears nothing of the store; nil for none
 	hear      map[string]func(to string, q port.Question, a *port.Answer) error // by the asker's address
 	links     *links                                                            // what the boxes' links carry, nil when they carry anything at once
 
@@ -311,7 +312,12 @@
 		f.mu.Lock()
 		f.reads[box]++
 		ok := f.storeOK && (f.turnsAway == nil || !f.turnsAway(box))
+		silent := f.silent != nil && f.silent(box)
 		f.mu.Unlock()
+		if silent {
+			sleep(ctx, ReadSilence)
+			return errStore
+		}
 		if !wait(ctx, 4*time.Millisecond) || !ok {
 			return errStore
 		}
--- a/src/gateway/published.go
+++ b/src/gateway/published.go
@@ -99,6 +99,9 @@
 	now := p.gateway.now()
 	p.catalogs.Hear(now, b.From.ID.Name, b.Config, askedAt)
 	p.lists.Hear(now, b.From.ID.Name, b.List, askedAt)
+	if u := b.Unanswered; u != nil {
+		p.feed(u.Document).HearUnanswered(now, b.From.ID.Name, int(u.Round))
+	}
 	config, _ := p.catalogs.Behind()
 	list, _ := p.lists.Behind()
 	return !config.IsZero() || !list.IsZero()
--- a/src/gateway/reading.go
+++ b/src/gateway/reading.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/port"
 )
 
@@ -16,6 +17,7 @@
 	document string
 	feed     *catalog.Feed
 	failures int
+	relieves bool // it reads because others asked it to
 }
 
 // wait holds a reader until this box should read; it gives false when the context ended.
@@ -30,7 +32,12 @@
 		g.published.mu.Lock()
 		r.feed.Chosen = chosen
 		reads := r.feed.Reads(g.now(), living)
+		round, relieves := r.feed.Relieves(g.now())
 		g.published.mu.Unlock()
+		if relieves != r.relieves {
+			r.relieves = relieves
+			g.Log.Info("reading for others", "document", r.document, "reads", relieves, "round", round)
+		}
 		if reads {
 			return true
 		}
@@ -64,6 +71,43 @@
 		g.Log.Warn("store lost", "document", r.document, "cause", fmt.Sprint(err))
 	}
 	r.failures++
+	g.tellUnanswered(r.document)
+}
+
+// tellUnanswered tells the boxes that read beside this one that its reads bring nothing, and has the next ones read once that
+// holds for all of them.
+func (g *Gateway) tellUnanswered(document string) {
+	now := g.now()
+	living := g.fleet.usable()
+	p := &g.published
+	p.mu.Lock()
+	plea := p.feed(document).Unanswered(now, living)
+	p.mu.Unlock()
+	if len(plea.Beside)+len(plea.Next) == 0 {
+		return
+	}
+	if plea.First {
+		g.Log.Warn("others are asked to read the store", "document", document, "round", plea.Round, "boxes", len(plea.Next), "names", firstOf(plea.Next))
+	}
+	b := g.newsBeat(now)
+	b.Unanswered = &core.Unanswered{Document: document}
+	g.tellBoxes(plea.Beside, b)
+	b.Unanswered = &core.Unanswered{Document: document, Round: uint8(plea.Round)}
+	g.tellBoxes(plea.Next, b)
+}
+
+// tellBoxes sends boxes a heartbeat that wants no answer.
+func (g *Gateway) tellBoxes(boxes []string, b core.Beat) {
+	for _, box := range boxes {
+		if address := g.fleet.addressOf(box); address != "" {
+			g.Peers.Beat(address, b)
+		}
+	}
+}
+
+// overdue tells other readers when a watch brings nothing in time, until it is stopped. Its call goes on.
+func (g *Gateway) overdue(document string) *time.Timer {
+	return time.AfterFunc(watchWait+overdueAfter, func() { g.tellUnanswered(document) })
 }
 
 // readCatalog reads the configuration whole and then waits for its changes, over and over.
@@ -110,7 +154,9 @@
 		}
 		after = change.whole(f.held)
 	} else {
+		late := g.overdue(port.DocumentConfig)
 		change, f.at, err = g.Store.WatchCatalog(ctx, f.at, watchWait)
+		late.Stop()
 		after = change.apply(f.held)
 		began = g.now()
 	}
@@ -192,6 +238,7 @@
 func (g *Gateway) watchListing(ctx context.Context, l *catalog.Listing, after uint64) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+readLimit)
 	defer cancel()
+	defer g.overdue(port.DocumentServers).Stop()
 	changes, at, err := g.Store.WatchServers(ctx, after, watchWait)
 	if err != nil {
 		return 0, err
