A request is judged by what it waits for, and not by all that waits in its pools

Cause: a pool's scheduler told one wait, of a piece behind all others, and admission added it up along a request's chain. Pools make first what is due first, so a request with a short objective overtakes those with a long one: it was refused for work that it would not have waited for, while the less urgent were served.

Now a scheduler tells the wait at seven places in time until due (src/backlog), and a request works backwards from its objective when each of its stages is due and so how long that one waits (src/gateway/forecast.go); admission, due times and pacing use it. Older boxes are told the one wait as before.

--- a/src/batch/message.go
+++ b/src/batch/message.go
@@ -82,18 +82,20 @@
 // Message is what boxes say to one another of jobs; exactly one field is set. From and Address name
 // the sender, to which answers go.
 type Message struct {
-	From     string        `msgpack:"f"`
-	Address  string        `msgpack:"a"`
-	Submit   *Submit       `msgpack:"s,omitempty"`
-	Accept   *JobID        `msgpack:"c,omitempty"`
-	Wait     time.Duration `msgpack:"t,omitempty"` // of a new piece in the pool, with Accept
-	Reading  *JobID        `msgpack:"g,omitempty"` // every piece is in a call, which reads its inputs as it begins
-	Done     *Done         `msgpack:"d,omitempty"`
-	Failed   *Failed       `msgpack:"x,omitempty"`
-	Withdraw *Withdraw     `msgpack:"w,omitempty"`
-	Free     *Free         `msgpack:"r,omitempty"`
-	Handover *Handover     `msgpack:"h,omitempty"`
-	Held     *Held         `msgpack:"e,omitempty"`
+	From    string        `msgpack:"f"`
+	Address string        `msgpack:"a"`
+	Submit  *Submit       `msgpack:"s,omitempty"`
+	Accept  *JobID        `msgpack:"c,omitempty"`
+	Wait    time.Duration `msgpack:"t,omitempty"` // of a new piece in the pool, with Accept
+
+	Waits    []time.Duration `msgpack:"k,omitempty"` // and by its place (backlog.Waits)
+	Reading  *JobID          `msgpack:"g,omitempty"` // every piece is in a call, which reads its inputs as it begins
+	Done     *Done           `msgpack:"d,omitempty"`
+	Failed   *Failed         `msgpack:"x,omitempty"`
+	Withdraw *Withdraw       `msgpack:"w,omitempty"`
+	Free     *Free           `msgpack:"r,omitempty"`
+	Handover *Handover       `msgpack:"h,omitempty"`
+	Held     *Held           `msgpack:"e,omitempty"`
 }
 
 // Submit asks for a job; its times are durations from the sending.
--- a/src/batch/pace.go
+++ b/src/batch/pace.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/stilemast/stilemast/src/backlog"
 )
 
 func (s *Scheduler) pieceTime(class string) time.Duration {
@@ -38,11 +40,16 @@
 	}
 }
 
-// Wait estimates how long a new piece waits before its call begins. Jobs that can't be in time any
+// Place is when a job counts as due among others: a less urgent one later than it is.
+func Place(due time.Time, priority int) time.Time {
+	return due.Add(time.Duration(priority) * priorityStep)
+}
+
+// Waits estimates how long a new piece waits before its call begins, by its place. Jobs that can't be in time any
 // more go last and are not ahead of it.
-func (s *Scheduler) Wait(now time.Time) time.Duration {
+func (s *Scheduler) Waits(now time.Time) backlog.Waits {
 	if s.pool.Batch == nil {
-		return 0
+		return backlog.Waits{}
 	}
 	sound, soonest := 0, time.Duration(-1)
 	least, allRest := s.leastRest(now)
@@ -60,19 +67,19 @@
 		}
 	}
 	if sound == 0 {
-		return least + s.pool.Batch.CallTime
+		return backlog.Waits{All: least + s.pool.Batch.CallTime}
 	}
-	ahead := 0
+	var ahead backlog.Count
 	for _, t := range s.jobs {
 		if !s.hopeless(now, t) {
-			ahead += len(t.pending)
+			ahead.Add(Place(t.Due, t.Priority).Sub(now), len(t.pending))
 		}
 	}
 	rate := s.fullRate()
 	if s.pace > 0 {
 		rate = min(rate, s.pace)
 	}
-	return soonest + time.Duration(float64(ahead)/(rate*float64(sound))*float64(time.Second))
+	return ahead.Waits(soonest, rate*float64(sound))
 }
 
 // fullRate is the pieces a second of one server whose calls are full.
--- a/src/batch/resting_test.go
+++ b/src/batch/resting_test.go
@@ -36,7 +36,7 @@
 	for id := range s.servers {
 		resting[id] = start.Add(3 * time.Second)
 	}
-	if w := s.Wait(start); w < 3*time.Second {
+	if w := s.Waits(start).All; w < 3*time.Second {
 		t.Errorf("a piece waits %s where all rest for 3s", w)
 	}
 	short, long := testJob("a", 1, 1), testJob("a", 2, 1)
@@ -52,7 +52,7 @@
 		resting[id] = time.Time{}
 		break
 	}
-	if w := s.Wait(start); w > time.Second {
+	if w := s.Waits(start).All; w > time.Second {
 		t.Errorf("a piece waits %s where one server is free", w)
 	}
 	if a := s.Tick(start); len(a.Calls) != 1 {
--- a/src/batch/scheduler.go
+++ b/src/batch/scheduler.go
@@ -133,7 +133,8 @@
 	} else if ended {
 		return Actions{Replies: []Reply{{Box: id.Box, Message: e.message}}}
 	}
-	accept := Reply{Box: id.Box, Message: Message{Accept: &id, Wait: s.Wait(now)}}
+	waits := s.Waits(now)
+	accept := Reply{Box: id.Box, Message: Message{Accept: &id, Wait: waits.All, Waits: waits.Steps}}
 	if s.jobs[id] != nil {
 		return Actions{Replies: []Reply{accept}}
 	}
--- a/src/batch/scheduler_test.go
+++ b/src/batch/scheduler_test.go
@@ -214,11 +214,11 @@
 
 func TestWaitGrowsWithTheBacklog(t *testing.T) {
 	s := testScheduler(2)
-	idle := s.Wait(start)
+	idle := s.Waits(start).All
 	for n := range uint64(20) {
 		s.Submit(start, testJob("a", n, 4), "")
 	}
-	if w := s.Wait(start); w <= idle+500*time.Millisecond {
+	if w := s.Waits(start).All; w <= idle+500*time.Millisecond {
 		t.Fatalf("80 pieces before two servers wait %s", w)
 	}
 }
--- a/src/core/rumour.go
+++ b/src/core/rumour.go
@@ -58,10 +58,11 @@
 	Tokens []uint32 `msgpack:"t"` // of each
 }
 
-// WaitNote says how long a piece waits in a pool, as its scheduler expects.
+// WaitNote says how long a piece waits in a pool, as its scheduler expects (backlog.Waits).
 type WaitNote struct {
-	Pool uint64        `msgpack:"p"`
-	Wait time.Duration `msgpack:"w"`
+	Pool  uint64          `msgpack:"p"`
+	Wait  time.Duration   `msgpack:"w"`
+	Steps []time.Duration `msgpack:"s,omitempty"`
 }
 
 // Beat is a heartbeat, its answer, or an indirect question. All three carry the same news.
--- a/src/gateway/admission.go
+++ b/src/gateway/admission.go
@@ -3,39 +3,15 @@
 import (
 	"time"
 
+	"github.com/stilemast/stilemast/src/backlog"
 	"github.com/stilemast/stilemast/src/code"
 )
 
-// expected estimates the time from now to the first output, with the waits that the pools'
-// schedulers tell of. The second result is the part of it that is waiting.
-func (s *stageRun) expected(now time.Time) (total, waits time.Duration) {
-	g := s.gateway
-	n := len(s.pipeline.Stages)
-	end, waited := make([]time.Duration, n), make([]time.Duration, n)
-	first := g.estimates.get(s.pipeline.Name)
-	for i, st := range s.pipeline.Stages {
-		for _, a := range st.After {
-			if a >= 0 && a < i && end[a] > end[i] {
-				end[i], waited[i] = end[a], waited[a]
-			}
-		}
-		if s.request.Pieces[i] > 0 {
-			w := g.waitIn(now, st.Pool)
-			end[i] += w + s.typical(i)
-			waited[i] += w
-		}
-		if end[i] > total {
-			total, waits = end[i], waited[i]
-		}
-	}
-	return total + first, waits
-}
-
 // admit refuses a request that can't be in time any more: served late it is worth little and makes
 // others late, while its caller may come back when the backlog is gone.
 func (g *Gateway) admit(s *stageRun) *code.Error {
 	now := g.now()
-	total, waits := s.expected(now)
+	total, waits := s.forecast(now).expected()
 	left := s.objective.Sub(now)
 	limit := time.Duration(lateFactor * float64(left))
 	if !g.Settings.Admission || len(s.pipeline.Stages) == 0 || total <= limit || waits <= 0 {
@@ -56,17 +32,17 @@
 	return err
 }
 
-// waitIn is how long a piece waits in a pool: asked of the scheduler when it is in this box, or as it
+// waitsIn is how long a piece waits in a pool: asked of the scheduler when it is in this box, or as it
 // told lately.
-func (g *Gateway) waitIn(now time.Time, pool string) time.Duration {
+func (g *Gateway) waitsIn(now time.Time, pool string) backlog.Waits {
 	if g.schedulerOf(pool, nil) != g.ID.Name {
-		return g.fleet.waitAt(now, pool)
+		return g.fleet.waitsIn(now, pool)
 	}
 	s := g.desk.get(pool)
 	if s == nil {
-		return 0
+		return backlog.Waits{}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.Wait(now)
+	return s.core.Waits(now)
 }
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/stilemast/stilemast/src/backlog"
 	"github.com/stilemast/stilemast/src/balance"
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/core"
@@ -30,8 +31,8 @@
 }
 
 type waitNote struct {
-	wait time.Duration
-	at   time.Time
+	waits backlog.Waits
+	at    time.Time
 }
 
 func (f *fleet) init(g *Gateway) {
@@ -242,7 +243,7 @@
 	changed := f.core.Changed()
 	if len(m.Waits) > 0 {
 		for _, w := range m.Waits {
-			f.waits[w.Pool] = waitNote{wait: w.Wait, at: now}
+			f.waits[w.Pool] = waitNote{waits: backlog.Waits{All: w.Wait, Steps: w.Steps}, at: now}
 		}
 	}
 	f.mu.Unlock()
@@ -423,21 +424,21 @@
 	return core.MemberDead
 }
 
-// waitAt is how long a piece waits in a pool, as its scheduler told lately.
-func (f *fleet) waitAt(now time.Time, pool string) time.Duration {
+// waitsIn is how long a piece waits in a pool, as its scheduler told lately.
+func (f *fleet) waitsIn(now time.Time, pool string) backlog.Waits {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if n := f.waits[catalog.Hash(pool)]; now.Sub(n.at) < waitLife {
-		return n.wait
+		return n.waits
 	}
-	return 0
+	return backlog.Waits{}
 }
 
-// noteWait takes what a scheduler told of its wait with an answer.
-func (f *fleet) noteWait(now time.Time, pool string, wait time.Duration) {
+// noteWaits takes what a scheduler told of its waits with an answer.
+func (f *fleet) noteWaits(now time.Time, pool string, waits backlog.Waits) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.waits[catalog.Hash(pool)] = waitNote{wait: wait, at: now}
+	f.waits[catalog.Hash(pool)] = waitNote{waits: waits, at: now}
 }
 
 // TakeQuestion answers another box.
--- a/src/gateway/owner.go
+++ b/src/gateway/owner.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/stilemast/stilemast/src/backlog"
 	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/core"
 )
@@ -150,7 +151,7 @@
 			case m.Reading != nil:
 				reading()
 			case m.From == box:
-				g.fleet.noteWait(g.now(), j.Pool, m.Wait)
+				g.fleet.noteWaits(g.now(), j.Pool, backlog.Waits{All: m.Wait, Steps: m.Waits})
 				accepted, silent = true, 0
 				timer.Reset(askAgain)
 			}
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -328,7 +328,8 @@
 	for _, s := range d.list() {
 		s.mu.Lock()
 		if now.Sub(s.usedAt) < waitLife {
-			out = append(out, core.WaitNote{Pool: catalog.Hash(s.pool), Wait: s.core.Wait(now)})
+			w := s.core.Waits(now)
+			out = append(out, core.WaitNote{Pool: catalog.Hash(s.pool), Wait: w.All, Steps: w.Steps})
 		}
 		s.mu.Unlock()
 	}
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/stilemast/stilemast/src/balance"
@@ -230,12 +231,7 @@
 
 // stagesReturn is when a caller should come back whose stages could not be made: when the longest wait of their pools is over.
 func (v *visit) stagesReturn() time.Duration {
-	g, longest := v.gateway, time.Duration(0)
-	for i, st := range v.pipeline.Stages {
-		if v.request.Pieces[i] > 0 {
-			longest = max(longest, g.waitIn(g.now(), st.Pool))
-		}
-	}
+	longest := slices.Max(v.stages.forecast(v.gateway.now()).waits)
 	return min(mostReturn, max(leastReturn, longest))
 }
 
--- a/src/gateway/stages.go
+++ b/src/gateway/stages.go
@@ -104,20 +104,6 @@
 	ends      []time.Time // when submitted stages are expected to be made
 }
 
-// rest is the time from the end of a stage to the first output, as pools wait and work now.
-func (s *stageRun) rest(stage int) time.Duration {
-	longest := time.Duration(0)
-	for _, f := range s.followers[stage] {
-		if s.request.Pieces[f] > 0 {
-			longest = max(longest, s.gateway.waitIn(s.gateway.now(), s.pipeline.Stages[f].Pool)+s.typical(f)+s.rest(f))
-		}
-	}
-	if longest == 0 {
-		return s.gateway.estimates.get(s.pipeline.Name)
-	}
-	return longest
-}
-
 // typical is the time that a stage's calls take, which hold pieces of other requests too.
 func (s *stageRun) typical(stage int) time.Duration {
 	n := s.request.Pieces[stage]
@@ -222,7 +208,7 @@
 
 // job describes the work on a stage to its pool's scheduler.
 func (s *stageRun) job(i int) *batch.Job {
-	st, rest := s.pipeline.Stages[i], s.rest(i)
+	st, rest := s.pipeline.Stages[i], s.forecast(s.gateway.now()).rests[i]
 	j := &batch.Job{
 		Pool: st.Pool, Request: s.request.ID, Content: s.content.At(st.Pool), Class: s.pipeline.Name + "/" + st.Pool + "/" + string(rune('0'+i%10)),
 		Stage: i, Pieces: s.request.Pieces[i], ResultBytes: float64(st.ResultBytes), Priority: s.priority,
