Calls leave room for the urgent, and a request is judged by full calls where work waits

Now a call grows only until the first job in it is due, where the next one has time for all that waits and a call after it; a forecast takes calls for the fuller the longer work waits; and what is due before all that waits is made counts as ahead.

--- a/src/backlog/waits.go
+++ b/src/backlog/waits.go
@@ -5,7 +5,8 @@
 // it does not wait for, and those that wait longest would be served before it.
 //
 // Idea. The scheduler of a pool tells the wait of a piece at a few places, in time from now until it is due; a request is judged by
-// the waits at its own places along its chain of stages.
+// the waits at its own places along its chain of stages. What it overtakes counts as ahead of it all the same where that has no time
+// for it: pieces that are due before all that waits now is made. So nobody is admitted at the cost of others that would be late.
 //
 // Trade-offs. Pieces that come later and are due sooner are not foreseen. Between two places the wait is taken to grow evenly.
 package backlog
@@ -28,6 +29,7 @@
 
 // At is the wait of a piece that is due after a time.
 func (w Waits) At(due time.Duration) time.Duration {
+	due = max(due, w.All)
 	if len(w.Steps) != len(places) || due > places[len(places)-1] {
 		return w.All
 	}
--- a/src/backlog/waits_test.go
+++ b/src/backlog/waits_test.go
@@ -7,19 +7,24 @@
 	"pgregory.net/rapid"
 )
 
-// A piece waits for what is due before it and not for what it overtakes.
+// A piece waits for what is due before it and not for what it overtakes, unless that has no time to be overtaken.
 func TestAPieceWaitsForWhatIsDueBeforeIt(t *testing.T) {
 	var c Count
 	c.Add(-time.Second, 10)
 	c.Add(700*time.Millisecond, 20)
 	c.Add(2800*time.Millisecond, 300)
-	w := c.Waits(50*time.Millisecond, 100)
-	for _, x := range []struct{ due, want time.Duration }{
-		{0, 150 * time.Millisecond}, {500 * time.Millisecond, 150 * time.Millisecond}, {750 * time.Millisecond, 350 * time.Millisecond},
-		{2 * time.Second, 350 * time.Millisecond}, {3 * time.Second, 3350 * time.Millisecond},
+	for _, x := range []struct {
+		perSecond float64
+		due, want time.Duration
+	}{
+		{660, 0, 71 * time.Millisecond}, {660, 500 * time.Millisecond, 71 * time.Millisecond}, {660, 750 * time.Millisecond, 95 * time.Millisecond},
+		{660, 2 * time.Second, 95 * time.Millisecond}, {660, 3 * time.Second, 550 * time.Millisecond},
+		{330, 0, 141 * time.Millisecond},  // all is made in 1.05 s: what is due sooner may not be overtaken
+		{110, 0, 3050 * time.Millisecond}, // nothing has time for all that waits
 	} {
-		if got := w.At(x.due); got != x.want {
-			t.Errorf("due in %s: waits %s, want %s", x.due, got, x.want)
+		w := c.Waits(50*time.Millisecond, x.perSecond)
+		if got := w.At(x.due); got.Round(time.Millisecond) != x.want {
+			t.Errorf("%.0f a second, due in %s: waits %s, want %s", x.perSecond, x.due, got, x.want)
 		}
 	}
 }
--- a/src/batch/forming.go
+++ b/src/batch/forming.go
@@ -67,12 +67,12 @@
 	if len(free) == 0 {
 		return out
 	}
-	queue := s.sorted(now)
+	queue, patience := s.sorted(now), s.patience(now)
 	for _, v := range free {
 		if v.ratio > slowRatio && !s.worthSlow(now, v) {
 			continue
 		}
-		if c, ok := s.form(now, v, queue); ok {
+		if c, ok := s.form(now, v, queue, patience); ok {
 			out.Calls = append(out.Calls, c)
 		}
 	}
@@ -96,11 +96,12 @@
 	return pending > int(v.ratio)*sound*s.pool.Batch.Size
 }
 
-// form makes a call of the most urgent pieces that fit a server.
-func (s *Scheduler) form(now time.Time, v *serverState, queue []*job) (Call, bool) {
+// form makes a call of the most urgent pieces that fit a server. Jobs with some patience may be left out of it.
+func (s *Scheduler) form(now time.Time, v *serverState, queue []*job, patience time.Duration) (Call, bool) {
 	limit := s.pool.Batch.Size
 	room := s.room(now, v)
 	c := Call{Server: v.Server}
+	var due time.Time // of the job in the call that is due first; zero while none can be in time
 	rc := &runningCall{server: v.ID, incarnation: v.Incarnation, began: now, expected: s.pool.Batch.CallTime}
 	for _, t := range queue {
 		if t.ended || len(t.pending) == 0 || len(c.Items) >= limit {
@@ -109,7 +110,7 @@
 		if !s.fitsDomain(now, t, v) || !s.fitsCall(t, rc) {
 			continue
 		}
-		n := min(len(t.pending), limit-len(c.Items))
+		n := min(len(t.pending), limit-len(c.Items), s.timely(now, t, rc, v, due, patience))
 		if t.ResultBytes > 0 {
 			n = min(n, int(room/t.ResultBytes))
 		}
@@ -121,6 +122,9 @@
 			rc.jobs, rc.pieces = append(rc.jobs, t), append(rc.pieces, piece)
 			rc.expected += s.pieceTime(t.Class)
 		}
+		if due.IsZero() && !s.hopeless(now, t) || t.Due.Before(due) {
+			due = t.Due
+		}
 		rc.alone = rc.alone || s.judge(t).Ends >= crasher.AloneFrom
 		t.pending = t.pending[n:]
 		t.running += n
@@ -144,6 +148,21 @@
 	return c, true
 }
 
+// timely is how many pieces of a job may be added to a call that is to end before a job in it is due. A full call would make the urgent
+// late, which go on to the next pools of their chain. Only a job with time for all that waits, and for a call after it, is left out:
+// where a pool falls behind it catches up by full calls.
+func (s *Scheduler) timely(now time.Time, t *job, rc *runningCall, v *serverState, due time.Time, patience time.Duration) int {
+	if due.IsZero() || t.Due.Sub(now) < patience {
+		return len(t.pending)
+	}
+	slow := max(1, v.ratio)
+	spare := due.Sub(now) - time.Duration(slow*float64(rc.expected))
+	return max(0, int(float64(spare)/(slow*float64(s.pieceTime(t.Class)))))
+}
+
+// patience is the time until due from which on a job can wait for all others and for its own call.
+func (s *Scheduler) patience(now time.Time) time.Duration { return s.Waits(now).All + 2*s.fullCall() }
+
 // roomFor says whether some server's room could hold all of a job's results at once.
 func (s *Scheduler) roomFor(t *job) bool {
 	return float64(len(t.pending))*t.ResultBytes <= s.pool.Batch.RoomBytes*roomPart
--- a/src/batch/pace.go
+++ b/src/batch/pace.go
@@ -84,6 +84,11 @@
 
 // fullRate is the pieces a second of one server whose calls are full.
 func (s *Scheduler) fullRate() float64 {
+	return float64(s.pool.Batch.Size) / s.fullCall().Seconds()
+}
+
+// fullCall is the time of a full call at a server of the usual pace.
+func (s *Scheduler) fullCall() time.Duration {
 	b := s.pool.Batch
-	return float64(b.Size) / (b.CallTime + time.Duration(b.Size)*b.ItemTime).Seconds()
+	return b.CallTime + time.Duration(b.Size)*b.ItemTime
 }
--- a/src/gateway/forecast.go
+++ b/src/gateway/forecast.go
@@ -10,6 +10,7 @@
 type forecast struct {
 	run   *stageRun
 	waits []time.Duration // of a piece of each stage, at its place among what waits; 0 for a stage without pieces
+	calls []time.Duration // that each stage's calls take; 0 for a stage without pieces
 	rests []time.Duration // from the end of each stage to the first output
 	first time.Duration   // from the last stage's end to the first output
 }
@@ -17,20 +18,32 @@
 // forecast works backwards from the objective: when a stage is due, and so how long it waits, depends on those after it.
 func (s *stageRun) forecast(now time.Time) forecast {
 	n := len(s.pipeline.Stages)
-	f := forecast{run: s, waits: make([]time.Duration, n), rests: make([]time.Duration, n), first: s.gateway.estimates.get(s.pipeline.Name)}
+	f := forecast{run: s, waits: make([]time.Duration, n), calls: make([]time.Duration, n), rests: make([]time.Duration, n), first: s.gateway.estimates.get(s.pipeline.Name)}
 	for i := n - 1; i >= 0; i-- {
 		f.rests[i] = f.first
 		for _, k := range s.followers[i] {
-			f.rests[i] = max(f.rests[i], f.waits[k]+s.typical(k)+f.rests[k])
+			f.rests[i] = max(f.rests[i], f.waits[k]+f.calls[k]+f.rests[k])
 		}
 		if s.request.Pieces[i] > 0 {
 			due := batch.Place(s.objective.Add(-f.rests[i]), s.priority)
-			f.waits[i] = s.gateway.waitsIn(now, s.pipeline.Stages[i].Pool).At(due.Sub(now))
+			w := s.gateway.waitsIn(now, s.pipeline.Stages[i].Pool)
+			f.waits[i], f.calls[i] = w.At(due.Sub(now)), s.underLoad(i, w.All)
 		}
 	}
 	return f
 }
 
+// underLoad is the time that a stage's calls take: the fuller the longer work waits in its pool, until all are full where a call's time
+// of work waits. Taken for half full, they had chains of three pools admitted that were late, and made others late.
+func (s *stageRun) underLoad(stage int, wait time.Duration) time.Duration {
+	usual, full := s.typical(stage), s.callTime(stage, 1)
+	if full == 0 {
+		return 0
+	}
+	part := min(1, float64(wait)/float64(full))
+	return usual + time.Duration(part*float64(full-usual))
+}
+
 // expected estimates the time from now to the first output where nothing is made yet. The second result is the part of it that
 // is waiting.
 func (f forecast) expected() (total, waits time.Duration) {
@@ -42,7 +55,7 @@
 				end[i], waited[i] = end[a], waited[a]
 			}
 		}
-		end[i] += f.waits[i] + f.run.typical(i)
+		end[i] += f.waits[i] + f.calls[i]
 		waited[i] += f.waits[i]
 	}
 	for i := range n {
--- a/src/gateway/stages.go
+++ b/src/gateway/stages.go
@@ -105,13 +105,16 @@
 }
 
 // typical is the time that a stage's calls take, which hold pieces of other requests too.
-func (s *stageRun) typical(stage int) time.Duration {
+func (s *stageRun) typical(stage int) time.Duration { return s.callTime(stage, typicalFill) }
+
+// callTime is the time of a stage's calls where calls are that full.
+func (s *stageRun) callTime(stage int, fill float64) time.Duration {
 	n := s.request.Pieces[stage]
 	p := s.gateway.index.Load().Pool(s.pipeline.Stages[stage].Pool)
 	if n == 0 || p == nil || p.Batch == nil {
 		return 0
 	}
-	n = max(min(n, p.Batch.Size), int(typicalFill*float64(p.Batch.Size)))
+	n = max(min(n, p.Batch.Size), int(fill*float64(p.Batch.Size)))
 	return p.Batch.CallTime + time.Duration(n)*p.Batch.ItemTime + stageMargin
 }
 
--- a/src/gateway/urgency_test.go
+++ b/src/gateway/urgency_test.go
@@ -31,6 +31,10 @@
 
 func (o classOutcome) share(n int) float64 { return float64(n) / float64(max(1, o.asked)) }
 
+func (o classOutcome) plus(p classOutcome) classOutcome {
+	return classOutcome{o.asked + p.asked, o.inTime + p.inTime, o.served + p.served, o.refused + p.refused}
+}
+
 // urgencyClasses are three kinds of request before three pools: a short one of a single stage, one of a chain whose objective is long, and
 // one of the same chain whose objective is short, which is the more urgent of the two.
 func urgencyClasses() []callerClass {
@@ -94,7 +98,7 @@
 
 // playClasses has callers of all classes come for a while, those of one class more often in the seconds of a burst. Who is refused
 // comes back once, as it was told.
-func (f *testFleet) playClasses(boxes int, classes []callerClass, length time.Duration, burst string, factor float64, seed uint64) map[string]classOutcome {
+func (f *testFleet) playClasses(boxes int, classes []callerClass, length time.Duration, burst classBurst, seed uint64) map[string]classOutcome {
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	out := map[string]classOutcome{}
@@ -108,24 +112,25 @@
 					o := f.callOnceAgain(c, pieces, box, boxes, fmt.Sprintf("%s-%d", c.name, i))
 					mu.Lock()
 					defer mu.Unlock()
-					sum := out[c.name]
-					out[c.name] = classOutcome{sum.asked + 1, sum.inTime + o.inTime, sum.served + o.served, sum.refused + o.refused}
+					out[c.name] = out[c.name].plus(o)
 				})
 				rate := c.perSecond
-				if at := time.Since(began); c.name == burst && at > 3*time.Second && at < 3*time.Second+length/2 {
-					rate *= factor
+				if at := time.Since(began); c.name == burst.class && at > 3*time.Second && at < 3*time.Second+length/2 {
+					rate *= burst.factor
 				}
 				time.Sleep(time.Duration(r.ExpFloat64() / rate * float64(time.Second)))
 			}
 		})
 	}
 	all.Wait()
+	time.Sleep(2 * time.Second) // calls at work end
 	return out
 }
 
 // callOnceAgain sends one request and, when it is refused, once more at another box.
 func (f *testFleet) callOnceAgain(c callerClass, pieces []int, box, boxes int, id string) (o classOutcome) {
 	began, left := time.Now(), c.left
+	o.asked = 1
 	for try := range 2 {
 		a := f.ask(fmt.Sprint("box", box), "/"+c.name+"/x", fmt.Sprint(id, "-", try), func(r *Request) {
 			r.Left, r.Pieces, r.Body = left, append([]int(nil), pieces...), []byte(id)
@@ -150,34 +155,58 @@
 	return o
 }
 
-// servedLess is the share by which a class may be served less than a less urgent one.
-const servedLess = 0.05
+// The shares by which a class may be served less than a less urgent one, at all and in time.
+const (
+	servedLess = 0.05
+	inTimeLess = 0.15
+)
+
+// classBurst has one class come more often for half of a play.
+type classBurst struct {
+	class  string
+	factor float64
+}
 
 // A burst of requests with a long objective fills the pools of a chain that more urgent requests with a short one pass too. No class is
 // put behind one that is less urgent.
 func TestNoClassIsPutBehindALessUrgentOne(t *testing.T) {
 	for _, boxes := range []int{6, 24} {
-		for _, burst := range []struct {
-			class  string
-			factor float64
-		}{{"", 1}, {"explain", 1.6}, {"explain", 2.2}, {"digest", 2.5}, {"notes", 4}} {
-			t.Run(fmt.Sprintf("%d boxes, %s x%.1f", boxes, burst.class, burst.factor), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					classes := urgencyClasses()
-					f := urgencyFleet(t, boxes, classes)
-					out := f.playClasses(boxes, classes, 12*time.Second, burst.class, burst.factor, 7)
-					for i, c := range classes {
-						o := out[c.name]
-						t.Logf("%-8s asked %d, in time %.3f, served %.3f, refused %.3f", c.name, o.asked, o.share(o.inTime), o.share(o.served), o.share(o.refused))
-						for _, less := range classes[i+1:] {
-							p := out[less.name]
-							if o.share(o.served) < p.share(p.served)-servedLess {
-								t.Errorf("%s is put behind %s, which is less urgent", c.name, less.name)
-							}
-						}
-					}
-				})
-			})
+		for _, burst := range []classBurst{{"", 1}, {"explain", 1.6}, {"explain", 2.2}} {
+			checkUrgency(t, boxes, burst)
+		}
+	}
+}
+
+// The same where the pools of the chain can't carry the burst.
+func TestNoClassIsPutBehindALessUrgentOneInAnOverload(t *testing.T) {
+	for _, boxes := range []int{6, 24} {
+		for _, burst := range []classBurst{{"explain", 3}, {"digest", 2.5}, {"notes", 4}} {
+			checkUrgency(t, boxes, burst)
 		}
 	}
 }
+
+// checkUrgency adds up what callers of four plays got.
+func checkUrgency(t *testing.T, boxes int, burst classBurst) {
+	t.Run(fmt.Sprintf("%d boxes, %s x%.1f", boxes, burst.class, burst.factor), func(t *testing.T) {
+		classes, sums := urgencyClasses(), map[string]classOutcome{}
+		for seed := range uint64(4) {
+			synctest.Test(t, func(t *testing.T) {
+				f := urgencyFleet(t, boxes, classes)
+				for name, o := range f.playClasses(boxes, classes, 12*time.Second, burst, seed) {
+					sums[name] = sums[name].plus(o)
+				}
+			})
+		}
+		for i, c := range classes {
+			o := sums[c.name]
+			t.Logf("%-8s asked %d, in time %.3f, served %.3f, refused %.3f", c.name, o.asked, o.share(o.inTime), o.share(o.served), o.share(o.refused))
+			for _, less := range classes[i+1:] {
+				p := sums[less.name]
+				if o.share(o.served) < p.share(p.served)-servedLess || o.share(o.inTime) < p.share(p.inTime)-inTimeLess {
+					t.Errorf("%s is put behind %s, which is less urgent", c.name, less.name)
+				}
+			}
+		}
+	})
+}
