A route's and a workspace's allowed regions bind

Cause: allowed_regions was decoded nowhere, so requests, repeats and pieces of stages went to servers of any region.

Decided where a server is chosen (first, again, waiting for a rest, homes and copies of prompt parts), where pieces are put into calls, and once more before the first byte; refused at once, NOWHERE_TO_RUN, where servers stand outside only. Nothing is widened: an empty list allows nothing, a list that can't be read leaves the configuration before in force, a failure domain without a region is inside no boundary, a scheduler of an earlier release gets no confined job, and a configuration that an earlier release encoded is not taken: the box reads the store. Weighed: a list of failure domains worked out by the reader of the store, which old boxes would keep, was not taken, since a domain that is added later would be outside until the next version.

Tests: two regions and a domain without one, 6 boxes, a third of the requests turned away by the first server, stages with pieces: 0 sent outside; a boundary that comes into force between choice and first byte; old configurations; unreadable lists.

--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -17,8 +17,13 @@
 	Exclude     map[string]bool // servers tried already
 	LeastLoaded bool            // the server with the fewest requests; prompts and places come second
 	Makers      map[string]int  // servers by domain that make its large inputs; nil when it has none
+
+	Within *catalog.Confines // where it may run; nil for anywhere
 }
 
+// barred says whether a request may not be given to a server, whatever its load.
+func (w *Wish) barred(v *server) bool { return w.Exclude[v.ID] || !w.Within.Allow(v.Domain) }
+
 // Tokens counts the prompt's tokens.
 func (w *Wish) Tokens() int {
 	n := 0
@@ -226,7 +231,7 @@
 	sparing := p.fewCold(now)
 	for pass := range 2 {
 		for _, v := range p.servers {
-			if w.Exclude[v.ID] || p.wantsRest(now, v) || pass == 0 && (!v.usable(now) || sparing && v.cold(now)) {
+			if w.barred(v) || p.wantsRest(now, v) || pass == 0 && (!v.usable(now) || sparing && v.cold(now)) {
 				continue
 			}
 			c := p.cost(now, v, w, kept, home) + p.jitter(v)
@@ -265,13 +270,13 @@
 	return p.RestsUntil != nil && now.Before(p.RestsUntil(&v.Server))
 }
 
-// Awake says whether some server that was not tried yet wants no rest.
-func (p *Pool) Awake(now time.Time, tried map[string]bool) bool {
+// Awake says whether some server that a request may still be given to wants no rest.
+func (p *Pool) Awake(now time.Time, w *Wish) bool {
 	if p.RestsUntil == nil {
 		return true
 	}
 	for _, v := range p.servers {
-		if !tried[v.ID] && !p.wantsRest(now, v) {
+		if !w.barred(v) && !p.wantsRest(now, v) {
 			return true
 		}
 	}
@@ -284,15 +289,16 @@
 	return v != nil && p.wantsRest(now, v)
 }
 
-// RestEnds is when the first of the servers that want rest can be asked; false when none of them does.
-func (p *Pool) RestEnds(now time.Time) (time.Time, bool) {
+// RestEnds is when the first of the servers that want rest, of those where a request may run, can be asked; false when none of
+// them does.
+func (p *Pool) RestEnds(now time.Time, w *Wish) (time.Time, bool) {
 	var first time.Time
 	if p.RestsUntil == nil {
 		return first, false
 	}
 	for _, v := range p.servers {
 		until := p.RestsUntil(&v.Server)
-		if !now.Before(until) {
+		if !now.Before(until) || !w.Within.Allow(v.Domain) {
 			continue
 		}
 		if first.IsZero() || until.Before(first) {
--- a/src/balance/prompt.go
+++ b/src/balance/prompt.go
@@ -60,10 +60,10 @@
 		return ""
 	}
 	first, deepest := catalog.Hash(w.Parts[0].ID), catalog.Hash(w.Parts[len(w.Parts)-2].ID)
-	least := p.rankOf(first, p.homes(first))
+	least := p.rankOf(first, p.homes(first), w.Within)
 	best, rank := "", 0.0
 	for id, v := range p.servers {
-		if mix(first, v.hash) < least {
+		if mix(first, v.hash) < least || !w.Within.Allow(v.Domain) {
 			continue
 		}
 		if r := p.weight(w, v.Domain) / exponential(mix(deepest, v.hash)); best == "" || r > rank || r == rank && id < best {
@@ -91,14 +91,16 @@
 	return -math.Log((float64(hash>>11) + 0.5) / (1 << 53))
 }
 
-// rankOf gives the rank of the n-th server by rendezvous hash with a key.
-func (p *Pool) rankOf(key uint64, n int) uint64 {
-	if n >= len(p.servers) {
-		return 0
-	}
+// rankOf gives the rank of the n-th server by rendezvous hash with a key, of those inside the confines.
+func (p *Pool) rankOf(key uint64, n int, within *catalog.Confines) uint64 {
 	p.ranks = p.ranks[:0]
 	for _, v := range p.servers {
-		p.ranks = append(p.ranks, mix(key, v.hash))
+		if within.Allow(v.Domain) {
+			p.ranks = append(p.ranks, mix(key, v.hash))
+		}
+	}
+	if n >= len(p.ranks) {
+		return 0
 	}
 	if n == 1 {
 		return slices.Max(p.ranks)
--- a/src/balance/resting_test.go
+++ b/src/balance/resting_test.go
@@ -29,10 +29,10 @@
 	if s, _, ok := p.Pick(start, &Wish{}); ok {
 		t.Errorf("%s was chosen where all rest", s.ID)
 	}
-	if end, ok := p.RestEnds(start); !ok || !end.Equal(start.Add(2*time.Second)) {
+	if end, ok := p.RestEnds(start, &Wish{}); !ok || !end.Equal(start.Add(2*time.Second)) {
 		t.Errorf("the first rest ends at %s, %v", end.Sub(start), ok)
 	}
-	if p.Awake(start, nil) || !p.Awake(start.Add(2*time.Second), nil) || p.Awake(start.Add(2*time.Second), map[string]bool{"b": true}) {
+	if p.Awake(start, &Wish{}) || !p.Awake(start.Add(2*time.Second), &Wish{}) || p.Awake(start.Add(2*time.Second), &Wish{Exclude: map[string]bool{"b": true}}) {
 		t.Error("it is not told right whether a server is there that wants no rest")
 	}
 	if s, _, ok := p.Pick(start.Add(2*time.Second), &Wish{}); !ok || s.ID != "b" {
--- /dev/null
+++ b/src/batch/confined_test.go
@@ -0,0 +1,46 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stilemast/stilemast/src/catalog"
+)
+
+// Pieces of a confined job go to servers inside only, whatever waits and wherever its inputs lie; a job that no server is left
+// for ends at once.
+func TestAConfinedJobIsMadeInside(t *testing.T) {
+	s := NewScheduler("a", testPool())
+	s.Configure(start, testPool(), []catalog.Server{{ID: "w", Domain: "west", Slots: 1}, {ID: "c", Domain: "central", Slots: 1}})
+	var calls []Call
+	for n := range 6 {
+		j := testJob("a", uint64(n), 1)
+		j.Within, j.InputDomain, j.CrossBytes = &catalog.Confines{Domains: []string{"west"}}, "central", 1e9
+		calls = append(calls, s.Submit(start, j, "").Calls...)
+	}
+	for now := start; len(s.jobs) > 0 && now.Before(start.Add(10*time.Second)); now = now.Add(100 * time.Millisecond) {
+		for _, c := range calls {
+			if c.Server.ID != "w" {
+				t.Errorf("pieces of confined jobs went to %s", c.Server.ID)
+			}
+		}
+		ended := calls
+		calls = nil
+		for _, c := range ended {
+			calls = append(calls, s.CallEnded(now, c.N, CallDone, made(c)).Calls...)
+		}
+		calls = append(calls, s.Tick(now).Calls...)
+	}
+	if len(s.jobs) > 0 {
+		t.Errorf("%d jobs were not made, though a server stands inside", len(s.jobs))
+	}
+	j := testJob("a", 100, 1)
+	j.Within = &catalog.Confines{Domains: []string{"east"}}
+	a := s.Submit(start, j, "")
+	if last := a.Replies[len(a.Replies)-1].Message.Failed; last == nil || last.Reason != Nowhere || len(a.Calls) > 0 {
+		t.Errorf("a job for which no server stands inside: %+v", a)
+	}
+	if m := j.Submission(start).Job(start); m.Within == nil || !m.Within.Allow("east") || m.Within.Allow("west") {
+		t.Errorf("what was sent is confined to %v", m.Within)
+	}
+}
--- a/src/batch/forming.go
+++ b/src/batch/forming.go
@@ -62,6 +62,7 @@
 		return out
 	}
 	s.endBarred(now, &out)
+	s.endNowhere(now, &out)
 	s.endResting(now, &out)
 	free := s.free(now)
 	if len(free) == 0 {
@@ -107,7 +108,7 @@
 		if t.ended || len(t.pending) == 0 || len(c.Items) >= limit {
 			continue
 		}
-		if !s.fitsDomain(now, t, v) || !s.fitsCall(t, rc) {
+		if !t.Within.Allow(v.Domain) || !s.fitsDomain(now, t, v) || !s.fitsCall(t, rc) {
 			continue
 		}
 		n := min(len(t.pending), limit-len(c.Items), s.timely(now, t, rc, v, due, patience))
@@ -178,7 +179,7 @@
 		return true
 	}
 	for _, o := range s.servers {
-		if o.sound() && o.Domain == t.InputDomain && s.restLeft(now, o) == 0 {
+		if o.sound() && o.Domain == t.InputDomain && t.Within.Allow(o.Domain) && s.restLeft(now, o) == 0 {
 			return false
 		}
 	}
--- a/src/batch/forming_test.go
+++ b/src/batch/forming_test.go
@@ -66,3 +66,32 @@
 		t.Fatal("work that is not due for long left the domain of its inputs because much of it waits")
 	}
 }
+
+// A call ends before the urgent job in it is due: what has time for all that waits is left for the next one.
+func TestACallEndsBeforeTheUrgentInItAreDue(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		waiting int           // jobs of one piece besides
+		due     time.Duration // of theirs
+		want    int           // pieces in the call
+	}{
+		{"they have time", 6, 3 * time.Second, 4},
+		{"they have none", 6, 900 * time.Millisecond, 8},
+		{"the pool is behind", 60, 3 * time.Second, 8},
+	} {
+		s := testScheduler(1)
+		busy := s.Submit(start, testJob("x", 1, 8), "").Calls[0]
+		now := start.Add(400 * time.Millisecond)
+		urgent := testJob("urgent", 1, 2)
+		urgent.Due = now.Add(testPool().Batch.CallTime + 4*testPool().Batch.ItemTime)
+		s.Submit(start, urgent, "")
+		for n := range c.waiting {
+			j := testJob("other", uint64(n), 1)
+			j.Due = now.Add(c.due)
+			s.Submit(start, j, "")
+		}
+		if got := s.CallEnded(now, busy.N, CallDone, made(busy)).Calls[0]; len(got.Items) != c.want || got.Items[0].Request != "urgent-1" {
+			t.Errorf("%s: %d pieces in the call, want %d", c.name, len(got.Items), c.want)
+		}
+	}
+}
--- a/src/batch/message.go
+++ b/src/batch/message.go
@@ -12,6 +12,7 @@
 import (
 	"time"
 
+	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/crasher"
 )
 
@@ -39,6 +40,8 @@
 	Priority    int
 	Due         time.Time // end of this stage by which the request is still in time
 	Deadline    time.Time // end of this stage after which it is of no use
+
+	Within *catalog.Confines // where its pieces may be made; nil for anywhere
 }
 
 // Reason says why a job failed.
@@ -54,6 +57,7 @@
 	Moved                         // another box schedules the pool now; ask there
 	Barred                        // its content crashes the pool's servers
 	Unreachable                   // no process listens where the scheduler was; said by the owner's own box
+	Nowhere                       // no server stands where its pieces may be made
 )
 
 // String names the reason for logs.
@@ -75,6 +79,8 @@
 		return "barred"
 	case Unreachable:
 		return "unreachable"
+	case Nowhere:
+		return "nowhere"
 	}
 	return "unknown"
 }
@@ -96,6 +102,9 @@
 	Free     *Free           `msgpack:"r,omitempty"`
 	Handover *Handover       `msgpack:"h,omitempty"`
 	Held     *Held           `msgpack:"e,omitempty"`
+
+	// Confined is a Submit of a job with confines. A scheduler of a release that knows none must not take it, and passes it over.
+	Confined *Submit `msgpack:"b,omitempty"`
 }
 
 // Submit asks for a job; its times are durations from the sending.
@@ -116,6 +125,8 @@
 	DueIn       time.Duration `msgpack:"t"`
 	DeadlineIn  time.Duration `msgpack:"l"`
 	Silent      string        `msgpack:"z,omitempty"` // a box that should have scheduled it and did not answer
+
+	Within *catalog.Confines `msgpack:"w,omitempty"`
 }
 
 // Done gives the results of a job, a handle for each piece in order.
@@ -182,7 +193,7 @@
 	return &Submit{
 		ID: j.ID, Pool: j.Pool, Request: j.Request, Content: j.Content, Class: j.Class, Stage: j.Stage, Pieces: j.Pieces,
 		Inputs: j.Inputs, InputDomain: j.InputDomain, CrossBytes: j.CrossBytes, Key: j.Key, ResultBytes: j.ResultBytes,
-		Priority: j.Priority, DueIn: j.Due.Sub(now), DeadlineIn: j.Deadline.Sub(now),
+		Priority: j.Priority, DueIn: j.Due.Sub(now), DeadlineIn: j.Deadline.Sub(now), Within: j.Within,
 	}
 }
 
@@ -191,6 +202,6 @@
 	return &Job{
 		ID: s.ID, Pool: s.Pool, Request: s.Request, Content: s.Content, Class: s.Class, Stage: s.Stage, Pieces: s.Pieces,
 		Inputs: s.Inputs, InputDomain: s.InputDomain, CrossBytes: s.CrossBytes, Key: s.Key, ResultBytes: s.ResultBytes,
-		Priority: s.Priority, Due: now.Add(s.DueIn), Deadline: now.Add(s.DeadlineIn),
+		Priority: s.Priority, Due: now.Add(s.DueIn), Deadline: now.Add(s.DeadlineIn), Within: s.Within,
 	}
 }
--- a/src/catalog/catalog.go
+++ b/src/catalog/catalog.go
@@ -45,6 +45,8 @@
 	// Evacuated names the failure domains to whose servers the operator wants nothing sent, sorted. It
 	// changes without the version.
 	Evacuated []string `msgpack:"e,omitempty"`
+	// Bounded says that whoever wrote this form knows boundaries: one of a release that does not leaves them out.
+	Bounded bool `msgpack:"b,omitempty"`
 }
 
 // Digest names the content of a catalog: versions rise with all but Evacuated.
@@ -75,6 +77,7 @@
 	Affine    bool          `msgpack:"f"` // requests share prompt prefixes
 	Targets   []Target      `msgpack:"d"`
 	Stages    []Stage       `msgpack:"s"`
+	Boundary  *Boundary     `msgpack:"b,omitempty"` // nil for none
 }
 
 // Target is a pool with its share of a pipeline's requests.
@@ -122,6 +125,8 @@
 	Tokens      []string `msgpack:"t"`
 	Priority    int      `msgpack:"p"`
 	HasPriority bool     `msgpack:"h"`
+
+	Boundary *Boundary `msgpack:"b,omitempty"` // nil for none
 }
 
 // Limits bound what a caller may send.
--- a/src/config/gateway.go
+++ b/src/config/gateway.go
@@ -1,7 +1,9 @@
 package config
 
 import (
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -22,6 +24,7 @@
 	Retry         GatewayRetry          `toml:"retry"`
 	Policy        GatewayPolicySettings `toml:"policy"`
 	Machine       GatewayMachine        `toml:"machine"`
+	Regions       map[string]string     `toml:"regions"`   // of the failure domains, by their names
 	MemoryMB      int                   `toml:"memory_mb"` // that the process may use, 0 for no limit
 	StopWithin    Duration              `toml:"stop_within"`
 	LogLevel      string                `toml:"log_level"`
@@ -143,6 +146,11 @@
 	if s.Retry.Slack < 0 {
 		k.bad("retry.slack", "must not be below 0")
 	}
+	for _, domain := range slices.Sorted(maps.Keys(s.Regions)) {
+		if s.Regions[domain] == "" {
+			k.bad("regions."+domain, "is empty")
+		}
+	}
 	k.positive("retry.window", s.Retry.Window)
 	k.positive("stop_within", s.StopWithin)
 	if s.MemoryMB < 0 || s.MemoryMB > 0 && s.MemoryMB < leastMemoryMB {
--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -138,6 +138,7 @@
 	if err := v.mayTry(); err != nil {
 		return over, err, false
 	}
+	v.wish.Within = v.confinesNow()
 	e.mu.Lock()
 	s, why, ok := e.picker.Pick(now, &v.wish)
 	source, copied := e.picker.Source(now, s.ID, &v.wish)
@@ -165,7 +166,7 @@
 	defer cancel(nil)
 	watch := v.patience(cancel)
 	defer watch.Stop()
-	c.Start = g.startOf(ctx, s, "request "+v.request.ID, now)
+	c.Start = v.startInside(s, g.startOf(ctx, s, "request "+v.request.ID, now))
 	began := g.now()
 	stop := v.giveUpInputs(e, len(handles) > 0)
 	defer stop()
@@ -179,7 +180,7 @@
 			g.suspects.Ended(lifeOf(s), suspects.Refused)
 		case errors.Is(err, ErrServerRests):
 			outcome, v.withheld, v.turnedAway = balance.Dropped, true, append(v.turnedAway, s.ID)
-		case errors.Is(err, ErrServerLeft):
+		case errors.Is(err, ErrServerLeft), errors.Is(err, errOutside):
 			outcome = balance.Dropped
 		}
 		v.settle(e, s, outcome, began, "not sent: "+notSent.Cause.Error(), why)
--- /dev/null
+++ b/src/gateway/confined_test.go
@@ -0,0 +1,241 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/stilemast/stilemast/src/batch"
+	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/exchange"
+	"github.com/stilemast/stilemast/src/pack"
+	"github.com/stilemast/stilemast/src/port"
+)
+
+// twoRegions is a fleet before servers of both pools in two failure domains of each of two regions, and what each domain was sent.
+type twoRegions struct {
+	f       *testFleet
+	refusal time.Duration // that a request takes to be refused, at most; set by ask
+
+	mu    sync.Mutex
+	sent  map[string]int  // requests and pieces by failure domain
+	tried map[string]bool // requests that arrived at a server
+}
+
+func newTwoRegions(t *testing.T, bounds func(*catalog.Catalog)) *twoRegions {
+	s := &twoRegions{f: newEmptyFleet(t), sent: map[string]int{}, tried: map[string]bool{}}
+	f := s.f
+	f.regions = catalog.Regions{"w1": "west", "w2": "west", "c1": "central", "c2": "central"}
+	f.servers = nil
+	for i, d := range []string{"w1", "w2", "c1", "c2", "nowhere"} {
+		f.servers = append(f.servers, catalog.Server{ID: fmt.Sprint("piece", i), Pool: "encode", Domain: d, Slots: 1}, catalog.Server{ID: fmt.Sprint("model", i), Pool: "model", Domain: d, Slots: 64})
+	}
+	f.catalog = s.bounded(1, bounds)
+	f.callPieces = func(ctx context.Context, _ string, c PieceCall) PieceReply {
+		s.note(c.Server)
+		wait(ctx, 100*time.Millisecond)
+		return PieceReply{Outcome: batch.CallDone, Results: piecesOf(c.Server, c.Items)}
+	}
+	f.send = s.send
+	for i := range 6 {
+		f.start(fmt.Sprint("box", i))
+	}
+	time.Sleep(2 * unsureFor) // until the boxes know how many they are, and so how much they may repeat
+	return s
+}
+
+func (s *twoRegions) bounded(version uint64, bounds func(*catalog.Catalog)) *catalog.Catalog {
+	c := testCatalog(version)
+	if bounds != nil {
+		bounds(c)
+	}
+	return c
+}
+
+func (s *twoRegions) note(v catalog.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent[v.Domain]++
+}
+
+// send has a third of the requests turned away by the first server, so that they are sent to another.
+func (s *twoRegions) send(ctx context.Context, _ string, c *Call) (*Reply, error) {
+	wait(ctx, 5*time.Millisecond) // a connection opens
+	if err := c.Start(); err != nil {
+		return nil, &exchange.NotSent{Cause: err}
+	}
+	s.note(c.Server)
+	s.mu.Lock()
+	turnedAway := !s.tried[c.Request.ID] && catalog.Hash(c.Request.ID)%3 == 0
+	s.tried[c.Request.ID] = true
+	s.mu.Unlock()
+	if turnedAway {
+		r := textReply(http.StatusServiceUnavailable, "")
+		r.NotRun, r.Signed = true, false
+		return r, nil
+	}
+	wait(ctx, 20*time.Millisecond)
+	return textReply(http.StatusOK, "ok"), nil
+}
+
+// serve sends requests of a path at all boxes and gives how many were answered and refused for their boundary.
+func (s *twoRegions) serve(path string, n int) (answered, nowhere int) {
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	for i := range n {
+		all.Go(func() {
+			a := s.f.ask(fmt.Sprint("box", i%6), path, fmt.Sprint(path, i, time.Now().UnixNano()), func(r *Request) {
+				if path != "/draft/x" {
+					r.Pieces = nil
+				}
+			})
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case a.ended:
+				answered++
+			case a.refused != nil && a.refused.Code == code.NowhereToRun && a.refused.DidRun() == code.RanNo && a.refused.RetryAfter > 0:
+				nowhere++
+				s.refusal = max(s.refusal, a.took)
+			}
+		})
+	}
+	all.Wait()
+	return answered, nowhere
+}
+
+// outside adds up what was sent outside some failure domains, and forgets all that was sent.
+func (s *twoRegions) outside(inside ...string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for d, sent := range s.sent {
+		if !(&catalog.Confines{Domains: inside}).Allow(d) {
+			n += sent
+		}
+	}
+	clear(s.sent)
+	return n
+}
+
+func regions(names ...string) *catalog.Boundary { return &catalog.Boundary{Regions: names} }
+
+// Requests, their repeats and the pieces of their stages are sent inside the boundaries of their pipeline and their workspace only; where
+// no server stands inside them, callers hear it at once.
+func TestRequestsAreSentInsideTheirBoundaries(t *testing.T) {
+	bind := func(pipeline, workspace *catalog.Boundary) func(*catalog.Catalog) {
+		return func(c *catalog.Catalog) {
+			for i := range c.Pipelines {
+				c.Pipelines[i].Boundary = pipeline
+			}
+			c.Workspaces[0].Boundary = workspace
+		}
+	}
+	west, all := []string{"w1", "w2"}, []string{"w1", "w2", "c1", "c2", "nowhere"}
+	for _, c := range []struct {
+		name   string
+		bounds func(*catalog.Catalog)
+		inside []string // nil for nowhere
+	}{
+		{"none", nil, all},
+		{"of the pipeline", bind(regions("west"), nil), west},
+		{"of the workspace", bind(nil, regions("west")), west},
+		{"of both", bind(regions("west", "central"), regions("west")), west},
+		{"with no region in common", bind(regions("west"), regions("central")), nil},
+		{"with no region", bind(regions(), nil), nil},
+		{"with an unknown region", bind(regions("east"), nil), nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newTwoRegions(t, c.bounds)
+				for _, path := range []string{"/draft/x", "/stamp/x", "/look/x"} {
+					time.Sleep(s.f.box("box0").Settings.RetryWindow) // for a whole budget of repeats
+					answered, nowhere := s.serve(path, 60)
+					if out := s.outside(c.inside...); out > 0 {
+						t.Errorf("%s: %d were sent outside", path, out)
+					}
+					if c.inside != nil && answered != 60 || c.inside == nil && nowhere != 60 {
+						t.Errorf("%s: of 60 %d were answered and %d refused for their boundary", path, answered, nowhere)
+					}
+				}
+				if s.refusal > 10*time.Millisecond {
+					t.Errorf("a refusal for a boundary took %s", s.refusal)
+				}
+			})
+		})
+	}
+}
+
+// A boundary that comes into force binds the requests that come after it, and those that were at work but not yet sent: a request
+// whose server was chosen before goes to one inside.
+func TestABoundaryBindsWhatIsNotYetSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTwoRegions(t, nil)
+		chosen, opened := 0, make(chan struct{})
+		s.f.send = func(ctx context.Context, _ string, c *Call) (*Reply, error) {
+			s.mu.Lock()
+			chosen++
+			s.mu.Unlock()
+			<-opened
+			if err := c.Start(); err != nil {
+				return nil, &exchange.NotSent{Cause: err}
+			}
+			s.note(c.Server)
+			return textReply(http.StatusOK, "ok"), nil
+		}
+		time.AfterFunc(100*time.Millisecond, func() {
+			s.f.publish(s.bounded(2, func(c *catalog.Catalog) { c.Workspaces[0].Boundary = regions("central") }))
+		})
+		time.AfterFunc(1500*time.Millisecond, func() { close(opened) })
+		answered, _ := s.serve("/stamp/x", 60)
+		if out := s.outside("c1", "c2"); out > 0 || answered != 60 || chosen <= 60 {
+			t.Errorf("of 60 requests %d were answered, after %d choices; %d were sent outside", answered, chosen, out)
+		}
+	})
+}
+
+// A box of a release that knows no boundaries gives configurations without them. They are not taken, and the box reads the
+// store itself.
+func TestAConfigurationWithoutItsBoundariesIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 9)
+		settle()
+		readers := f.readersOf()
+		name := "box0"
+		for i := 1; name == readers[0] || name == readers[1] || name == readers[2]; i++ {
+			name = fmt.Sprint("box", i)
+		}
+		next := testCatalog(2)
+		next.Workspaces[0].Boundary = regions("west")
+		asked := 0
+		f.listen(name, func(_ string, _ port.Question, a *port.Answer) error {
+			if a.Publish == nil || a.Publish.Part == nil {
+				return nil
+			}
+			asked++
+			raw, err := msgpack.Marshal(testCatalog(2)) // as an earlier release knows it
+			if err != nil {
+				return err
+			}
+			packed := pack.Pack(raw, nil)
+			a.Publish.Base, a.Publish.Part = "", &port.Part{Sum: catalog.Hash(string(packed)), Size: len(packed), Bytes: packed}
+			return nil
+		})
+		f.publish(next)
+		for began := time.Now(); time.Since(began) < applyBound; time.Sleep(20 * time.Millisecond) {
+			if g := f.box(name); g.Version() == 2 && g.index.Load().Workspace("token").Boundary == nil {
+				t.Fatal("a configuration without its boundaries is in force")
+			}
+		}
+		if f.box(name).Version() != 2 || asked == 0 {
+			t.Errorf("version %d is in force %s after the change, and %d times a box was asked", f.box(name).Version(), applyBound, asked)
+		}
+	})
+}
--- a/src/gateway/fleet_test.go
+++ b/src/gateway/fleet_test.go
@@ -48,6 +48,7 @@
 	turnsAway func(box string) bool                                             // whether the store answers a box with an error; nil for none
 	silent    func(box string) bool                                             // whether a box hears nothing of the store; nil for none
 	hear      map[string]func(to string, q port.Question, a *port.Answer) error // by the asker's address
+	regions   catalog.Regions                                                   // nil where none is known
 	links     *links                                                            // what the boxes' links carry, nil when they carry anything at once
 
 	runPieces  func(ctx context.Context, box string, s catalog.Server, items []batch.Item) (batch.CallOutcome, []batch.ItemResult)
@@ -171,6 +172,7 @@
 			return time.Now().Add(d)
 		},
 	}
+	g.Settings.Regions = f.regions
 	if f.links != nil {
 		g.Settings.Capacity = f.links.capacity(name)
 	}
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -27,8 +27,9 @@
 
 // Settings are what a gateway is told at its start.
 type Settings struct {
-	Address       string   // where other boxes reach this one
-	FailureDomain string   // where it stands
+	Address       string // where other boxes reach this one
+	FailureDomain string // where it stands
+	Regions       catalog.Regions
 	Seeds         []string // addresses of boxes to begin with; they may be gone
 	Capacity      core.Capacity
 	RetryRatio    float64
--- a/src/gateway/held.go
+++ b/src/gateway/held.go
@@ -121,5 +121,9 @@
 	}
 	m := j.Submission(now)
 	m.Silent = silent
+	if m.Within != nil {
+		g.tell(box, batch.Message{Confined: m})
+		return
+	}
 	g.tell(box, batch.Message{Submit: m})
 }
--- a/src/gateway/published.go
+++ b/src/gateway/published.go
@@ -198,7 +198,9 @@
 
 // encode gives a catalog as it goes between boxes, nil when that can't be: then this box hands nothing on.
 func (g *Gateway) encode(c *catalog.Catalog) []byte {
-	raw, err := msgpack.Marshal(c)
+	out := *c
+	out.Bounded = true
+	raw, err := msgpack.Marshal(&out)
 	if err != nil {
 		g.Log.Error("configuration can't be encoded", "version", c.Version, "cause", err.Error())
 		return nil
--- a/src/gateway/pulling.go
+++ b/src/gateway/pulling.go
@@ -93,6 +93,9 @@
 		if err := msgpack.Unmarshal(raw, c); err != nil {
 			return false, eris.Wrap(err, "configuration can't be decoded")
 		}
+		if !c.Bounded {
+			return false, errUnbounded
+		}
 		if c.Digest() != d.Digest {
 			return false, eris.Errorf("the configuration is %s and not %s", c.Digest(), d.Digest)
 		}
@@ -110,6 +113,8 @@
 	errNotHeld = errors.New("the box does not hold the document")
 	errBusy    = errors.New("the box gives others")
 	errStrange = errors.New("the part does not follow those that are here")
+	// errUnbounded keeps boundaries that a box of an earlier release left out from being taken for none: this box reads the store itself.
+	errUnbounded = errors.New("the configuration comes from a release that knows no boundaries")
 )
 
 func (g *Gateway) askDocument(ctx context.Context, from, document string) (*port.Published, error) {
--- a/src/gateway/resting.go
+++ b/src/gateway/resting.go
@@ -47,10 +47,10 @@
 		}
 		return over
 	})
-	if e.picker.Awake(now, v.wish.Exclude) {
+	if e.picker.Awake(now, &v.wish) {
 		return time.Time{}, false
 	}
-	return e.picker.RestEnds(now)
+	return e.picker.RestEnds(now, &v.wish)
 }
 
 // mayWait says whether a server was free, or will be, when none was at the choice: another request may have taken its turn, or an
@@ -61,7 +61,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.picker.Awake(now, v.wish.Exclude)
+	return e.picker.Awake(now, &v.wish)
 }
 
 // tooLong says whether a request can't wait for a server until a time: what is left then would not do for its run or, unless the
@@ -98,7 +98,7 @@
 // noServer is the refusal of a request that no server is left for.
 func (v *visit) noServer(e *pool, now time.Time) *code.Error {
 	e.mu.Lock()
-	end, resting := e.picker.RestEnds(now)
+	end, resting := e.picker.RestEnds(now, &v.wish)
 	e.mu.Unlock()
 	if resting {
 		return v.resting(now, end)
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -160,6 +160,8 @@
 	switch {
 	case m.Submit != nil:
 		d.submit(m.Submit)
+	case m.Confined != nil:
+		d.submit(m.Confined)
 	case m.Withdraw != nil:
 		d.withdraw(*m.Withdraw)
 	case m.Free != nil:
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -23,6 +23,7 @@
 	pool       string
 	workspace  string
 	content    crasher.Content
+	confines   *catalog.Confines
 	priority   int
 	version    uint64
 	began      time.Time
@@ -115,6 +116,7 @@
 			v.priority += 3 * w.Priority
 		}
 	}
+	v.confines = v.confinesNow()
 	v.content = crasher.ContentOf(v.workspace, r.Method, r.Host, r.Target, r.Body)
 	v.deadline, v.limitedBy = v.began.Add(p.Timeout), "pipeline"
 	if r.Left > 0 && r.Left < p.Timeout {
@@ -160,19 +162,23 @@
 		v.refuse(err)
 		return
 	}
+	if err := v.nowhere(); err != nil {
+		v.refuse(err)
+		return
+	}
 	e := g.pools.get(v.pool)
 	e.mu.Lock()
 	e.budget.Request(g.now())
 	e.mu.Unlock()
 	// The stages may take all that the caller's time leaves: a late answer is worth more than a second try, which is late
 	// too. It gains 0.003 to 0.013 of worth over 0.45 of the time (four sites, 6 and 15 runs of each way).
-	v.stages = &stageRun{gateway: g, pipeline: p, request: v.request, content: v.content, priority: v.priority, objective: v.objective, deadline: v.deadline}
+	v.stages = &stageRun{gateway: g, pipeline: p, request: v.request, content: v.content, priority: v.priority, objective: v.objective, deadline: v.deadline, confines: v.confines}
 	v.stages.followers = followersOf(p)
 	if err := g.admit(v.stages); err != nil {
 		v.refuse(err)
 		return
 	}
-	v.wish = balance.Wish{Parts: v.request.Parts, Exclude: map[string]bool{}, Makers: g.makersOf(p)}
+	v.wish = balance.Wish{Parts: v.request.Parts, Exclude: map[string]bool{}, Makers: g.makersOf(p), Within: v.confines}
 	if err := v.checkRest(e); err != nil {
 		v.refuse(err)
 		return
@@ -221,6 +227,9 @@
 	case r == batch.Late || ctx.Err() != nil:
 		return refusal(code.CannotFinish, "deadline", v.stagesReturn(), "the stages could not be made in time")
 	}
+	if r == batch.Nowhere {
+		return v.outside("a stage")
+	}
 	if r == batch.Barred {
 		if err := v.barred(); err != nil {
 			return err
--- a/src/gateway/stages.go
+++ b/src/gateway/stages.go
@@ -98,6 +98,7 @@
 	objective time.Time
 	deadline  time.Time
 	domain    string // where results that the request itself reads are best made, "" for anywhere
+	confines  *catalog.Confines
 	results   *results
 	followers [][]int
 	done      []chan struct{}
@@ -215,7 +216,7 @@
 	j := &batch.Job{
 		Pool: st.Pool, Request: s.request.ID, Content: s.content.At(st.Pool), Class: s.pipeline.Name + "/" + st.Pool + "/" + string(rune('0'+i%10)),
 		Stage: i, Pieces: s.request.Pieces[i], ResultBytes: float64(st.ResultBytes), Priority: s.priority,
-		Due: s.objective.Add(-rest), Deadline: s.deadline.Add(-rest),
+		Due: s.objective.Add(-rest), Deadline: s.deadline.Add(-rest), Within: s.confines,
 	}
 	var expires time.Time
 	var each float64
--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -119,7 +119,7 @@
 	set := metrics.NewGateway()
 	n.gateway = &gateway.Gateway{
 		Settings: gateway.Settings{
-			Address: beats.Addr().String(), FailureDomain: s.FailureDomain, Seeds: s.Fleet.Seeds,
+			Address: beats.Addr().String(), FailureDomain: s.FailureDomain, Regions: s.Regions, Seeds: s.Fleet.Seeds,
 			Capacity:   core.Capacity{CPU: uint32(s.Machine.CPU * s.Machine.Speed * milliCores), Link: uint32(s.Machine.LinkMbps)},
 			RetryRatio: s.Retry.Ratio, RetrySlack: s.Retry.Slack, RetryWindow: time.Duration(s.Retry.Window),
 			Admission: s.Policy.Admission, SharedBatches: s.Policy.SharedBatches,
