Schedulers and readers are chosen anew when members change, and not ten times a second

What grows faster than the fleet: every 100 ms each box worked out anew who may schedule and who reads the store: a list of all members, a sort by hash, names looked up in lists. A tick asks for it through the links of the boxes that it may pull from, also when nothing is to be pulled.

Now the choice holds while no member changes, until one has settled or the fleet has formed, at most 5 s; with changes it is as old as before, a tenth of a second. TestTheRosterIsWorkedOutWhenSomethingChanges counts.

--- a/src/core/members.go
+++ b/src/core/members.go
@@ -36,6 +36,7 @@
 	changed bool
 
 	compared  comparedTable
+	version   uint64
 	formUntil time.Time // until then tables are exchanged often
 	healedAt  time.Time // when a life believed dead was last found to be there
 }
@@ -142,7 +143,7 @@
 	e.state = s
 	e.since = now
 	m.changed = true
-	m.compared.stale = true
+	m.touch()
 	m.spread(m.rumourOf(e))
 }
 
@@ -161,8 +162,17 @@
 	m.fresh[r.ID.Name] = &hotRumour{rumour: r, left: m.repeatsOf()}
 }
 
-func (m *Members) add(e *Member) {
+// touch notes that what is known of some member changes.
+func (m *Members) touch() {
 	m.compared.stale = true
+	m.version++
+}
+
+// Version rises with each change of what is known of some other member.
+func (m *Members) Version() uint64 { return m.version }
+
+func (m *Members) add(e *Member) {
+	m.touch()
 	e.hash = nameHash(e.id.Name)
 	m.all[e.id.Name] = e
 	at, _ := slices.BinarySearch(m.names, e.id.Name)
@@ -170,7 +180,7 @@
 }
 
 func (m *Members) remove(name string) {
-	m.compared.stale = true
+	m.touch()
 	delete(m.all, name)
 	if at, ok := slices.BinarySearch(m.names, name); ok {
 		m.names = slices.Delete(m.names, at, at+1)
--- a/src/core/rumour.go
+++ b/src/core/rumour.go
@@ -169,7 +169,7 @@
 	if !m.supersedes(now, r, e) {
 		return false
 	}
-	m.compared.stale = true
+	m.touch()
 	newLife := r.ID.Incarnation > e.id.Incarnation
 	if newLife {
 		e.started = now.Add(-r.Up)
--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -140,7 +140,8 @@
 	heardLately    = 2 * core.NewsEvery      // a box heard of within this time is not taken for silent on another's word
 	hintLife       = 1500 * time.Millisecond // that the word of a scheduler on who follows it counts
 	shunFor        = 3 * time.Second         // that a box which did not answer is passed over
-	rosterLife     = 100 * time.Millisecond  // for which the schedulers once chosen are kept
+	rosterLife     = 100 * time.Millisecond  // for which the schedulers once chosen are kept though members change
+	mostRosterLife = 5 * time.Second         // and while none does
 )
 
 // resultsPerMessage bounds the results of which one message tells a scheduler.
--- a/src/gateway/costs_test.go
+++ b/src/gateway/costs_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stilemast/stilemast/src/catalog"
@@ -115,3 +117,48 @@
 
 // historySeen is more changes than a box remembers.
 const historySeen = 100
+
+// A box whose members don't change works the choice of schedulers and readers out a few times a minute, and not with each tick; a
+// change of a member, and the end of a time that it depends on, count within a tenth of a second.
+func TestTheRosterIsWorkedOutWhenSomethingChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 30)
+		time.Sleep(settledAfter + cohortSpread)
+		g := f.box("box7")
+		made := func(watch time.Duration) (times int) {
+			var last time.Time
+			for began := time.Now(); time.Since(began) < watch; time.Sleep(rosterLife / 4) {
+				g.fleet.mu.Lock()
+				at := g.fleet.roster.madeAt
+				g.fleet.mu.Unlock()
+				if !at.Equal(last) {
+					times, last = times+1, at
+				}
+			}
+			return times
+		}
+		if n, most := made(time.Minute), 1+int(time.Minute/mostRosterLife); n > most {
+			t.Errorf("in a minute without a change it was worked out %d times, want %d at most", n, most)
+		}
+		f.kill("box20")
+		for began := time.Now(); slices.Contains(g.fleet.usable(), "box20"); time.Sleep(rosterLife / 4) {
+			if time.Since(began) > 10*time.Second {
+				t.Fatal("a box that was killed counts still")
+			}
+		}
+		time.Sleep(2 * rosterLife)
+		g.fleet.mu.Lock()
+		held := slices.Contains(g.fleet.eligible(g.now()), "box20")
+		g.fleet.mu.Unlock()
+		if held {
+			t.Error("a box that is gone may schedule still")
+		}
+		f.start("box30")
+		time.Sleep(settledAfter + time.Second)
+		g.fleet.mu.Lock()
+		defer g.fleet.mu.Unlock()
+		if !slices.Contains(g.fleet.eligible(g.now()), "box30") {
+			t.Error("a box that has settled may not schedule")
+		}
+	})
+}
--- a/src/gateway/roster.go
+++ b/src/gateway/roster.go
@@ -20,7 +20,9 @@
 	readers    []string             // of them, those that read the platform first
 	links      map[string]uint32    // Mbit/s, by box
 	chosen     map[string]string    // scheduler by pool
-	until      time.Time            // when all these are worked out anew
+	version    uint64               // of the members that all these were worked out of
+	madeAt     time.Time            // when that was
+	until      time.Time            // when they are worked out anew, whether or not members change
 	silent     map[string]time.Time // boxes that did not answer this box, and when they are asked again
 	hints      map[string]hint      // what schedulers said of who follows them, by pool
 	complaints map[string]complaint // the last complaint about a box that did not answer another
@@ -242,9 +244,10 @@
 // eligible lists the boxes that may do now what one box does for all. The fleet's lock is held.
 func (f *fleet) eligible(now time.Time) []string {
 	r := &f.roster
-	if now.Before(r.until) {
+	if now.Before(r.until) && (r.version == f.core.Version() || now.Sub(r.madeAt) < rosterLife) {
 		return r.boxes
 	}
+	r.version, r.madeAt = f.core.Version(), now
 	r.running = f.core.Running(now)
 	all := make([]contender, 0, len(r.running))
 	r.links = make(map[string]uint32, len(r.running)) // a new one: others read the last
@@ -254,10 +257,26 @@
 	}
 	r.readers = readersOf(all)
 	clear(r.chosen)
-	r.boxes, r.until = eligible(all), now.Add(rosterLife)
+	r.boxes, r.until = eligible(all), now.Add(rosterHolds(all))
 	return r.boxes
 }
 
+// rosterHolds is how long a choice among members holds while none of them changes: until one has been running long enough to take
+// a pool over, or the fleet to have formed. Made anew ten times a second it was half of the work of a box among 300.
+func rosterHolds(all []contender) time.Duration {
+	holds, oldest := mostRosterLife, time.Duration(0)
+	for _, c := range all {
+		oldest = max(oldest, c.up)
+		if c.up < settledAfter {
+			holds = min(holds, settledAfter-c.up)
+		}
+	}
+	if oldest < formedAfter {
+		holds = min(holds, formedAfter-oldest)
+	}
+	return max(rosterLife, holds)
+}
+
 // mayAsk says whether a box can be asked: its address is known and it did not stay silent lately.
 func (f *fleet) mayAsk(now time.Time, box string) bool {
 	if box == f.gateway.ID.Name {
