Tests: servers that go, claims without changes of members, connections by an absolute bound; mutants

Mutants of boundaries, of the list, of the roster's pace and of connections: all caught; two survived first (servers that go, whose pools nobody asked; the bound of connections was worked out of the constant) and got their tests. One that passes over changes of members in the roster survives still: a claim counts at all boxes within 3 s all the same, why is not traced; it is not in the list. Tests and scripts only.

--- a/src/balance/confined_test.go
+++ b/src/balance/confined_test.go
@@ -46,3 +46,17 @@
 		t.Errorf("the rest ends at %v", end)
 	}
 }
+
+// Servers that take no new work any more are given none, and count in no failure domain.
+func TestAServerThatGoesIsForgotten(t *testing.T) {
+	p := NewPool("box", "d")
+	list := []catalog.Server{{ID: "a", Domain: "d", Slots: 4}, {ID: "b", Domain: "e", Slots: 4}}
+	p.Change(pointers(list), nil)
+	p.Change([]*catalog.Server{{ID: "b", Domain: "f", Slots: 4}}, []string{"a", "never there"})
+	if d := p.Domains(); p.Size() != 1 || len(d) != 1 || d["f"] != 1 {
+		t.Errorf("%d servers are left, by failure domain %v", p.Size(), d)
+	}
+	if s, _, ok := p.Pick(start, &Wish{}); !ok || s.ID != "b" {
+		t.Errorf("%q is chosen", s.ID)
+	}
+}
--- a/src/gateway/costs_test.go
+++ b/src/gateway/costs_test.go
@@ -162,3 +162,23 @@
 		}
 	})
 }
+
+// A claim changes no member's state. It counts at all boxes soon all the same.
+func TestAClaimCountsThoughNoMemberComesOrGoes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const boxes = 24
+		f := newTestFleet(t, boxes)
+		time.Sleep(settledAfter + cohortSpread)
+		claimant := "box3"
+		if f.box("box0").schedulerOf("encode", nil) == claimant {
+			claimant = "box4"
+		}
+		f.box(claimant).fleet.claim("encode")
+		time.Sleep(3 * time.Second)
+		for i := range boxes {
+			if got := f.box(fmt.Sprint("box", i)).schedulerOf("encode", nil); got != claimant {
+				t.Errorf("box%d takes %s for the scheduler, want %s", i, got, claimant)
+			}
+		}
+	})
+}
--- a/src/peer/idle_test.go
+++ b/src/peer/idle_test.go
@@ -60,6 +60,9 @@
 	return most, dials
 }
 
+// mostOpen is as many connections as a small box can keep to others beside those of its callers and servers.
+const mostOpen = 128
+
 // The connections that a box keeps to others are bounded whatever the fleet's size, and in a small fleet none is opened twice.
 func TestConnectionsToOtherBoxesAreBoundedInAnyFleet(t *testing.T) {
 	if most, dials := openLines(t, 6); most != 6 || dials != 6 {
@@ -68,8 +71,8 @@
 	for _, boxes := range []int{61, 985, 1970} {
 		most, dials := openLines(t, boxes)
 		t.Logf("%d boxes: %d open at once, %d opened in a minute", boxes, most, dials)
-		if want := int64(12*beatIdle/time.Second) + 12; most > want {
-			t.Errorf("%d boxes: %d connections were open at once, want %d at most", boxes, most, want)
+		if most > mostOpen {
+			t.Errorf("%d boxes: %d connections were open at once, want %d at most", boxes, most, mostOpen)
 		}
 	}
 }
