Sight: the limit that a server names is decoded and told in the lines of its answers

Our lines did not tell an answer that names a limit from any other, so that the hypotheses of the incident (not read; kept by each box alone; shares that move) could not be told apart. Nothing decides by it yet. Numbers without sense are passed over, 0 and what is near it counts as 0.1 a second.

--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -388,7 +388,7 @@
 	rests := e.picker.Current(s) && e.picker.Ended(now, s.ID, &v.wish, o)
 	e.mu.Unlock()
 	took := now.Sub(began)
-	g.Log.Info("exchange", "request", v.request.ID, "pool", e.name, "content", v.content.String(), "server", s.ID, "incarnation", s.Incarnation, "domain", s.Domain, "outcome", o.String(), "took_ms", took.Milliseconds(), "detail", detail, "chosen", why, "rests", rests, "says_leaving", v.said.Leaving, "asks_rest_ms", v.said.Rest.Milliseconds())
+	g.Log.Info("exchange", "request", v.request.ID, "pool", e.name, "content", v.content.String(), "server", s.ID, "incarnation", s.Incarnation, "domain", s.Domain, "outcome", o.String(), "took_ms", took.Milliseconds(), "detail", detail, "chosen", why, "rests", rests, "says_leaving", v.said.Leaving, "asks_rest_ms", v.said.Rest.Milliseconds(), "names_limit", v.said.Limit)
 	v.said = pushback.Word{}
 	if g.Watch.Exchanged != nil {
 		g.Watch.Exchanged(e.name, o.String(), took)
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -314,7 +314,7 @@
 	pending, calls := s.core.Pending()
 	s.mu.Unlock()
 	late, gone, noRoom, failed := batch.CountReasons(results)
-	g.Log.Info("batch ended", "pool", s.pool, "server", c.Server.ID, "pieces", len(c.Items), "outcome", outcome.String(), "took_ms", took.Milliseconds(), "pending", pending, "calls", calls, "late", late, "gone", gone, "no_room", noRoom, "failed", failed, "says_leaving", r.Said.Leaving, "asks_rest_ms", r.Said.Rest.Milliseconds(), "requests", c.Requests())
+	g.Log.Info("batch ended", "pool", s.pool, "server", c.Server.ID, "pieces", len(c.Items), "outcome", outcome.String(), "took_ms", took.Milliseconds(), "pending", pending, "calls", calls, "late", late, "gone", gone, "no_room", noRoom, "failed", failed, "says_leaving", r.Said.Leaving, "asks_rest_ms", r.Said.Rest.Milliseconds(), "names_limit", r.Said.Limit, "requests", c.Requests())
 	if g.Watch.Batched != nil {
 		g.Watch.Batched(s.pool, len(c.Items), outcome.String(), took)
 	}
--- /dev/null
+++ b/src/pushback/limit_test.go
@@ -0,0 +1,31 @@
+package pushback
+
+import "testing"
+
+func TestNumbersThatServersName(t *testing.T) {
+	for _, c := range []struct {
+		values []string
+		want   float64
+	}{
+		{nil, 0},
+		{[]string{"1"}, 1},
+		{[]string{" 1.25 "}, 1.25},
+		{[]string{"4", "2"}, 2},
+		{[]string{"x", "2"}, 2},
+		{[]string{"0"}, LeastLimit},
+		{[]string{"0.1"}, LeastLimit},
+		{[]string{"1e-300"}, LeastLimit},
+		{[]string{"1e9"}, MostLimit},
+		{[]string{"1e999"}, MostLimit},
+		{[]string{"+Inf"}, MostLimit},
+		{[]string{"-1"}, NoSense},
+		{[]string{"-Inf"}, NoSense},
+		{[]string{"NaN"}, NoSense},
+		{[]string{""}, NoSense},
+		{[]string{"2 a second"}, NoSense},
+	} {
+		if got := LimitOf(c.values); got != c.want {
+			t.Errorf("%q: %g, want %g", c.values, got, c.want)
+		}
+	}
+}
