--- /dev/null
+++ b/src/gateway/limits_test.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// The story. Users saw model engines that were in need, and had named in their answers how many requests a second they take from
+// all boxes together, get half as many again and more: 13 in 4 s where 11 were allowed. Order of events: two of 18 engines named 1
+// and 1.2 a second; six boxes went on to choose them as before, each a few times in those 4 s, none of them alone over the limit.
+//
+// Evidence: the boxes' lines show the engines' answers as good and the reasons of the choice unchanged; the adapter decoded no such
+// word.
+func TestAServersLimitIsKeptByAllBoxesTogether(t *testing.T) {
+	for _, c := range limitCases {
+		for _, boxes := range []int{6, 61} {
+			t.Run(fmt.Sprint(boxes, " boxes: ", c.name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { playLimit(t, c, boxes) })
+			})
+		}
+	}
+}
+
+// limitCase is some servers of a pool that name a limit while callers ask.
+type limitCase struct {
+	name, path, pool string
+	naming           int
+	perSecond        float64
+	between          time.Duration
+}
+
+var limitCases = []limitCase{
+	{"repeatable, 1 of 5", "/look/x", "model", 1, 1, 8 * time.Millisecond},
+	{"may run once, 1 of 5", "/stamp/x", "model", 1, 1, 8 * time.Millisecond},
+	{"stream, 1 of 5", "/draft/x", "model", 1, 1.1, 60 * time.Millisecond},
+	{"calls of a stage, 1 of 5", "/draft/x", "piece", 1, 1, 60 * time.Millisecond},
+	{"repeatable, 3 of 5", "/look/x", "model", 3, 20, 8 * time.Millisecond},
+	{"repeatable, all", "/look/x", "model", 5, 4, 8 * time.Millisecond},
+	{"may run once, all", "/stamp/x", "model", 5, 4, 8 * time.Millisecond},
+	{"stream, all", "/draft/x", "model", 5, 1, 60 * time.Millisecond},
+	{"calls of a stage, all", "/draft/x", "piece", 5, 1, 60 * time.Millisecond},
+}
+
+const limitPlays = 12 * time.Second
+
+func playLimit(t *testing.T, c limitCase, boxes int) {
+	s := newWordSite(t, boxes)
+	s.nameLimit(c.pool, c.naming, c.perSecond)
+	h := s.play(c.path, boxes, c.between, limitPlays)
+	s.checkLimits(t, c.perSecond, time.Now())
+	all := h.answered + h.refused + h.unserved
+	t.Logf("of %d callers %d answered, %d refused (%d again when they came back), the slowest after %s, %d without an answer", all, h.answered, h.refused, h.lost, h.slowest, h.unserved)
+	if most := all / 100; c.naming < 5 && h.refused > most || h.unserved > 0 {
+		t.Errorf("%d refused, %d without an answer of %d, want at most %d and none", h.refused, h.unserved, all, most)
+	}
+	if h.noTime > 0 {
+		t.Errorf("%d refused without a time to come back", h.noTime)
+	}
+	if c.path != "/draft/x" && h.slowest > 100*time.Millisecond {
+		t.Errorf("a refusal took %s", h.slowest)
+	}
+}
+
+func (s *wordSite) nameLimit(pool string, n int, perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range n {
+		s.limits.name(time.Now(), perSecond, fmt.Sprint(pool, i))
+	}
+}
+
+// checkLimits holds the requests that reached servers against their limit.
+func (s *wordSite) checkLimits(t *testing.T, perSecond float64, until time.Time) {
+	t.Helper()
+	s.mu.Lock()
+	most, used := s.limits.most(), s.limits.used(until)
+	s.mu.Unlock()
+	t.Logf("at most %d requests in %s, %d allowed; %.2f used", most, limitWindow, limitAllows(perSecond), used)
+	if most > limitAllows(perSecond) {
+		t.Errorf("%d requests in %s reached a server that takes %g a second from all boxes together, want %d at most", most, limitWindow, perSecond, limitAllows(perSecond))
+	}
+	if used < limitUsed {
+		t.Errorf("%.2f of what a server takes was used while callers wanted it, want %.2f at least", used, limitUsed)
+	}
+}
--- a/src/gateway/pushback_site_test.go
+++ b/src/gateway/pushback_site_test.go
@@ -33,6 +33,7 @@
 	late    int                        // arrivals sent later than allowed after the box had the word
 	arrived int
 	frees   int // give-ups of results that reached a server which had told the box that it leaves
+	limits  limitLedger
 }
 
 // askedRest is one answer that asked for rest.
@@ -91,7 +92,7 @@
 			r.n++
 		}
 	}
-	w := pushback.Word{Leaving: s.leaving[server]}
+	w := pushback.Word{Leaving: s.leaving[server], Limit: s.limits.arrives(now, box, server)}
 	shed := now.Before(s.shedsTo[server])
 	if shed {
 		w.Rest = s.restFor
@@ -107,6 +108,9 @@
 	if _, known := s.told[key]; w.Leaving && !known {
 		s.told[key] = now
 	}
+	if w.Limit > 0 {
+		s.limits.hears(now, box, server)
+	}
 	if w.Rest > 0 {
 		s.askedAt[box] = now
 		s.asked[key] = append(s.asked[key], &askedRest{from: now.Add(restBegins), until: now.Add(w.Rest)})
