--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -19,10 +19,15 @@
 	Makers      map[string]int  // servers by domain that make its large inputs; nil when it has none
 
 	Within *catalog.Confines // where it may run; nil for anywhere
+
+	Only      string // the one server where a place is reserved for it, "" for none
+	Unlimited bool   // servers that limit their requests come last
 }
 
 // barred says whether a request may not be given to a server, whatever its load.
-func (w *Wish) barred(v *server) bool { return w.Exclude[v.ID] || !w.Within.Allow(v.Domain) }
+func (w *Wish) barred(v *server) bool {
+	return w.Exclude[v.ID] || !w.Within.Allow(v.Domain) || w.Only != "" && w.Only != v.ID
+}
 
 // Tokens counts the prompt's tokens.
 func (w *Wish) Tokens() int {
@@ -72,7 +77,9 @@
 	Domain string // of this box
 	// RestsUntil is until when a server wants nothing from this box, by its own word; nil knows of none.
 	RestsUntil func(*catalog.Server) time.Time
-	Boxes      int // that there are, this one among them; 0 when only those heard of count
+	// Limits says whether a server limits its requests; nil knows of none.
+	Limits func(*catalog.Server) bool
+	Boxes  int // that there are, this one among them; 0 when only those heard of count
 
 	words   map[string]word    // of other boxes, by name
 	names   map[uint64]*server // by the hash of their ids
@@ -255,7 +262,7 @@
 	sparing := p.fewCold(now)
 	for pass := range 2 {
 		for _, v := range p.servers {
-			if w.barred(v) || p.wantsRest(now, v) || pass == 0 && (!v.usable(now) || sparing && v.cold(now)) {
+			if w.barred(v) || w.Only == "" && p.wantsRest(now, v) || pass == 0 && (!v.usable(now) || sparing && v.cold(now)) {
 				continue
 			}
 			c := p.cost(now, v, w, kept, home) + p.jitter(v)
@@ -316,20 +323,30 @@
 // RestEnds is when the first of the servers that want rest, of those where a request may run, can be asked; false when none of
 // them does.
 func (p *Pool) RestEnds(now time.Time, w *Wish) (time.Time, bool) {
+	_, first, ok := p.FirstToWake(now, w)
+	return first, ok
+}
+
+// FirstToWake is the server of which RestEnds tells.
+func (p *Pool) FirstToWake(now time.Time, w *Wish) (catalog.Server, time.Time, bool) {
 	var first time.Time
+	var server *catalog.Server
 	if p.RestsUntil == nil {
-		return first, false
+		return catalog.Server{}, first, false
 	}
 	for _, v := range p.servers {
 		until := p.RestsUntil(v.Server)
 		if !now.Before(until) || !w.Within.Allow(v.Domain) {
 			continue
 		}
-		if first.IsZero() || until.Before(first) {
-			first = until
+		if server == nil || until.Before(first) || until.Equal(first) && v.ID < server.ID {
+			server, first = v.Server, until
 		}
 	}
-	return first, !first.IsZero()
+	if server == nil {
+		return catalog.Server{}, first, false
+	}
+	return *server, first, true
 }
 
 // jitter spreads requests over servers that cost the same.
@@ -361,6 +378,9 @@
 	if p.doubtful(now, v, l) {
 		cost += doubtPenalty
 	}
+	if w.Unlimited && p.Limits != nil && p.Limits(v.Server) {
+		cost += limitedPenalty
+	}
 	cost *= max(1, v.pace)
 	if w.LeastLoaded {
 		cost += leastLoadedPenalty * float64(l.Requests)
--- a/src/batch/constants.go
+++ b/src/batch/constants.go
@@ -26,5 +26,7 @@
 	readTime          = 70 * time.Millisecond  // that a call which has begun may take to read its inputs
 	hopelessFill      = 0.4                    // how full the call is in which a job could just be in time
 	handoverSlack     = 300 * time.Millisecond // over twice the expected time of a call that was handed over
+	limitedFrees      = 2 * time.Second        // pace at which results are given up at a server that limits its requests: half of their usual life
+	limitedFreePart   = 4.0                    // requests that such a server takes for each time that it is told of them
 	memory            = 5 * time.Second        // for which the end of a job is remembered
 )
--- a/src/batch/forming.go
+++ b/src/batch/forming.go
@@ -139,8 +139,11 @@
 	}
 	s.next++
 	c.N = s.next
-	c.Free = s.freeing[v.ID]
-	delete(s.freeing, v.ID)
+	if s.mayFree(now, v) {
+		c.Free = s.freeing[v.ID]
+		delete(s.freeing, v.ID)
+		v.freedAt = now
+	}
 	expected := time.Duration(float64(rc.expected) * max(1, v.ratio))
 	c.Timeout = time.Duration(float64(expected)*timeoutFactor) + timeoutFloor
 	v.call, v.until = c.N, now.Add(expected)
--- a/src/batch/pace.go
+++ b/src/batch/pace.go
@@ -51,14 +51,23 @@
 	if s.pool.Batch == nil {
 		return backlog.Waits{}
 	}
-	sound, soonest := 0, time.Duration(-1)
+	sound, soonest := 0.0, time.Duration(-1)
 	least, allRest := s.leastRest(now)
+	rate := s.fullRate()
+	if s.pace > 0 {
+		rate = min(rate, s.pace)
+	}
 	for _, v := range s.servers {
-		if !v.sound() || !allRest && s.restLeft(now, v) > 0 {
+		limit := s.limitOf(v)
+		if !v.sound() || !allRest && limit == 0 && s.restLeft(now, v) > 0 {
 			continue
 		}
-		sound++
-		left := least
+		part := 1.0
+		if limit > 0 {
+			part = min(1, limit*float64(s.pool.Batch.Size)/rate)
+		}
+		sound += part
+		left := max(least, s.restLeft(now, v))
 		if v.call != 0 {
 			left = max(left, v.until.Sub(now))
 		}
@@ -75,11 +84,7 @@
 			ahead.Add(Place(t.Due, t.Priority).Sub(now), len(t.pending))
 		}
 	}
-	rate := s.fullRate()
-	if s.pace > 0 {
-		rate = min(rate, s.pace)
-	}
-	return ahead.Waits(soonest, rate*float64(sound))
+	return ahead.Waits(soonest, rate*sound)
 }
 
 // fullRate is the pieces a second of one server whose calls are full.
--- a/src/batch/resting.go
+++ b/src/batch/resting.go
@@ -41,3 +41,18 @@
 		}
 	}
 }
+
+// limitOf is the requests a second that a server takes, 0 where it names no limit.
+func (s *Scheduler) limitOf(v *serverState) float64 {
+	if s.LimitOf == nil {
+		return 0
+	}
+	return s.LimitOf(&v.Server)
+}
+
+// mayFree says whether results may be given up at a server now. One that limits its requests is told of many together, or the
+// giving up would take its calls' places.
+func (s *Scheduler) mayFree(now time.Time, v *serverState) bool {
+	l := s.limitOf(v)
+	return l == 0 || now.Sub(v.freedAt) >= max(limitedFrees, time.Duration(limitedFreePart/l*float64(time.Second)))
+}
--- a/src/batch/scheduler.go
+++ b/src/batch/scheduler.go
@@ -31,9 +31,10 @@
 	failures  int
 	ratio     float64 // measured time over expected time
 	probed    time.Time
-	handed    string  // the scheduler that was told of the call at work
-	used      float64 // bytes of results that lie there
-	unknown   float64 // bytes of results there that this scheduler has no handles of, when they were last estimated
+	freedAt   time.Time // when results were last given up there
+	handed    string    // the scheduler that was told of the call at work
+	used      float64   // bytes of results that lie there
+	unknown   float64   // bytes of results there that this scheduler has no handles of, when they were last estimated
 	unknownAt time.Time
 	listed    bool
 }
@@ -71,6 +72,9 @@
 	// RestsUntil is until when a server wants no calls, by its own word; nil knows of none.
 	RestsUntil func(*catalog.Server) time.Time
 
+	// LimitOf is the requests a second that a server takes, 0 where it names no limit; nil knows of none.
+	LimitOf func(*catalog.Server) float64
+
 	pool    catalog.Pool
 	jobs    map[JobID]*job
 	ended   map[JobID]ending
@@ -302,10 +306,11 @@
 	var out []FreeCall
 	for id, hs := range s.freeing {
 		v := s.servers[id]
-		if v != nil && s.restLeft(now, v) > 0 {
+		if v != nil && (s.restLeft(now, v) > 0 || !s.mayFree(now, v)) {
 			continue // it wants nothing now; its room is asked for after its rest
 		}
 		if v != nil {
+			v.freedAt = now
 			out = append(out, FreeCall{Server: v.Server, Handles: hs})
 		}
 		delete(s.freeing, id)
--- a/src/core/memberviews.go
+++ b/src/core/memberviews.go
@@ -86,3 +86,14 @@
 
 // Successor is the box that took over the ledger of an incarnation that stopped as planned, or "".
 func (m *Members) Successor(id BoxID) string { return m.closed[id].successor }
+
+// Missing counts the members that were lost within a time and did not leave: they may be running out of this box's sight.
+func (m *Members) Missing(now time.Time, within time.Duration) int {
+	n := 0
+	for _, e := range m.all {
+		if e.state == MemberDead && !e.left && now.Sub(e.since) < within {
+			n++
+		}
+	}
+	return n
+}
--- a/src/core/pool.go
+++ b/src/core/pool.go
@@ -364,7 +364,7 @@
 
 // dispatch books a call at a server.
 func (p *Pool) dispatch(now time.Time, c *Call, s *server) {
-	p.words.Begin(now, pushback.Server{ID: s.cfg.Name()})
+	p.words.Begin(now, pushback.Server{ID: s.cfg.Name()}, "")
 	w := s.expect(now, c, p.ratio(c))
 	s.mine[c.Attempt] = running{
 		sent: now, expect: w.total(), tokens: w.tokens, prefill: w.prefill, guessed: w.guessed, prefix: c.Prefix,
--- a/src/core/rumour.go
+++ b/src/core/rumour.go
@@ -36,12 +36,24 @@
 	Seq         uint64 `msgpack:"q"`
 }
 
-// BackendNote says what a box has at a server that takes opaque requests, named by its hash.
+// LimitNote passes on how many requests a second a server takes from all boxes together (pushback.LimitNote).
+type LimitNote struct {
+	Server      string  `msgpack:"s"`
+	Incarnation uint64  `msgpack:"i"`
+	Sequence    uint64  `msgpack:"q"`
+	PerSecond   float64 `msgpack:"n"`
+	Ended       bool    `msgpack:"e,omitempty"`
+}
+
+// BackendNote says what a box has at a server that takes opaque requests, named by its hash. A server with a limit is told as
+// full, so that boxes which know no limits go elsewhere; the others read what is held there.
 type BackendNote struct {
 	Server   uint64 `msgpack:"s"`
 	Requests uint16 `msgpack:"n"`
 	Tokens   uint32 `msgpack:"t"` // of prompts still to be read
 	Resting  bool   `msgpack:"r"` // it failed there lately
+	Limited  bool   `msgpack:"l,omitempty"`
+	Held     uint16 `msgpack:"h,omitempty"` // requests, where Limited
 }
 
 // ReadNote says that a server has read a shared part of prompts; both are named by their hashes.
@@ -85,6 +97,7 @@
 	Asked    []AskNote     `msgpack:"h,omitempty"`
 
 	Suspects []crasher.Note `msgpack:"u,omitempty"` // contents under which servers ended
+	Limits   []LimitNote    `msgpack:"x,omitempty"` // of servers, for all boxes together
 
 	Unanswered *Unanswered `msgpack:"n,omitempty"`
 }
--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -143,6 +143,12 @@
 	s, why, ok := e.picker.Pick(now, &v.wish)
 	source, copied := e.picker.Source(now, s.ID, &v.wish)
 	e.mu.Unlock()
+	reserved := v.wish.Only != ""
+	v.wish.Only = ""
+	if !ok && reserved { // the server left while its place was waited for
+		v.withheld = true
+		return again, v.noServer(e, now), false
+	}
 	if !ok {
 		v.withheld = v.mayWait(e, now)
 		if v.withheld {
@@ -150,6 +156,13 @@
 		}
 		return over, v.noServer(e, now), false
 	}
+	if !v.placed(ctx, s) {
+		e.mu.Lock()
+		e.picker.Ended(g.now(), s.ID, &v.wish, balance.Dropped)
+		e.mu.Unlock()
+		v.withheld = true
+		return again, v.noServer(e, g.now()), false
+	}
 	v.wish.Exclude[s.ID] = true
 	if copied {
 		why += ", copies from " + source.ID
@@ -166,13 +179,14 @@
 	defer cancel(nil)
 	watch := v.patience(cancel)
 	defer watch.Stop()
-	c.Start = v.startInside(s, g.startOf(ctx, s, "request "+v.request.ID, now))
+	c.Start = v.startInside(s, g.startOf(ctx, s, "request "+v.request.ID, v.request.ID, now))
 	began := g.now()
 	stop := v.giveUpInputs(e, len(handles) > 0)
 	defer stop()
 	reply, err := g.Backends.Send(ctx, c)
 	var notSent *exchange.NotSent
 	if errors.As(err, &notSent) {
+		g.words.giveBack(s.ID, v.request.ID)
 		outcome := balance.Broken
 		switch {
 		case exchange.Refused(err):
@@ -189,7 +203,11 @@
 	v.attempts++
 	if reply != nil {
 		v.said = reply.Said
-		g.hear(s, reply.Said, "request "+v.request.ID)
+		sent := began
+		if reply.Moved {
+			sent = time.Time{}
+		}
+		g.hear(s, reply.Said, "request "+v.request.ID, sent)
 	}
 	if err != nil {
 		v.maybeRan = true
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -149,13 +149,13 @@
 
 // news fills heartbeats with what other parts of the box tell.
 func (g *Gateway) news(now time.Time) func(*core.Beat) {
-	waits, reads, asked, leavings := g.desk.waits(now), g.readNotes(now), g.askNotes(now), g.departures()
+	waits, reads, asked, leavings, limits := g.desk.waits(now), g.readNotes(now), g.askNotes(now), g.departures(), g.limitNotes()
 	loads := g.loadNotes(now, leavings)
 	return func(b *core.Beat) {
 		g.published.say(now, b)
 		b.Backends, b.Waits, b.Reads, b.Asked = loads, waits, reads, asked
 		b.Suspects = g.suspects.Notes(b.News)
-		b.Leavings = leavings
+		b.Leavings, b.Limits = leavings, limits
 	}
 }
 
@@ -213,6 +213,7 @@
 			}
 		}
 	}
+	out = g.fullNotes(out)
 	out = out[:min(len(out), notesPerBeat)]
 	sort.Slice(out, func(i, j int) bool { return out[i].Server < out[j].Server })
 	return out
@@ -259,6 +260,7 @@
 	}
 	g.suspects.Hear(m.Suspects, m.From.ID.Name)
 	g.hearDepartures(m.Leavings, m.From.ID.Name)
+	g.hearLimits(m.Limits, m.From.ID.Name)
 	g.takeLoads(now, m)
 }
 
@@ -266,7 +268,7 @@
 	boxes := len(g.fleet.usable())
 	notes := make([]balance.Note, len(m.Backends))
 	for i, n := range m.Backends {
-		notes[i] = balance.Note{Server: n.Server, Load: balance.Load{Requests: int(n.Requests), Tokens: int(n.Tokens)}, Rests: n.Resting}
+		notes[i] = balance.Note{Server: n.Server, Load: loadOf(n), Rests: n.Resting}
 	}
 	reads := make([]balance.Read, len(m.Reads))
 	for i, r := range m.Reads {
@@ -448,6 +450,9 @@
 		return port.Answer{Suspects: &port.Suspects{From: g.ID.Name, Notes: g.suspects.AddUp(q.Suspects.Notes, q.Suspects.From)}}
 	case q.Publish != nil:
 		return port.Answer{Publish: g.give(q.Publish)}
+	case q.Places != nil:
+		a := g.placesOf(*q.Places)
+		return port.Answer{Places: &a}
 	}
 	return port.Answer{}
 }
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -61,6 +61,8 @@
 	holdings  holdings
 	suspects  suspects.Tracker
 	words     words
+	places    places
+	limitsDue atomic.Bool // a message on servers' limits is to be sent
 
 	stages     context.Context // ends when no more stages are waited for
 	endStages  context.CancelFunc
@@ -85,7 +87,8 @@
 	Refused   func(document, reason string) // an entry or a configuration that can't be used was read
 	Withheld  func(pool string)             // a server that was chosen takes no new work when the first byte is due
 	Suspected func(contents int)            // a server ended under so many contents
-	Said      func(pool, word string)       // a server said that it leaves or wants rest, or another box that it leaves
+	Said      func(pool, word string)       // a server said that it leaves, wants rest or limits its requests, or another box that it leaves
+	Placed    func(pool string, ok bool)    // a place at a server with a limit was asked for
 }
 
 // Run works until the context ends. Init must have been called.
@@ -124,6 +127,7 @@
 	g.desk.init(g)
 	g.waiting.init(g)
 	g.estimates.init()
+	g.places.init()
 	g.holdings.init(g)
 	g.initSuspects()
 }
@@ -161,6 +165,7 @@
 	g.dropLapsed(now)
 	g.suspects.Tick()
 	g.sweepWords(now)
+	g.places.sweep(now)
 }
 
 // awake says whether this process can trust what it believes: it was not paused since its documents
--- /dev/null
+++ b/src/gateway/places.go
@@ -0,0 +1,235 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/port"
+	"github.com/stilemast/stilemast/src/pushback"
+	"github.com/stilemast/stilemast/src/quota"
+)
+
+// places are the places that this box hands out at servers with a limit, and what it knows of the boxes that hand out others.
+type places struct {
+	mu     sync.Mutex
+	keeper quota.Keeper
+	unable map[string]time.Time // boxes that know no limits, and until when they are passed over
+	silent map[string]time.Time // boxes that did not answer, and until when they are not asked
+}
+
+func (p *places) init() { p.unable, p.silent = map[string]time.Time{}, map[string]time.Time{} }
+
+var (
+	errNoKeeper  = errors.New("no box is known to keep the server")
+	errKeeperOff = errors.New("the keeper did not answer lately")
+)
+
+// keeperOf is the box that hands out the places of a server: the scheduler of a pool whose calls one box forms, which so needs no
+// message; otherwise the first by rendezvous hash on the server, so that many servers are kept by many boxes.
+func (g *Gateway) keeperOf(pool, server string, passed map[string]bool) string {
+	if x := g.index.Load(); x != nil {
+		if p := x.Pool(pool); p != nil && p.Batch != nil {
+			return g.schedulerOf(pool, passed)
+		}
+	}
+	return g.schedulerOf(server, passed)
+}
+
+// limitAt gives the limit in force at a server; false for none.
+func (g *Gateway) limitAt(s catalog.Server) (pushback.Limited, bool) {
+	if !g.words.any.Load() {
+		return pushback.Limited{}, false
+	}
+	w := &g.words
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.register.LimitOf(g.now(), wordLife(s))
+}
+
+// limitRate is the requests a second that all boxes may send to a server, 0 for no limit.
+func (g *Gateway) limitRate(s *catalog.Server) float64 {
+	l, _ := g.limitAt(*s)
+	return l.Rate
+}
+
+// takePlace sees to it that a request has a place at a server, within its patience. It gives when the place begins; false when
+// there is none, and the server is not chosen again until one is free.
+func (g *Gateway) takePlace(ctx context.Context, s catalog.Server, owner string, patience time.Duration) (time.Time, bool) {
+	now := g.now()
+	l, limited := g.limitAt(s)
+	if !limited {
+		return now, true
+	}
+	has := false
+	g.words.with(func(r *pushback.Register) { has = r.HasPlace(now, wordLife(s), owner) })
+	if has {
+		return now, true
+	}
+	box, a, err := g.askKeeper(ctx, s, port.AskPlaces{
+		From: g.ID.Name, Pool: s.Pool, Limit: noteOf(l.LimitNote), Known: l.Known, Patience: patience, Wants: l.Wants,
+	})
+	took := g.now().Sub(now)
+	if now = g.now(); err != nil {
+		a = port.Places{Next: keeperPause}
+	}
+	news := false
+	g.words.with(func(r *pushback.Register) {
+		news = r.HearNote(now, noteFrom(a.Limit))
+		r.Granted(now, s.ID, owner, a.N, a.Begin, a.Next)
+	})
+	if news {
+		g.announceLimits()
+	}
+	line := []any{"server", s.ID, "pool", s.Pool, "what", owner, "limit", l.Rate, "known_ms", l.Known.Milliseconds(), "keeper", box, "patience_ms", patience.Milliseconds(),
+		"places", a.N, "begin_ms", a.Begin.Milliseconds(), "next_ms", a.Next.Milliseconds(), "took_ms", took.Milliseconds()}
+	if err != nil {
+		line = append(line, "cause", err.Error())
+	}
+	g.Log.Info("place asked for", line...)
+	if g.Watch.Placed != nil {
+		g.Watch.Placed(s.Pool, a.N > 0)
+	}
+	return now.Add(a.Begin), a.N > 0
+}
+
+// askKeeper asks the box that keeps a server, and the next one where a box knows no limits or names another.
+func (g *Gateway) askKeeper(ctx context.Context, s catalog.Server, q port.AskPlaces) (string, port.Places, error) {
+	passed := g.places.passedOver(g.now())
+	box := g.keeperOf(s.Pool, s.ID, passed)
+	for range keepersAsked {
+		q.Passed = slices.Sorted(maps.Keys(passed))
+		if box == g.ID.Name {
+			a := g.placesOf(q)
+			if a.Keeper == "" {
+				return box, a, nil
+			}
+			box = a.Keeper
+			continue
+		}
+		a, err := g.askBox(ctx, box, q)
+		if err != nil {
+			return box, port.Places{}, err
+		}
+		if a == nil { // a box of an earlier release
+			g.places.passOver(box, g.now().Add(unableFor))
+			passed = g.places.passedOver(g.now())
+			box = g.keeperOf(s.Pool, s.ID, passed)
+			continue
+		}
+		if a.Keeper == "" {
+			return box, *a, nil
+		}
+		box = a.Keeper
+	}
+	return box, port.Places{}, errNoKeeper
+}
+
+// askBox asks another box for places; nil without an error when it knows no limits.
+func (g *Gateway) askBox(ctx context.Context, box string, q port.AskPlaces) (*port.Places, error) {
+	address := g.fleet.addressOf(box)
+	if address == "" || box == g.ID.Name {
+		return nil, errNoKeeper
+	}
+	if !g.places.mayAsk(box, g.now()) {
+		return nil, errKeeperOff
+	}
+	ctx, cancel := context.WithTimeout(ctx, keeperPatience)
+	defer cancel()
+	a, err := g.Peers.Ask(ctx, address, port.Question{Places: &q})
+	if err != nil {
+		g.places.noAnswer(box, g.now().Add(keeperPause))
+		return nil, err
+	}
+	return a.Places, nil
+}
+
+// placesOf answers a question for places.
+func (g *Gateway) placesOf(q port.AskPlaces) port.Places {
+	now := g.now()
+	note := noteFrom(q.Limit)
+	passed := map[string]bool{}
+	for _, b := range q.Passed {
+		passed[b] = true
+	}
+	if box := g.keeperOf(q.Pool, note.Server.ID, passed); box != g.ID.Name {
+		return port.Places{Keeper: box, Next: keeperPause}
+	}
+	news, limited := false, false
+	var l pushback.Limited
+	g.words.with(func(r *pushback.Register) {
+		news = r.HearNote(now, note)
+		l, limited = r.LimitOf(now, note.Server)
+	})
+	if news {
+		g.announceLimits()
+	}
+	if !limited { // it ended, as this box has heard
+		return port.Places{N: max(1, q.Wants), Limit: noteOf(l.LimitNote)}
+	}
+	a := quota.Ask{Server: l.Server.ID, Incarnation: l.Server.Incarnation, PerSecond: l.Rate, Known: max(q.Known, l.Known), Patience: q.Patience, Wants: q.Wants}
+	part := g.fleet.inSight(now)
+	g.places.mu.Lock()
+	t := g.places.keeper.Take(now, a, part)
+	g.places.mu.Unlock()
+	return port.Places{N: t.Places, Begin: t.Begin, Next: t.Next, Limit: noteOf(l.LimitNote)}
+}
+
+// inSight is the part of the boxes that may be running which this box can see. Those that it lost a moment ago may go on at the
+// other side of a partition, with a keeper of their own.
+func (f *fleet) inSight(now time.Time) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := max(1, len(f.usableNow))
+	return float64(n) / float64(n+f.core.Missing(now, seenLately))
+}
+
+// passOver takes a box out of the choice of keepers: it knows no limits.
+func (p *places) passOver(box string, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unable[box] = until
+}
+
+// passedOver lists the boxes that know no limits.
+func (p *places) passedOver(now time.Time) map[string]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]bool{}
+	for box, until := range p.unable {
+		if now.Before(until) {
+			out[box] = true
+		} else {
+			delete(p.unable, box)
+		}
+	}
+	return out
+}
+
+// noAnswer notes that a box did not answer. It stays the keeper: another one beside it would double what a server gets.
+func (p *places) noAnswer(box string, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent[box] = until
+}
+
+// mayAsk says whether a box answered lately, as far as this one asked.
+func (p *places) mayAsk(box string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Before(p.silent[box]) {
+		return false
+	}
+	delete(p.silent, box)
+	return true
+}
+
+func (p *places) sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keeper.Sweep(now)
+}
--- a/src/gateway/pools.go
+++ b/src/gateway/pools.go
@@ -47,6 +47,7 @@
 			budget: &retry.Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 		}
 		e.picker.RestsUntil = p.gateway.restsUntil
+		e.picker.Limits = func(s *catalog.Server) bool { return p.gateway.limitRate(s) > 0 }
 		p.all[name] = e
 	}
 	return e
--- a/src/gateway/pushback.go
+++ b/src/gateway/pushback.go
@@ -13,7 +13,7 @@
 	"github.com/stilemast/stilemast/src/pushback"
 )
 
-// ErrServerRests says that nothing was sent, since the server asked this box for rest.
+// ErrServerRests says that nothing was sent, since the server asked this box for rest or takes no more requests now.
 var ErrServerRests = errors.New("the server asked for rest")
 
 // words holds what servers said of themselves, under a lock that is taken only while anything is known.
@@ -39,14 +39,21 @@
 	return w.register.Judge(now, wordLife(s))
 }
 
-// begin judges a server just before the first byte goes there.
-func (w *words) begin(now time.Time, s catalog.Server) pushback.Verdict {
+// begin judges a server just before the first byte of a request goes there.
+func (w *words) begin(now time.Time, s catalog.Server, owner string) pushback.Verdict {
 	if !w.any.Load() {
 		return pushback.Verdict{}
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.register.Begin(now, wordLife(s))
+	return w.register.Begin(now, wordLife(s), owner)
+}
+
+// giveBack leaves the place of a request that was not sent to others.
+func (w *words) giveBack(id, owner string) {
+	if w.any.Load() {
+		w.with(func(r *pushback.Register) { r.GiveBack(id, owner) })
+	}
 }
 
 // wordLife names the life of a listed server.
@@ -68,11 +75,15 @@
 	return g.words.any.Load() && g.words.judge(g.now(), s).State == pushback.Leaving
 }
 
-// hear takes what the answer of a server says of it. what names the exchange, for logs.
-func (g *Gateway) hear(s catalog.Server, w pushback.Word, what string) {
+// hear takes what the answer of a server says of it. what names the exchange, for logs; sent is when it began, zero where no answer
+// of that server came.
+func (g *Gateway) hear(s catalog.Server, w pushback.Word, what string, sent time.Time) {
 	if w == (pushback.Word{}) && !g.words.any.Load() {
 		return
 	}
+	if w.Limit != 0 || !sent.IsZero() {
+		g.hearLimit(s, w.Limit, sent, what)
+	}
 	now := g.now()
 	var until time.Time
 	leaves, rests := false, false
@@ -99,6 +110,7 @@
 const (
 	wordLeaving = "leaving"
 	wordRest    = "rest"
+	wordLimit   = "limit"
 )
 
 func (g *Gateway) watchWord(pool, word string) {
--- a/src/gateway/resting.go
+++ b/src/gateway/resting.go
@@ -7,6 +7,7 @@
 
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/pushback"
 )
 
 // awaitRest holds a request while every server that may be tried wants rest, for as long as it can wait; otherwise it refuses it
@@ -23,6 +24,15 @@
 		if !resting {
 			break
 		}
+		if s, limited := v.nextPlace(e, now); limited {
+			if err := v.reserve(ctx, s, now, end); err != nil {
+				return err
+			}
+			if v.wish.Only != "" {
+				return nil
+			}
+			continue
+		}
 		if v.tooLong(now, end) {
 			return v.resting(now, end)
 		}
@@ -53,6 +63,17 @@
 	return e.picker.RestEnds(now, &v.wish)
 }
 
+// nextPlace is the server that can be asked first, where all want rest or have no place free, if it has a limit.
+func (v *visit) nextPlace(e *pool, now time.Time) (catalog.Server, bool) {
+	e.mu.Lock()
+	s, _, ok := e.picker.FirstToWake(now, &v.wish)
+	e.mu.Unlock()
+	if !ok {
+		return s, false
+	}
+	return s, v.gateway.words.judge(now, s).State == pushback.Full
+}
+
 // mayWait says whether a server was free, or will be, when none was at the choice: another request may have taken its turn, or an
 // answer may have come, since it was looked for.
 func (v *visit) mayWait(e *pool, now time.Time) bool {
@@ -82,7 +103,11 @@
 		return nil
 	}
 	now := v.gateway.now()
-	if end, resting := v.restEnds(e, now); resting && v.tooLong(now, end) {
+	end, resting := v.restEnds(e, now)
+	if !resting {
+		return nil
+	}
+	if _, limited := v.nextPlace(e, now); limited && end.Sub(now) > v.placePatience(now) || !limited && v.tooLong(now, end) {
 		return v.resting(now, end)
 	}
 	return nil
@@ -92,7 +117,7 @@
 // or all would meet the first server that takes requests again.
 func (v *visit) resting(now, end time.Time) *code.Error {
 	spread := time.Duration(catalog.Hash(v.request.ID) % uint64(restSpread))
-	return refusal(code.BackendsResting, "pool", end.Sub(now)+spread, "all servers of %s want rest, the first for another %s", v.pool, end.Sub(now).Round(time.Millisecond))
+	return refusal(code.BackendsResting, "pool", end.Sub(now)+spread, "all servers of %s want rest or take no more requests, the first for another %s", v.pool, end.Sub(now).Round(time.Millisecond))
 }
 
 // noServer is the refusal of a request that no server is left for.
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -54,7 +55,7 @@
 		return s
 	}
 	s = &scheduler{core: batch.NewScheduler(d.gateway.ID.Name, *p), pool: pool, foreign: true}
-	s.core.Judge, s.core.RestsUntil = d.gateway.suspects.Judge, d.gateway.restsUntil
+	s.core.Judge, s.core.RestsUntil, s.core.LimitOf = d.gateway.suspects.Judge, d.gateway.restsUntil, d.gateway.limitRate
 	d.all[pool] = s
 	d.mu.Unlock()
 	d.open(s, *p)
@@ -291,7 +292,12 @@
 		g.Log.Info("results not given up at a server that wants nothing", "server", s.ID, "state", v.State.String(), "results", len(handles))
 		return
 	}
-	g.hear(s, g.Backends.FreePieces(ctx, s, handles), "results given up")
+	owner := "results of " + handles[0]
+	if _, ok := g.takePlace(ctx, s, owner, 0); !ok || !g.words.begin(g.now(), s, owner).Open() {
+		g.Log.Info("results not given up at a server that takes no more now", "server", s.ID, "results", len(handles))
+		return
+	}
+	g.hear(s, g.Backends.FreePieces(ctx, s, handles), "results given up", time.Time{})
 }
 
 // call runs one call and tells its scheduler how it ended.
@@ -299,13 +305,21 @@
 	g := d.gateway
 	began := g.now()
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
-	if len(c.Free) > 0 {
-		d.giveUp(ctx, c.Server, c.Free)
+	owner := fmt.Sprint("call ", c.N)
+	r := PieceReply{Outcome: batch.CallWithheld}
+	if _, ok := g.takePlace(ctx, c.Server, owner, 0); ok {
+		if len(c.Free) > 0 {
+			d.giveUp(ctx, c.Server, c.Free)
+		}
+		r = g.Backends.RunPieces(ctx, PieceCall{Server: c.Server, Items: c.Items, Start: g.startOf(ctx, c.Server, "pieces", owner, began)})
 	}
-	r := g.Backends.RunPieces(ctx, PieceCall{Server: c.Server, Items: c.Items, Start: g.startOf(ctx, c.Server, "pieces", began)})
 	cancel()
 	outcome, results := r.Outcome, r.Results
-	g.hear(c.Server, r.Said, "pieces")
+	sent := began
+	if outcome != batch.CallDone && outcome != batch.CallFull {
+		sent = time.Time{}
+	}
+	g.hear(c.Server, r.Said, "pieces", sent)
 	d.noteContents(c, outcome, results)
 	now := g.now()
 	took := now.Sub(began)
--- a/src/gateway/starting.go
+++ b/src/gateway/starting.go
@@ -16,11 +16,11 @@
 // that byte a connection may take most of a second to open and this process may stand still, while the server
 // leaves: so the list decides once more, and after a pause only once it is confirmed. It guards up to 0.7 s of the 2 s in which
 // a leaving server may still get requests (TestAServerThatLeftAfterItWasChosenIsSentNothing).
-func (g *Gateway) startOf(ctx context.Context, s catalog.Server, what string, chosen time.Time) func() error {
+func (g *Gateway) startOf(ctx context.Context, s catalog.Server, what, owner string, chosen time.Time) func() error {
 	return func() error {
 		g.awaitAwake(ctx)
 		if g.mayUse(s.ID) {
-			return g.beginAt(s, what, chosen)
+			return g.beginAt(s, what, owner, chosen)
 		}
 		g.logWithheld(s, what, chosen)
 		if g.Watch.Withheld != nil {
@@ -32,13 +32,13 @@
 
 // beginAt asks the server's own words once more. Two choices of one moment may have met at a server that wanted no more after
 // the first.
-func (g *Gateway) beginAt(s catalog.Server, what string, chosen time.Time) error {
+func (g *Gateway) beginAt(s catalog.Server, what, owner string, chosen time.Time) error {
 	now := g.now()
-	v := g.words.begin(now, s)
+	v := g.words.begin(now, s, owner)
 	if v.Open() {
 		return nil
 	}
-	g.Log.Info("nothing sent to a server that asked for rest", "server", s.ID, "pool", s.Pool, "what", what, "state", v.State.String(), "choice_ms", now.Sub(chosen).Milliseconds(), "left_ms", v.Until.Sub(now).Milliseconds())
+	g.Log.Info("nothing sent to a server that takes no more now", "server", s.ID, "pool", s.Pool, "what", what, "state", v.State.String(), "choice_ms", now.Sub(chosen).Milliseconds(), "left_ms", v.Until.Sub(now).Milliseconds())
 	if g.Watch.Withheld != nil {
 		g.Watch.Withheld(s.Pool)
 	}
--- a/src/port/port.go
+++ b/src/port/port.go
@@ -166,6 +166,7 @@
 	Versions *Versions      `msgpack:"v"`
 	Publish  *PullPublished `msgpack:"b"`
 	Suspects *Suspects      `msgpack:"s,omitempty"`
+	Places   *AskPlaces     `msgpack:"l,omitempty"`
 }
 
 // Answer answers a Question; the field of the same name is set, or Err.
@@ -177,6 +178,7 @@
 	Versions  *Versions   `msgpack:"v"`
 	Publish   *Published  `msgpack:"b"`
 	Suspects  *Suspects   `msgpack:"s,omitempty"`
+	Places    *Places     `msgpack:"l,omitempty"`
 	Err       *code.Error `msgpack:"e"`
 }
 
@@ -229,6 +231,26 @@
 	Notes []crasher.Note `msgpack:"n"`
 }
 
+// AskPlaces asks the keeper of a server with a limit for places there (package quota).
+type AskPlaces struct {
+	From     string         `msgpack:"f"`
+	Pool     string         `msgpack:"p"`
+	Limit    core.LimitNote `msgpack:"l"`           // as the asker knows it
+	Known    time.Duration  `msgpack:"k"`           // for how long
+	Patience time.Duration  `msgpack:"w"`           // within which the first place must begin
+	Wants    int            `msgpack:"n"`           // places
+	Passed   []string       `msgpack:"o,omitempty"` // boxes before the keeper that know no limits
+}
+
+// Places are the places that a keeper hands out.
+type Places struct {
+	Keeper string         `msgpack:"k,omitempty"` // the box that keeps the server, where it is another
+	N      int            `msgpack:"n"`
+	Begin  time.Duration  `msgpack:"b"` // until they begin
+	Next   time.Duration  `msgpack:"x"` // until the asker need ask again
+	Limit  core.LimitNote `msgpack:"l"` // as the keeper knows it
+}
+
 // Versions asks what a box holds, or tells it.
 type Versions struct {
 	Config core.Statement `msgpack:"c"`
--- /dev/null
+++ b/src/pushback/limits.go
@@ -0,0 +1,281 @@
+package pushback
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// limit is what is known of the requests a second that one life of a server takes from all boxes together.
+type limit struct {
+	incarnation int64
+	sequence    uint64  // rises with each change that some box heard
+	perSecond   float64 // that it named last
+	since       time.Time
+	heardAt     time.Time // when this box last heard that it is in force
+	endedAt     time.Time // when it was heard that the server names none any more; zero while it does
+	changedAt   time.Time // when this box last heard of a change
+	listedAt    time.Time // when its server was last listed
+
+	places []place
+	next   time.Time // no free place before, as the keeper of the server said
+	used   int       // places since usedAt
+	usedAt time.Time
+}
+
+// place is the right to send one request.
+type place struct {
+	owner      string // the request that it was asked for, "" for any
+	from, till time.Time
+}
+
+// LimitNote is what boxes tell one another of a server's limit. Of two notes on one life that with the higher sequence is the later;
+// of two boxes that heard something else at one moment the lower limit counts.
+type LimitNote struct {
+	Server    Server
+	Sequence  uint64
+	PerSecond float64
+	Ended     bool
+}
+
+// in says whether the limit is in force for a server's life.
+func (l limit) in(now time.Time, s Server) bool {
+	if l.incarnation > 0 && s.Incarnation > l.incarnation {
+		return false
+	}
+	return l.endedAt.IsZero() || now.Sub(l.endedAt) < liftFor
+}
+
+// rate is the limit now. After its end it rises in steps, so that all who were kept away don't come back together.
+func (l limit) rate(now time.Time) float64 {
+	if l.endedAt.IsZero() {
+		return l.perSecond
+	}
+	return l.perSecond * math.Exp2(float64(now.Sub(l.endedAt)/liftStep))
+}
+
+// HearLimit takes the limit that an answer names, 0 when it names none. sent is when its request was sent: an answer to a request that
+// was sent before the limit was heard may have been made before it, and ends nothing. HearLimit says whether other boxes should hear
+// of it at once.
+func (r *Register) HearLimit(now, sent time.Time, s Server, perSecond float64) bool {
+	l, known := r.limits[s.ID]
+	if known && l.incarnation > 0 && s.Incarnation > l.incarnation {
+		l, known = limit{}, false
+	}
+	switch {
+	case perSecond == NoSense, known && s.Incarnation < l.incarnation && s.Incarnation > 0:
+		return false
+	case perSecond == 0:
+		if !known || !l.endedAt.IsZero() || !sent.After(l.heardAt) {
+			return false
+		}
+		l.sequence, l.endedAt, l.changedAt = l.sequence+1, now, now
+		r.limits[s.ID] = l
+		return true
+	}
+	if !known && len(r.limits) >= lifeMost {
+		return false
+	}
+	was := l
+	if named := known && l.endedAt.IsZero(); !named || sent.After(l.heardAt) {
+		l.perSecond = perSecond
+	} else {
+		l.perSecond = min(l.perSecond, perSecond)
+	}
+	l.incarnation, l.heardAt, l.endedAt = s.Incarnation, now, time.Time{}
+	if !known || now.Sub(was.endedAt) >= liftFor && !was.endedAt.IsZero() {
+		l.since, l.listedAt = now, now
+	}
+	if !known || !was.endedAt.IsZero() || l.perSecond != was.perSecond {
+		l.sequence++
+		l.changedAt = now
+	}
+	r.putLimit(s.ID, l)
+	return !known || !was.endedAt.IsZero() || l.perSecond < newsPart*was.perSecond
+}
+
+func (r *Register) putLimit(id string, l limit) {
+	if r.limits == nil {
+		r.limits = map[string]limit{}
+	}
+	r.limits[id] = l
+}
+
+// HearNote takes what another box knows of a server's limit, for how long it has known it. It says whether it is news.
+func (r *Register) HearNote(now time.Time, n LimitNote) bool {
+	l, known := r.limits[n.Server.ID]
+	switch {
+	case n.PerSecond < LeastLimit || n.PerSecond > MostLimit || n.Sequence == 0:
+		return false // no box of ours says that
+	case known && n.Server.Incarnation < l.incarnation, !known && len(r.limits) >= lifeMost:
+		return false
+	case known && n.Server.Incarnation == l.incarnation && n.Sequence < l.sequence:
+		return false
+	case known && n.Server.Incarnation == l.incarnation && n.Sequence == l.sequence:
+		named := l.endedAt.IsZero()
+		if n.Ended || named && n.PerSecond >= l.perSecond {
+			return false
+		}
+	}
+	if !known || n.Server.Incarnation != l.incarnation {
+		l = limit{incarnation: n.Server.Incarnation, since: now, listedAt: now}
+	}
+	l.sequence, l.perSecond, l.heardAt, l.changedAt, l.endedAt = n.Sequence, n.PerSecond, now, now, time.Time{}
+	if n.Ended {
+		l.endedAt = now
+	}
+	r.putLimit(n.Server.ID, l)
+	return true
+}
+
+// Limits lists what other boxes should know of servers' limits, NotesMost at most: half of them what changed last, the others in
+// turn, so that a box which missed a change hears of it later.
+func (r *Register) Limits() []LimitNote {
+	ids := slices.SortedFunc(maps.Keys(r.limits), func(a, b string) int {
+		return cmp.Or(r.limits[b].changedAt.Compare(r.limits[a].changedAt), cmp.Compare(a, b))
+	})
+	out := make([]LimitNote, 0, min(len(ids), NotesMost))
+	newest := min(len(ids), NotesMost/2)
+	for _, id := range ids[:newest] {
+		out = append(out, r.note(id))
+	}
+	rest := ids[newest:]
+	for range min(len(rest), NotesMost-newest) {
+		r.told++
+		out = append(out, r.note(rest[r.told%len(rest)]))
+	}
+	return out
+}
+
+func (r *Register) note(id string) LimitNote {
+	l := r.limits[id]
+	return LimitNote{Server: Server{ID: id, Incarnation: l.incarnation}, Sequence: l.sequence, PerSecond: l.perSecond, Ended: !l.endedAt.IsZero()}
+}
+
+// Limited is a server's limit in force.
+type Limited struct {
+	LimitNote
+	Rate  float64       // requests a second that all boxes together may send now
+	Known time.Duration // for how long this box has known of a limit
+	Wants int           // places that it used lately, and one
+}
+
+// LimitOf gives the limit that is in force at a server; false for none.
+func (r *Register) LimitOf(now time.Time, s Server) (Limited, bool) {
+	l, ok := r.limits[s.ID]
+	if !ok || !l.in(now, s) {
+		return Limited{}, false
+	}
+	out := Limited{LimitNote: r.note(s.ID), Rate: l.rate(now), Known: now.Sub(l.since), Wants: 1}
+	if now.Sub(l.usedAt) < 2*wantsOver {
+		out.Wants += l.used
+	}
+	return out, true
+}
+
+// Granted takes places that the keeper of a server handed out, the first of them to one request, and when it has the next.
+func (r *Register) Granted(now time.Time, id, owner string, places int, begin, next time.Duration) {
+	l, ok := r.limits[id]
+	if !ok {
+		return
+	}
+	from := now.Add(begin)
+	for i := range places {
+		p := place{from: from, till: from.Add(placeLife)}
+		if i == 0 {
+			p.owner = owner
+		}
+		l.places = append(l.places, p)
+	}
+	l.next = now.Add(next)
+	r.limits[id] = l
+}
+
+// GiveBack leaves the place of a request that will not be sent to whoever needs it.
+func (r *Register) GiveBack(id, owner string) {
+	for i, p := range r.limits[id].places {
+		if p.owner == owner {
+			r.limits[id].places[i].owner = ""
+		}
+	}
+}
+
+// HasPlace says whether a request may be sent to a server without asking its keeper.
+func (r *Register) HasPlace(now time.Time, s Server, owner string) bool {
+	l, ok := r.limits[s.ID]
+	return !ok || !l.in(now, s) || slices.ContainsFunc(l.places, func(p place) bool { return p.open(now, owner) })
+}
+
+func (p place) open(now time.Time, owner string) bool {
+	return (p.owner == "" || p.owner == owner) && !now.Before(p.from) && now.Before(p.till)
+}
+
+// judgeLimit says whether a request may ask for a place, or has one.
+func (r *Register) judgeLimit(now time.Time, s Server) Verdict {
+	l, ok := r.limits[s.ID]
+	if !ok || !l.in(now, s) || !now.Before(l.next) || r.HasPlace(now, s, "") {
+		return Verdict{}
+	}
+	return Verdict{State: Full, Until: l.next}
+}
+
+// takePlace uses a place of a request up just before its first byte.
+func (r *Register) takePlace(now time.Time, s Server, owner string) Verdict {
+	l, ok := r.limits[s.ID]
+	if !ok || !l.in(now, s) {
+		return Verdict{}
+	}
+	l.places = slices.DeleteFunc(l.places, func(p place) bool { return !now.Before(p.till) })
+	best := -1
+	for i, p := range l.places {
+		if p.open(now, owner) && (best < 0 || p.owner == owner && owner != "") {
+			best = i
+		}
+	}
+	v := Verdict{}
+	if best < 0 {
+		v = Verdict{State: Full, Until: later(l.next, now.Add(answerSoon))}
+	} else {
+		l.places = slices.Delete(l.places, best, best+1)
+		if now.Sub(l.usedAt) >= wantsOver {
+			l.used, l.usedAt = 0, now
+		}
+		l.used++
+	}
+	r.limits[s.ID] = l
+	return v
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// sweepLimits forgets limits that have ended, and those of servers that have not been listed for a while.
+func (r *Register) sweepLimits(now time.Time, listed func(id string) bool) {
+	for id, l := range r.limits {
+		if listed(id) {
+			l.listedAt = now
+			r.limits[id] = l
+		}
+		if now.Sub(l.listedAt) > departureKept || !l.endedAt.IsZero() && now.Sub(l.endedAt) > restKept {
+			delete(r.limits, id)
+		}
+	}
+}
+
+// InForce lists the limits in force, by server.
+func (r *Register) InForce(now time.Time) []Limited {
+	var out []Limited
+	for id := range r.limits {
+		if l, ok := r.LimitOf(now, Server{ID: id}); ok {
+			out = append(out, l)
+		}
+	}
+	slices.SortFunc(out, func(a, b Limited) int { return cmp.Compare(a.Server.ID, b.Server.ID) })
+	return out
+}
--- a/src/pushback/register.go
+++ b/src/pushback/register.go
@@ -15,6 +15,7 @@
 	Leaving                // it gets no new work any more
 	Resting                // it wants nothing until a time
 	Returning              // its rest is over, and as many requests try it as may do so at once
+	Full                   // no place is left of the requests a second that it takes from all boxes together
 )
 
 // String names the state for logs.
@@ -26,12 +27,14 @@
 		return "resting"
 	case Returning:
 		return "returning"
+	case Full:
+		return "full"
 	}
 	return "open"
 }
 
-// Verdict says whether a server may get a request. Until is when one that rests may be asked, and when one that
-// returns is to be judged again.
+// Verdict says whether a server may get a request. Until is when one that rests may be asked, when one that returns is to be
+// judged again, and when the next place of one that is full is free.
 type Verdict struct {
 	State State
 	Until time.Time
@@ -45,12 +48,16 @@
 //
 // Idea. A server's own word is stronger than any list of it. It is kept apart from the lists, so that none of them replaces it: no
 // entry that is written again, no whole read after an outage, no list of another box. That a server leaves holds for the life
-// that said it, at all boxes; its rest holds between it and this box alone, whichever life asked.
+// that said it, at all boxes; its rest holds between it and this box alone, whichever life asked. Its limit of requests a second holds
+// for the life that named it and for all boxes together: a request needs a place, which the keeper of the server hands out
+// (package quota).
 //
 // Pure: time comes in, on a clock that counts a machine's sleep. Not safe for concurrent use.
 type Register struct {
-	left  map[string]departure
-	rests map[string]rest
+	left   map[string]departure
+	rests  map[string]rest
+	limits map[string]limit
+	told   int // of limits, in turn
 }
 
 // departure is a life that said that it leaves.
@@ -135,18 +142,22 @@
 	p, ok := r.rests[s.ID]
 	switch {
 	case !ok:
-		return Verdict{}
+		return r.judgeLimit(now, s)
 	case now.Before(p.until):
 		return Verdict{State: Resting, Until: p.until}
 	case !p.free(now):
 		return Verdict{State: Returning, Until: now.Add(answerSoon)}
 	}
-	return Verdict{}
+	return r.judgeLimit(now, s)
 }
 
-// Begin judges a server just before the first byte of a request goes there, and counts the request where it may go.
-func (r *Register) Begin(now time.Time, s Server) Verdict {
+// Begin judges a server just before the first byte of a request goes there, and counts the request where it may go. owner names the
+// request for which a place was asked.
+func (r *Register) Begin(now time.Time, s Server, owner string) Verdict {
 	v := r.Judge(now, s)
+	if v.Open() || v.State == Full {
+		v = r.takePlace(now, s, owner)
+	}
 	if p, ok := r.rests[s.ID]; ok && v.Open() {
 		if p.begun >= p.window {
 			p.begun = 0
@@ -178,13 +189,14 @@
 	return out[:min(len(out), NotesMost)]
 }
 
-// Sweep forgets what is over: rests, and words of servers that have not been listed for a while.
+// Sweep forgets what is over: rests, limits, and words of servers that have not been listed for a while.
 func (r *Register) Sweep(now time.Time, listed func(id string) bool) {
 	for id, p := range r.rests {
 		if now.Sub(p.until) > restKept {
 			delete(r.rests, id)
 		}
 	}
+	r.sweepLimits(now, listed)
 	for id, d := range r.left {
 		switch {
 		case listed(id):
@@ -197,4 +209,4 @@
 }
 
 // Empty says whether nothing is known.
-func (r *Register) Empty() bool { return len(r.left) == 0 && len(r.rests) == 0 }
+func (r *Register) Empty() bool { return len(r.left) == 0 && len(r.rests) == 0 && len(r.limits) == 0 }
--- a/src/pushback/register_test.go
+++ b/src/pushback/register_test.go
@@ -108,7 +108,7 @@
 	now := start.Add(time.Second)
 	wave := func() int {
 		n := 0
-		for n < 1000 && r.Begin(now, life("a", 1)).Open() {
+		for n < 1000 && r.Begin(now, life("a", 1), "").Open() {
 			n++
 		}
 		return n
@@ -157,7 +157,7 @@
 			case 3:
 				r.Sweep(now, func(string) bool { return true })
 			case 4:
-				if v := r.Begin(now, s); v.Open() && (left[s] || now.Before(until[s.ID])) {
+				if v := r.Begin(now, s, ""); v.Open() && (left[s] || now.Before(until[s.ID])) {
 					t.Fatalf("a request began at %s of life %d, which left (%v) or rests until %s, at %s", s.ID, s.Incarnation, left[s], until[s.ID].Sub(start), now.Sub(start))
 				}
 			}
--- /dev/null
+++ b/src/quota/keeper.go
@@ -0,0 +1,148 @@
+// Package quota shares out the requests a second that a backend server takes from all boxes together.
+//
+// Load. Servers in need name a limit for all boxes together, one request a second or thousands, in fleets of a few boxes or a
+// thousand. Each box sees only what it sends itself, so that no box alone can keep the limit.
+//
+// Idea. For each such server one box, its keeper, hands out places: a place is the right to send one request at a time or shortly after.
+// A box asks just before it would send, and sends elsewhere at once when there is no place. Places are handed out as a
+// rate with a small burst (the generic cell rate algorithm, ITU-T I.371), also ahead of time to those who can wait: the keeper's next free
+// place is the queue of all boxes, so that who can't be served in time knows it at once.
+//
+// What is unknown counts as used. A place that is not used in time is lost. A keeper that takes over from another hands out a part of
+// the limit at first, as the other may still do so; one that has lost sight of boxes leaves them their part.
+//
+// Trade-offs. A request to such a server costs one question more, of a millisecond or two; a large limit hands out several places at once
+// to those who ask often. While a keeper is lost and nobody knows it, its servers get nothing from the boxes that ask it.
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// Ask is a box's question for places at a server.
+type Ask struct {
+	Server      string
+	Incarnation int64         // the server's life
+	PerSecond   float64       // the server's limit
+	Known       time.Duration // for how long boxes have known of the limit
+	Patience    time.Duration // within which the first place must begin
+	Wants       int           // places
+}
+
+// Grant answers an Ask.
+type Grant struct {
+	Places int           // 0 for none
+	Begin  time.Duration // until the places begin
+	Next   time.Duration // until the asker need ask again: the next free place, or later when many ask
+}
+
+// Keeper hands out the places of the servers that this box keeps. Pure: time comes in. Not safe for concurrent use.
+type Keeper struct {
+	servers map[string]*server
+}
+
+type server struct {
+	incarnation int64
+	perSecond   float64
+	next        time.Time // when the next place begins by the rate alone, without the burst
+	sharesUntil time.Time // until when the keeper before may still hand out places
+	usedAt      time.Time
+
+	second time.Time // in which questions are counted
+	asked  int
+	pause  time.Duration // by which those who get nothing ask later
+}
+
+// Take hands out places. part is the part of the limit that the boxes which this keeper can see may use.
+func (k *Keeper) Take(now time.Time, a Ask, part float64) Grant {
+	s := k.serverOf(now, a)
+	s.usedAt = now
+	s.count(now)
+	rate := s.perSecond * min(1, max(0, part))
+	if now.Before(s.sharesUntil) {
+		rate *= takeoverPart
+	}
+	if rate <= 0 {
+		return Grant{Next: mostPause}
+	}
+	interval := time.Duration(float64(time.Second) / rate)
+	burst := time.Duration(burstOf(s.perSecond) * float64(interval))
+	begin := s.next.Add(-burst)
+	if begin.Before(now) {
+		begin = now
+	}
+	g := Grant{Begin: begin.Sub(now)}
+	if g.Begin <= a.Patience {
+		g.Places = 1
+		if g.Begin == 0 {
+			free := int(float64(now.Add(burst).Sub(s.next))/float64(interval)) + 1
+			g.Places = max(1, min(a.Wants, free, mostPlaces(s.perSecond)))
+		}
+		if s.next.Before(begin) {
+			s.next = begin
+		}
+		s.next = s.next.Add(time.Duration(g.Places) * interval)
+	}
+	g.Next = max(0, s.next.Add(-burst).Sub(now))
+	if g.Places == 0 {
+		g.Next += s.pause
+	}
+	return g
+}
+
+// serverOf gives the state of a server as the asker knows it; places that were handed out ahead keep their part of a changed limit.
+func (k *Keeper) serverOf(now time.Time, a Ask) *server {
+	if k.servers == nil {
+		k.servers = map[string]*server{}
+	}
+	s := k.servers[a.Server]
+	if s == nil || s.incarnation < a.Incarnation {
+		s = &server{incarnation: a.Incarnation, perSecond: a.PerSecond, next: now}
+		if a.Known > takeoverFor {
+			s.sharesUntil = now.Add(takeoverFor)
+		}
+		k.servers[a.Server] = s
+	}
+	if a.PerSecond != s.perSecond {
+		if ahead := s.next.Sub(now); ahead > 0 {
+			s.next = now.Add(time.Duration(float64(ahead) * min(1, s.perSecond/a.PerSecond)))
+		}
+		s.perSecond = a.PerSecond
+	}
+	return s
+}
+
+// count has those who ask in vain come back later the more of them there are, so that a keeper's work follows the limit and
+// not the fleet.
+func (s *server) count(now time.Time) {
+	if now.Sub(s.second) >= time.Second {
+		if float64(s.asked) > asksBase+asksFactor*s.perSecond {
+			s.pause = min(mostPause, max(leastPause, 2*s.pause))
+		} else if s.pause /= 2; s.pause < leastPause {
+			s.pause = 0
+		}
+		s.second, s.asked = now, 0
+	}
+	s.asked++
+}
+
+// burstOf is how many places may be handed out at once after a pause.
+func burstOf(perSecond float64) float64 { return burstFor.Seconds() * perSecond }
+
+// mostPlaces is how many places one question may get.
+func mostPlaces(perSecond float64) int {
+	return max(1, int(math.Round(perSecond*batchFor.Seconds())))
+}
+
+// Sweep forgets servers that nobody asks for.
+func (k *Keeper) Sweep(now time.Time) {
+	for id, s := range k.servers {
+		if now.Sub(s.usedAt) > keptFor {
+			delete(k.servers, id)
+		}
+	}
+}
+
+// Size counts the servers that are kept.
+func (k *Keeper) Size() int { return len(k.servers) }
