The keeper of a server is chosen by members alone, and the next box stands in for one that does not answer

Found by a play in which boxes stop as planned in turn: 31 requests in 4 s of 29 allowed. Traced in its sends: two places every 250 ms for 4 s, of two keepers. Boxes differed in who may schedule, since that depends on how long each box has been running, of which they know different things; pools settle it by claims, servers have none.

A new keeper begins with half and no burst for 2 s (a quarter for 4 s before). Plays: keeper killed, started again, frozen, cut off, stopped as planned, all restarted in turn, twice as many boxes, half cut off, at 6 and 61 boxes.

--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -444,14 +444,14 @@
 }
 
 // TakeQuestion answers another box.
-func (g *Gateway) TakeQuestion(_ context.Context, q port.Question) port.Answer {
+func (g *Gateway) TakeQuestion(ctx context.Context, q port.Question) port.Answer {
 	switch {
 	case q.Suspects != nil:
 		return port.Answer{Suspects: &port.Suspects{From: g.ID.Name, Notes: g.suspects.AddUp(q.Suspects.Notes, q.Suspects.From)}}
 	case q.Publish != nil:
 		return port.Answer{Publish: g.give(q.Publish)}
 	case q.Places != nil:
-		a := g.placesOf(*q.Places)
+		a := g.placesOf(ctx, *q.Places)
 		return port.Answer{Places: &a}
 	}
 	return port.Answer{}
--- a/src/gateway/fleet_test.go
+++ b/src/gateway/fleet_test.go
@@ -32,6 +32,7 @@
 	mu        sync.Mutex
 	boxes     map[string]*Gateway // by address
 	lost      map[string]bool     // addresses that neither send nor get messages
+	side      map[string]int      // of a partition, by address
 	stop      map[string]context.CancelFunc
 	storeOK   bool
 	rev       uint64
@@ -195,6 +196,16 @@
 	stop()
 }
 
+// part has some boxes not reach the others; none heals the partition.
+func (f *testFleet) part(names ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.side = map[string]int{}
+	for _, n := range names {
+		f.side[addressOf(n)] = 1
+	}
+}
+
 func (f *testFleet) setLost(name string, lost bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -240,7 +251,7 @@
 func (f *testFleet) reach(from, to string) *Gateway {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.lost[from] || f.lost[to] {
+	if f.lost[from] || f.lost[to] || f.side[from] != f.side[to] {
 		return nil
 	}
 	return f.boxes[to]
--- /dev/null
+++ b/src/gateway/limits_fleet_test.go
@@ -0,0 +1,122 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// What befalls the box that hands out the places of a server, in the middle of a play.
+func TestAServersLimitIsKeptWhileTheFleetChanges(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		befall func(s *wordSite, keeper string, boxes int)
+	}{
+		{"the keeper is killed", func(s *wordSite, keeper string, _ int) { s.lose(keeper, true) }},
+		{"the keeper is killed and starts again", func(s *wordSite, keeper string, _ int) {
+			s.lose(keeper, true)
+			time.Sleep(time.Second)
+			s.f.start(keeper)
+			s.up(keeper)
+		}},
+		{"the keeper is frozen for 5 s", func(s *wordSite, keeper string, _ int) {
+			s.lose(keeper, false)
+			time.Sleep(5 * time.Second)
+			s.f.setLost(keeper, false)
+			s.up(keeper)
+		}},
+		{"the keeper is cut off with its callers for 5 s", func(s *wordSite, keeper string, _ int) {
+			s.f.setLost(keeper, true)
+			time.Sleep(5 * time.Second)
+			s.f.setLost(keeper, false)
+		}},
+		{"the keeper stops as planned", func(s *wordSite, keeper string, _ int) {
+			s.f.box(keeper).Drain()
+			time.Sleep(2 * time.Second)
+			s.lose(keeper, true)
+		}},
+		{"all boxes stop as planned in turn", func(s *wordSite, _ string, boxes int) {
+			for i := range boxes {
+				box := fmt.Sprint("box", i)
+				s.f.box(box).Drain()
+				time.Sleep(500 * time.Millisecond)
+				s.lose(box, true)
+				time.Sleep(100 * time.Millisecond)
+				s.f.start(box)
+				s.up(box)
+				time.Sleep(400 * time.Millisecond)
+			}
+		}},
+		{"as many boxes join", func(s *wordSite, _ string, boxes int) {
+			for i := range boxes {
+				s.f.start(fmt.Sprint("new", i))
+			}
+		}},
+		{"half of the boxes are cut off with their callers for 5 s", func(s *wordSite, _ string, boxes int) {
+			var half []string
+			for i := range boxes / 2 {
+				half = append(half, fmt.Sprint("box", i))
+			}
+			s.f.part(half...)
+			time.Sleep(5 * time.Second)
+			s.f.part()
+		}},
+	} {
+		for _, pool := range []struct {
+			path, name string
+			limit      float64
+			between    time.Duration
+		}{{"/look/x", "model", 4, 8 * time.Millisecond}, {"/draft/x", "piece", 1, 60 * time.Millisecond}} {
+			for _, boxes := range []int{6, 61} {
+				if boxes > 6 && c.name == "all boxes stop as planned in turn" {
+					continue // takes a minute of a play of 14 s
+				}
+				t.Run(fmt.Sprint(boxes, " boxes, ", pool.name, ": ", c.name), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						s := newWordSite(t, boxes)
+						s.nameLimit(pool.name, 5, pool.limit)
+						go func() {
+							time.Sleep(4 * time.Second)
+							c.befall(s, s.keeper(pool.name), boxes)
+						}()
+						h := s.play(pool.path, boxes, pool.between, 14*time.Second)
+						t.Logf("%d answered, %d refused, %d again, %d without an answer", h.answered, h.refused, h.lost, h.unserved)
+						s.checkLimits(t, pool.limit, time.Now())
+					})
+				})
+			}
+		}
+	}
+}
+
+// keeper is the box that hands out the places of the first server of a pool.
+func (s *wordSite) keeper(pool string) string {
+	name := "model"
+	if pool == "piece" {
+		name = "encode"
+	}
+	return s.f.box("box0").keeperOf(name, pool+"0", nil)
+}
+
+// lose takes a box from its callers and from the others; killed ends it besides.
+func (s *wordSite) lose(box string, killed bool) {
+	s.mu.Lock()
+	if s.down == nil {
+		s.down = map[string]bool{}
+	}
+	s.down[box] = true
+	s.mu.Unlock()
+	if killed {
+		s.f.kill(box)
+	} else {
+		s.f.setLost(box, true)
+	}
+}
+
+// up gives a box callers again.
+func (s *wordSite) up(box string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.down, box)
+}
--- a/src/gateway/places.go
+++ b/src/gateway/places.go
@@ -37,7 +37,10 @@
 			return g.schedulerOf(pool, passed)
 		}
 	}
-	return g.schedulerOf(server, passed)
+	if !g.Settings.SharedBatches {
+		return g.ID.Name
+	}
+	return g.fleet.keeperOf(g.now(), server, passed)
 }
 
 // limitAt gives the limit in force at a server; false for none.
@@ -97,42 +100,43 @@
 	return now.Add(a.Begin), a.N > 0
 }
 
-// askKeeper asks the box that keeps a server, and the next one where a box knows no limits or names another.
+// askKeeper asks the box that keeps a server. The next one is asked where a box knows no limits, names another, or does not answer.
 func (g *Gateway) askKeeper(ctx context.Context, s catalog.Server, q port.AskPlaces) (string, port.Places, error) {
 	passed := g.places.passedOver(g.now())
 	box := g.keeperOf(s.Pool, s.ID, passed)
+	var last error
 	for range keepersAsked {
 		q.Passed = slices.Sorted(maps.Keys(passed))
-		if box == g.ID.Name {
-			a := g.placesOf(q)
-			if a.Keeper == "" {
-				return box, a, nil
-			}
-			box = a.Keeper
-			continue
-		}
 		a, err := g.askBox(ctx, box, q)
-		if err != nil {
+		switch {
+		case err != nil && q.Silent == "":
+			q.Silent, last = box, err
+			passed[box] = true
+			box = g.keeperOf(s.Pool, s.ID, passed)
+			delete(passed, q.Silent)
+		case err != nil:
 			return box, port.Places{}, err
-		}
-		if a == nil { // a box of an earlier release
+		case a == nil: // a box of an earlier release
 			g.places.passOver(box, g.now().Add(unableFor))
-			passed = g.places.passedOver(g.now())
+			passed[box] = true
 			box = g.keeperOf(s.Pool, s.ID, passed)
-			continue
-		}
-		if a.Keeper == "" {
+		case a.Keeper == "":
 			return box, *a, nil
+		default:
+			box, last = a.Keeper, errNoKeeper
 		}
-		box = a.Keeper
 	}
-	return box, port.Places{}, errNoKeeper
+	return box, port.Places{}, last
 }
 
-// askBox asks another box for places; nil without an error when it knows no limits.
+// askBox asks a box for places; nil without an error when it knows no limits.
 func (g *Gateway) askBox(ctx context.Context, box string, q port.AskPlaces) (*port.Places, error) {
+	if box == g.ID.Name {
+		a := g.placesOf(ctx, q)
+		return &a, nil
+	}
 	address := g.fleet.addressOf(box)
-	if address == "" || box == g.ID.Name {
+	if address == "" {
 		return nil, errNoKeeper
 	}
 	if !g.places.mayAsk(box, g.now()) {
@@ -149,14 +153,11 @@
 }
 
 // placesOf answers a question for places.
-func (g *Gateway) placesOf(q port.AskPlaces) port.Places {
+func (g *Gateway) placesOf(ctx context.Context, q port.AskPlaces) port.Places {
 	now := g.now()
 	note := noteFrom(q.Limit)
-	passed := map[string]bool{}
-	for _, b := range q.Passed {
-		passed[b] = true
-	}
-	if box := g.keeperOf(q.Pool, note.Server.ID, passed); box != g.ID.Name {
+	box, standsIn := g.handsOut(ctx, q)
+	if box != g.ID.Name {
 		return port.Places{Keeper: box, Next: keeperPause}
 	}
 	news, limited := false, false
@@ -171,7 +172,7 @@
 	if !limited { // it ended, as this box has heard
 		return port.Places{N: max(1, q.Wants), Limit: noteOf(l.LimitNote)}
 	}
-	a := quota.Ask{Server: l.Server.ID, Incarnation: l.Server.Incarnation, PerSecond: l.Rate, Known: max(q.Known, l.Known), Patience: q.Patience, Wants: q.Wants}
+	a := quota.Ask{Server: l.Server.ID, Incarnation: l.Server.Incarnation, PerSecond: l.Rate, Known: max(q.Known, l.Known), Patience: q.Patience, Wants: q.Wants, StandsIn: standsIn}
 	part := g.fleet.inSight(now)
 	g.places.mu.Lock()
 	t := g.places.keeper.Take(now, a, part)
@@ -179,6 +180,27 @@
 	return port.Places{N: t.Places, Begin: t.Begin, Next: t.Next, Limit: noteOf(l.LimitNote)}
 }
 
+// handsOut is the box that should answer a question for places, and whether it stands in for the keeper. This one does where it is
+// the next, and the keeper answers neither the asker nor this box.
+func (g *Gateway) handsOut(ctx context.Context, q port.AskPlaces) (box string, standsIn bool) {
+	passed := map[string]bool{}
+	for _, b := range q.Passed {
+		passed[b] = true
+	}
+	box = g.keeperOf(q.Pool, q.Limit.Server, passed)
+	if box == g.ID.Name || box != q.Silent {
+		return box, false
+	}
+	passed[box] = true
+	if next := g.keeperOf(q.Pool, q.Limit.Server, passed); next != g.ID.Name {
+		return next, false
+	}
+	if _, err := g.askBox(ctx, box, port.AskPlaces{From: g.ID.Name, Pool: q.Pool, Limit: q.Limit, Patience: -1}); err == nil {
+		return box, false
+	}
+	return g.ID.Name, true
+}
+
 // inSight is the part of the boxes that may be running which this box can see. Those that it lost a moment ago may go on at the
 // other side of a partition, with a keeper of their own.
 func (f *fleet) inSight(now time.Time) float64 {
--- a/src/gateway/pushback_site_test.go
+++ b/src/gateway/pushback_site_test.go
@@ -34,6 +34,7 @@
 	arrived int
 	frees   int // give-ups of results that reached a server which had told the box that it leaves
 	limits  limitLedger
+	down    map[string]bool // boxes that get no callers
 }
 
 // askedRest is one answer that asked for rest.
@@ -260,6 +261,9 @@
 func (s *wordSite) askAs(box int, path, id string, left time.Duration) answerOf {
 	s.mu.Lock()
 	s.sentAt[id] = time.Now()
+	for s.down[fmt.Sprint("box", box)] {
+		box = (box + 1) % 6 // each fleet here has as many at least, and one of them is up
+	}
 	s.mu.Unlock()
 	return s.f.ask(fmt.Sprint("box", box), path, id, func(r *Request) {
 		r.Body, r.Left = []byte(id), left
--- a/src/gateway/roster.go
+++ b/src/gateway/roster.go
@@ -18,6 +18,8 @@
 	running    []core.RunningMember // that take work
 	boxes      []string             // of them, those that are eligible
 	readers    []string             // of them, those that read the platform first
+	able       []string             // of them, those whose machines can do about as much as the best
+	keepers    map[string]string    // by server: the box that hands out its places
 	links      map[string]uint32    // Mbit/s, by box
 	chosen     map[string]string    // scheduler by pool
 	version    uint64               // of the members that all these were worked out of
@@ -42,12 +44,14 @@
 }
 
 func (r *roster) init() {
+	r.keepers = map[string]string{}
 	r.chosen, r.silent, r.hints, r.complaints = map[string]string{}, map[string]time.Time{}, map[string]hint{}, map[string]complaint{}
 }
 
 // forget has everything worked out anew.
 func (r *roster) forget() {
 	clear(r.chosen)
+	clear(r.keepers)
 	r.until = time.Time{}
 }
 
@@ -255,8 +259,9 @@
 		all = append(all, contender{name: m.Name, up: m.Up, seed: slices.Contains(f.gateway.Settings.Seeds, m.Address), domain: m.Domain, capacity: m.Capacity})
 		r.links[m.Name] = m.Capacity.Link
 	}
-	r.readers = readersOf(all)
+	r.readers, r.able = readersOf(all), capable(all)
 	clear(r.chosen)
+	clear(r.keepers)
 	r.boxes, r.until = eligible(all), now.Add(rosterHolds(all))
 	return r.boxes
 }
@@ -368,3 +373,22 @@
 	}
 	return g.fleet.schedulerOf(g.now(), pool, avoid)
 }
+
+// keeperOf is the box that hands out the places of a server, of those whose machines can do as much as others'. How long a box has been
+// running, and whether it answered this one, is left out of it: boxes differ in what they know of that, and two keepers hand out twice
+// as much.
+func (f *fleet) keeperOf(now time.Time, server string, passed map[string]bool) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.eligible(now)
+	r := &f.roster
+	if len(passed) > 0 {
+		return firstByHash(server, r.able, passed, f.gateway.ID.Name)
+	}
+	box, ok := r.keepers[server]
+	if !ok {
+		box = firstByHash(server, r.able, nil, f.gateway.ID.Name)
+		r.keepers[server] = box
+	}
+	return box
+}
--- a/src/port/port.go
+++ b/src/port/port.go
@@ -240,6 +240,7 @@
 	Patience time.Duration  `msgpack:"w"`           // within which the first place must begin
 	Wants    int            `msgpack:"n"`           // places
 	Passed   []string       `msgpack:"o,omitempty"` // boxes before the keeper that know no limits
+	Silent   string         `msgpack:"s,omitempty"` // the keeper, which did not answer
 }
 
 // Places are the places that a keeper hands out.
--- a/src/quota/constants.go
+++ b/src/quota/constants.go
@@ -8,12 +8,12 @@
 	burstFor = 250 * time.Millisecond
 	// batchFor is the time whose places one question may get: with it a limit of thousands costs some tens of questions a second.
 	batchFor = 50 * time.Millisecond
-	// takeoverFor is for how long a keeper may be followed by another and not know it: the time in which all boxes of a large fleet hear
-	// of a change of members, and over which a limit is measured.
-	takeoverFor = 4 * time.Second
-	// takeoverPart is what a new keeper hands out meanwhile. The whole of the old one's and this stay under the half that a server
-	// bears beyond its limit.
-	takeoverPart = 0.25
+	// takeoverFor is for how long a keeper may be followed by another and not know it: twice the time in which all boxes of a fleet of a
+	// thousand hear of a change of members.
+	takeoverFor = 2 * time.Second
+	// takeoverPart is what a new keeper hands out meanwhile, and one that stands in for another all the time. All of the other's and this
+	// are what a server bears.
+	takeoverPart = 0.5
 	// keptFor is how long a server is remembered that nobody asks for. Shorter than takeoverFor it would not know that it was the
 	// keeper all the time.
 	keptFor = time.Minute
--- a/src/quota/keeper.go
+++ b/src/quota/keeper.go
@@ -9,10 +9,11 @@
 // place is the queue of all boxes, so that who can't be served in time knows it at once.
 //
 // What is unknown counts as used. A place that is not used in time is lost. A keeper that takes over from another hands out a part of
-// the limit at first, as the other may still do so; one that has lost sight of boxes leaves them their part.
+// the limit at first, as the other may still do so, and so does one that stands in for a keeper which does not answer; one that has
+// lost sight of boxes leaves them their part.
 //
 // Trade-offs. A request to such a server costs one question more, of a millisecond or two; a large limit hands out several places at once
-// to those who ask often. While a keeper is lost and nobody knows it, its servers get nothing from the boxes that ask it.
+// to those who ask often. While a keeper is lost and nobody knows it, its servers get half of what they take.
 package quota
 
 import (
@@ -28,6 +29,7 @@
 	Known       time.Duration // for how long boxes have known of the limit
 	Patience    time.Duration // within which the first place must begin
 	Wants       int           // places
+	StandsIn    bool          // the keeper does not answer, and the next box hands out places meanwhile
 }
 
 // Grant answers an Ask.
@@ -60,7 +62,7 @@
 	s.usedAt = now
 	s.count(now)
 	rate := s.perSecond * min(1, max(0, part))
-	if now.Before(s.sharesUntil) {
+	if a.StandsIn || now.Before(s.sharesUntil) {
 		rate *= takeoverPart
 	}
 	if rate <= 0 {
@@ -101,6 +103,7 @@
 		s = &server{incarnation: a.Incarnation, perSecond: a.PerSecond, next: now}
 		if a.Known > takeoverFor {
 			s.sharesUntil = now.Add(takeoverFor)
+			s.next = now.Add(time.Duration(float64(burstFor) / takeoverPart)) // no burst: the keeper before may just have handed it out
 		}
 		k.servers[a.Server] = s
 	}
