--- a/src/code/code.go
+++ b/src/code/code.go
@@ -139,7 +139,7 @@
 	{BackendRefused, "BACKEND_REFUSED", RanYes, false, codes.FailedPrecondition, "A backend server refused the call as wrong."},
 	{AnswerInterrupted, "ANSWER_INTERRUPTED", RanYes, true, codes.Unavailable, "The answer stopped midway; attach again for the rest."},
 	{CrashesServers, "CRASHES_SERVERS", RanNo, false, codes.FailedPrecondition, "Backend servers ended while they ran this content, one after another; it is not sent to a further one until the time given."},
-	{BackendsResting, "BACKENDS_RESTING", RanNo, false, codes.Unavailable, "Every backend server that is left asked for rest, for longer than the request can wait."},
+	{BackendsResting, "BACKENDS_RESTING", RanNo, false, codes.Unavailable, "Every backend server that is left asked for rest, or takes no more requests, for longer than the request can wait."},
 	{OutcomeUnknown, "OUTCOME_UNKNOWN", RanUnknown, false, codes.Aborted, "A call that may not be repeated was sent and its outcome is not known."},
 	{HomeUnreachable, "HOME_UNREACHABLE", RanUnknown, true, codes.Unavailable, "The key's home could not be reached from this box; another copy may have reached it."},
 	{HomeUnsettled, "HOME_UNSETTLED", RanUnknown, true, codes.Unavailable, "No box can prove to be the key's only home; take a ticket for new work."},
