--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -378,7 +378,7 @@
 	if p.doubtful(now, v, l) {
 		cost += doubtPenalty
 	}
-	if w.Unlimited && p.Limits != nil && p.Limits(v.Server) {
+	if w.Unlimited && p.limited(v) {
 		cost += limitedPenalty
 	}
 	cost *= max(1, v.pace)
--- a/src/balance/resting_test.go
+++ b/src/balance/resting_test.go
@@ -54,3 +54,28 @@
 		t.Errorf("share of failures %f, %d broken, %d requests", v.share, v.broken, v.own.Requests)
 	}
 }
+
+// A server that limits its requests gives no prompt parts, comes last for a request that found no place, and is the only one for a
+// request that has one there.
+func TestAServerThatLimitsItsRequests(t *testing.T) {
+	p := NewPool("box", "d")
+	p.Configure(pointers([]catalog.Server{{ID: "a", Domain: "d", Slots: 4}, {ID: "b", Domain: "d", Slots: 4}}))
+	p.Limits = func(s *catalog.Server) bool { return s.ID == "a" }
+	w := &Wish{Parts: []Part{{"shared", 2 * leastCopied}, {"own", 10}}}
+	p.Kept(start, "a", w.Parts)
+	if s, ok := p.Source(start, "b", w); ok {
+		t.Errorf("%s, which limits its requests, is to give prompt parts", s.ID)
+	}
+	for range 20 {
+		if s, _, ok := p.Pick(start, &Wish{Unlimited: true}); !ok || s.ID != "b" {
+			t.Fatalf("%q was chosen for a request that found no place", s.ID)
+		}
+	}
+	p.RestsUntil = func(s *catalog.Server) time.Time { return start.Add(time.Second) }
+	if s, _, ok := p.Pick(start, &Wish{Only: "a"}); !ok || s.ID != "a" {
+		t.Errorf("%q was chosen for a request that has a place", s.ID)
+	}
+	if s, at, ok := p.FirstToWake(start, &Wish{}); !ok || s.ID != "a" || !at.Equal(start.Add(time.Second)) {
+		t.Errorf("%q is the first to be asked, at %s", s.ID, at.Sub(start))
+	}
+}
--- a/src/balance/source.go
+++ b/src/balance/source.go
@@ -33,7 +33,7 @@
 	var best *server
 	for hash, at := range deepest {
 		s := p.names[hash]
-		if s == nil || s.ID == id || !w.Within.Allow(s.Domain) || !s.sound(now) || p.wantsRest(now, s) || now.Sub(at) >= keptLife {
+		if s == nil || s.ID == id || !w.Within.Allow(s.Domain) || !s.sound(now) || p.wantsRest(now, s) || p.limited(s) || now.Sub(at) >= keptLife {
 			continue
 		}
 		if best == nil || at.After(deepest[best.hash]) {
@@ -43,12 +43,15 @@
 	if best == nil {
 		best = p.servers[p.home(w)]
 	}
-	if best == nil || best.ID == id || !best.sound(now) || p.wantsRest(now, best) {
+	if best == nil || best.ID == id || !best.sound(now) || p.wantsRest(now, best) || p.limited(best) {
 		return catalog.Server{}, false
 	}
 	return *best.Server, true
 }
 
+// limited says whether a server limits its requests: what others copy from it would come on top of them.
+func (p *Pool) limited(v *server) bool { return p.Limits != nil && p.Limits(v.Server) }
+
 // sound says whether a server answers and is not slow.
 func (v *server) sound(now time.Time) bool {
 	return v.usable(now) && v.rests == 0 && v.broken == 0 && v.pace <= slowRatio
