--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 
 test:
 	@if test -f KNOWN-RED.txt; then echo "known red, passed over:"; cat KNOWN-RED.txt; fi
-	$(GO) test $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
+	$(GO) test -timeout 30m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
 
 lint:
 	@unformatted=$$(gofmt -l main.go src platform); test -z "$$unformatted" || { echo "not gofmt-clean: $$unformatted"; exit 1; }
--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -20,7 +20,7 @@
 
 	Within *catalog.Confines // where it may run; nil for anywhere
 
-	Only      string // the one server where a place is reserved for it, "" for none
+	Only      string // the one server where a permit is reserved for it, "" for none
 	Unlimited bool   // servers that limit their requests come last
 }
 
--- a/src/balance/constants.go
+++ b/src/balance/constants.go
@@ -31,6 +31,6 @@
 	paceLearning    = 0.2
 
 	leastLoadedPenalty = 30.0 // ms that each request costs beyond that where few are to be at risk: a prompt of 1,500 tokens weighs as much
-	limitedPenalty     = 1e4  // ms that a server which limits its requests costs one that found no place there: any other is taken before
+	limitedPenalty     = 1e4  // ms that a server which limits its requests costs a request that got no permit there: any other is taken before
 	slowRatio          = 2.5
 )
--- a/src/balance/resting_test.go
+++ b/src/balance/resting_test.go
@@ -55,7 +55,7 @@
 	}
 }
 
-// A server that limits its requests gives no prompt parts, comes last for a request that found no place, and is the only one for a
+// A server that limits its requests gives no prompt parts, comes last for a request that got no permit, and is the only one for a
 // request that has one there.
 func TestAServerThatLimitsItsRequests(t *testing.T) {
 	p := NewPool("box", "d")
@@ -68,12 +68,12 @@
 	}
 	for range 20 {
 		if s, _, ok := p.Pick(start, &Wish{Unlimited: true}); !ok || s.ID != "b" {
-			t.Fatalf("%q was chosen for a request that found no place", s.ID)
+			t.Fatalf("%q was chosen for a request that got no permit", s.ID)
 		}
 	}
 	p.RestsUntil = func(s *catalog.Server) time.Time { return start.Add(time.Second) }
 	if s, _, ok := p.Pick(start, &Wish{Only: "a"}); !ok || s.ID != "a" {
-		t.Errorf("%q was chosen for a request that has a place", s.ID)
+		t.Errorf("%q was chosen for a request that has a permit", s.ID)
 	}
 	if s, at, ok := p.FirstToWake(start, &Wish{}); !ok || s.ID != "a" || !at.Equal(start.Add(time.Second)) {
 		t.Errorf("%q is the first to be asked, at %s", s.ID, at.Sub(start))
--- a/src/batch/limits_test.go
+++ b/src/batch/limits_test.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// Results are given up at a server with a limit many together, so that its calls keep their places.
+// Results are given up at a server with a limit many together, so that its calls keep their permits.
 func TestResultsAreGivenUpTogetherAtAServerWithALimit(t *testing.T) {
 	s := limitedScheduler(1)
 	told := 0
--- a/src/batch/resting.go
+++ b/src/batch/resting.go
@@ -51,7 +51,7 @@
 }
 
 // mayFree says whether results may be given up at a server now. One that limits its requests is told of many together, or the
-// giving up would take its calls' places.
+// giving up would take its calls' permits.
 func (s *Scheduler) mayFree(now time.Time, v *serverState) bool {
 	l := s.limitOf(v)
 	return l == 0 || now.Sub(v.freedAt) >= max(limitedFrees, time.Duration(limitedFreePart/l*float64(time.Second)))
--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -145,7 +145,7 @@
 	e.mu.Unlock()
 	reserved := v.wish.Only != ""
 	v.wish.Only = ""
-	if !ok && reserved { // the server left while its place was waited for
+	if !ok && reserved { // the server left while its permit was waited for
 		v.withheld = true
 		return again, v.noServer(e, now), false
 	}
@@ -156,11 +156,11 @@
 		}
 		return over, v.noServer(e, now), false
 	}
-	if !v.placed(ctx, s) {
+	if !v.permitted(ctx, s) {
 		e.mu.Lock()
 		e.picker.Ended(g.now(), s.ID, &v.wish, balance.Dropped)
 		e.mu.Unlock()
-		if v.asked >= placesAsked {
+		if v.asked >= permitsAsked {
 			return over, v.noServer(e, g.now()), false
 		}
 		v.withheld = true
--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -42,17 +42,17 @@
 	restSpread = 500 * time.Millisecond // over which refused callers come back: some twenty tries of a server
 )
 
-// Tunables of places at servers with a limit.
+// Tunables of permits at servers with a limit.
 const (
-	keeperPatience = 150 * time.Millisecond // for the keeper's answer: some region's way there and back, and a busy box
-	keeperPause    = 500 * time.Millisecond // before a keeper that did not answer, or names another, is asked again
-	keepersAsked   = 3                      // boxes that one question goes to: the first, and those that follow one that knows no limits
-	unableFor      = time.Minute            // that a box of an earlier release is passed over as a keeper
-	limitsTried    = 2                      // servers without a place, after which one without a limit is taken
-	placesAsked    = 4                      // questions for places that one request may cause
-	lateWaitPart   = 0.25                   // of a request's time, that it waits for a place when it can't be in time
-	urgencyStep    = 0.5                    // by which a less urgent request waits for less
-	limitsTogether = 30 * time.Millisecond  // changes of limits that go to other boxes in one message
+	coordinatorPatience = 150 * time.Millisecond // for the coordinator's answer: some region's way there and back, and a busy box
+	coordinatorPause    = 500 * time.Millisecond // before a coordinator that did not answer, or names another, is asked again
+	coordinatorsAsked   = 3                      // boxes that one question goes to: the first, and those that follow one that knows no limits
+	unableFor           = time.Minute            // that a box of an earlier release is passed over as a coordinator
+	limitsTried         = 2                      // servers without a permit, after which one without a limit is taken
+	permitsAsked        = 4                      // questions for permits that one request may cause
+	lateWaitPart        = 0.25                   // of a request's time, that it waits for a permit when it can't be in time
+	urgencyStep         = 0.5                    // by which a less urgent request waits for less
+	limitsTogether      = 30 * time.Millisecond  // changes of limits that go to other boxes in one message
 )
 
 // Tunables of the fleet.
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -450,9 +450,9 @@
 		return port.Answer{Suspects: &port.Suspects{From: g.ID.Name, Notes: g.suspects.AddUp(q.Suspects.Notes, q.Suspects.From)}}
 	case q.Publish != nil:
 		return port.Answer{Publish: g.give(q.Publish)}
-	case q.Places != nil:
-		a := g.placesOf(ctx, *q.Places)
-		return port.Answer{Places: &a}
+	case q.Permits != nil:
+		a := g.permitsOf(ctx, *q.Permits)
+		return port.Answer{Permits: &a}
 	}
 	return port.Answer{}
 }
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -61,7 +61,7 @@
 	holdings  holdings
 	suspects  suspects.Tracker
 	words     words
-	places    places
+	permits   permits
 	limitsDue atomic.Bool // a message on servers' limits is to be sent
 
 	stages     context.Context // ends when no more stages are waited for
@@ -88,7 +88,7 @@
 	Withheld  func(pool string)             // a server that was chosen takes no new work when the first byte is due
 	Suspected func(contents int)            // a server ended under so many contents
 	Said      func(pool, word string)       // a server said that it leaves, wants rest or limits its requests, or another box that it leaves
-	Placed    func(pool string, ok bool)    // a place at a server with a limit was asked for
+	Permitted func(pool string, ok bool)    // a permit for a server with a limit was asked for
 }
 
 // Run works until the context ends. Init must have been called.
@@ -127,7 +127,7 @@
 	g.desk.init(g)
 	g.waiting.init(g)
 	g.estimates.init()
-	g.places.init()
+	g.permits.init()
 	g.holdings.init(g)
 	g.initSuspects()
 }
@@ -165,7 +165,7 @@
 	g.dropLapsed(now)
 	g.suspects.Tick()
 	g.sweepWords(now)
-	g.places.sweep(now)
+	g.permits.sweep(now)
 }
 
 // awake says whether this process can trust what it believes: it was not paused since its documents
--- a/src/gateway/limits.go
+++ b/src/gateway/limits.go
@@ -122,23 +122,23 @@
 	return balance.Load{Requests: int(requests), Tokens: int(n.Tokens)}
 }
 
-// placePatience is for how long a request waits for a place at a server with a limit: until it can just be in time or, where it
-// can't any more, for a part of what is left. Who is less urgent waits for less, so that places are left for the urgent.
-func (v *visit) placePatience(now time.Time) time.Duration {
+// permitPatience is for how long a request waits for a permit at a server with a limit: until it can just be in time or, where it
+// can't any more, for a part of what is left. Who is less urgent waits for less, so that permits are left for the urgent.
+func (v *visit) permitPatience(now time.Time) time.Duration {
 	inTime := v.objective.Add(-v.gateway.estimates.get(v.pipeline.Name)).Sub(now)
 	lateAnswer := time.Duration(lateWaitPart * float64(v.deadline.Sub(now)))
 	return time.Duration(float64(max(inTime, lateAnswer)) / (1 + urgencyStep*float64(max(0, v.priority))))
 }
 
-// reserve asks for a place ahead of time at the server that has the next, and waits for it. It refuses the request at once when no
-// place begins within its patience.
+// reserve asks for a permit ahead of time at the server that has the next, and waits for it. It refuses the request at once when no
+// permit begins within its patience.
 func (v *visit) reserve(ctx context.Context, s catalog.Server, now, next time.Time) *code.Error {
-	patience := v.placePatience(now)
-	if next.Sub(now) > patience || v.asked >= placesAsked {
+	patience := v.permitPatience(now)
+	if next.Sub(now) > patience || v.asked >= permitsAsked {
 		return v.resting(now, next)
 	}
 	v.asked++
-	begin, ok := v.gateway.takePlace(ctx, s, v.request.ID, patience)
+	begin, ok := v.gateway.takePermit(ctx, s, v.request.ID, patience)
 	if ok {
 		sleep(ctx, begin.Sub(v.gateway.now()))
 		v.wish.Only = s.ID
@@ -146,14 +146,14 @@
 	return nil
 }
 
-// placed says whether a request has a place at the server that was chosen, and waits for its begin. Where a few servers have none free,
-// those without a limit come first, and a place ahead of time is asked for at the next that has one.
-func (v *visit) placed(ctx context.Context, s catalog.Server) bool {
+// permitted says whether a request has a permit at the server that was chosen, and waits for its begin. Where a few servers have none free,
+// those without a limit come first, and a permit ahead of time is asked for at the next that has one.
+func (v *visit) permitted(ctx context.Context, s catalog.Server) bool {
 	now, patience := v.gateway.now(), time.Duration(0)
 	if v.wish.Unlimited {
-		patience = v.placePatience(now)
+		patience = v.permitPatience(now)
 	}
-	begin, ok := v.gateway.takePlace(ctx, s, v.request.ID, patience)
+	begin, ok := v.gateway.takePermit(ctx, s, v.request.ID, patience)
 	if ok {
 		sleep(ctx, begin.Sub(v.gateway.now()))
 		return true
--- a/src/gateway/limits_fleet_test.go
+++ b/src/gateway/limits_fleet_test.go
@@ -7,34 +7,34 @@
 	"time"
 )
 
-// What befalls the box that hands out the places of a server, in the middle of a play.
+// What befalls the box that grants the permits of a server, in the middle of a play.
 func TestAServersLimitIsKeptWhileTheFleetChanges(t *testing.T) {
 	for _, c := range []struct {
 		name   string
-		befall func(s *wordSite, keeper string, boxes int)
+		befall func(s *wordSite, coordinator string, boxes int)
 	}{
-		{"the keeper is killed", func(s *wordSite, keeper string, _ int) { s.lose(keeper, true) }},
-		{"the keeper is killed and starts again", func(s *wordSite, keeper string, _ int) {
-			s.lose(keeper, true)
+		{"the coordinator is killed", func(s *wordSite, coordinator string, _ int) { s.lose(coordinator, true) }},
+		{"the coordinator is killed and starts again", func(s *wordSite, coordinator string, _ int) {
+			s.lose(coordinator, true)
 			time.Sleep(time.Second)
-			s.f.start(keeper)
-			s.up(keeper)
+			s.f.start(coordinator)
+			s.up(coordinator)
 		}},
-		{"the keeper is frozen for 5 s", func(s *wordSite, keeper string, _ int) {
-			s.lose(keeper, false)
+		{"the coordinator is frozen for 5 s", func(s *wordSite, coordinator string, _ int) {
+			s.lose(coordinator, false)
 			time.Sleep(5 * time.Second)
-			s.f.setLost(keeper, false)
-			s.up(keeper)
+			s.f.setLost(coordinator, false)
+			s.up(coordinator)
 		}},
-		{"the keeper is cut off with its callers for 5 s", func(s *wordSite, keeper string, _ int) {
-			s.f.setLost(keeper, true)
+		{"the coordinator is cut off with its callers for 5 s", func(s *wordSite, coordinator string, _ int) {
+			s.f.setLost(coordinator, true)
 			time.Sleep(5 * time.Second)
-			s.f.setLost(keeper, false)
+			s.f.setLost(coordinator, false)
 		}},
-		{"the keeper stops as planned", func(s *wordSite, keeper string, _ int) {
-			s.f.box(keeper).Drain()
+		{"the coordinator stops as planned", func(s *wordSite, coordinator string, _ int) {
+			s.f.box(coordinator).Drain()
 			time.Sleep(2 * time.Second)
-			s.lose(keeper, true)
+			s.lose(coordinator, true)
 		}},
 		{"all boxes stop as planned in turn", func(s *wordSite, _ string, boxes int) {
 			for i := range boxes {
@@ -78,7 +78,7 @@
 						s.nameLimit(pool.name, 5, pool.limit)
 						go func() {
 							time.Sleep(4 * time.Second)
-							c.befall(s, s.keeper(pool.name), boxes)
+							c.befall(s, s.coordinator(pool.name), boxes)
 						}()
 						h := s.play(pool.path, boxes, pool.between, 14*time.Second)
 						t.Logf("%d answered, %d refused, %d again, %d without an answer", h.answered, h.refused, h.lost, h.unserved)
@@ -90,13 +90,13 @@
 	}
 }
 
-// keeper is the box that hands out the places of the first server of a pool.
-func (s *wordSite) keeper(pool string) string {
+// coordinator is the box that grants the permits of the first server of a pool.
+func (s *wordSite) coordinator(pool string) string {
 	name := "model"
 	if pool == "piece" {
 		name = "encode"
 	}
-	return s.f.box("box0").keeperOf(name, pool+"0", nil)
+	return s.f.box("box0").coordinatorOf(name, pool+"0", nil)
 }
 
 // lose takes a box from its callers and from the others; killed ends it besides.
--- a/src/gateway/limits_words_test.go
+++ b/src/gateway/limits_words_test.go
@@ -26,7 +26,7 @@
 }
 
 // In a fleet of any size one server of five, or all of them, names a limit: it is neither overrun, by boxes that know of it or not,
-// nor left idle, and what boxes ask its keeper follows their requests.
+// nor left idle, and what boxes ask its coordinator follows their requests.
 func TestLimitsInFleetsOfAnySize(t *testing.T) {
 	for _, c := range []limitCase{limitCases[0], limitCases[3], limitCases[5], limitCases[8]} {
 		for _, boxes := range limitSizes() {
@@ -39,8 +39,8 @@
 					s.checkLimits(t, c.perSecond, time.Now())
 					perRequest := float64(asked()) / float64(h.answered+2*h.refused)
 					t.Logf("%d answered, %d refused, %d again, %d late, %.2f questions for a request", h.answered, h.refused, h.lost, h.slow, perRequest)
-					if perRequest > placesAsked {
-						t.Errorf("%.2f questions for a request, want %d at most", perRequest, placesAsked)
+					if perRequest > permitsAsked {
+						t.Errorf("%.2f questions for a request, want %d at most", perRequest, permitsAsked)
 					}
 				})
 			})
@@ -48,12 +48,12 @@
 	}
 }
 
-// countQuestions counts the questions for places between boxes from now on.
+// countQuestions counts the questions for permits between boxes from now on.
 func (s *wordSite) countQuestions() func() int {
 	n := 0
 	for _, box := range s.f.names() {
 		s.f.hear[addressOf(box)] = func(_ string, q port.Question, _ *port.Answer) error {
-			if q.Places != nil {
+			if q.Permits != nil {
 				s.mu.Lock()
 				n++
 				s.mu.Unlock()
@@ -117,7 +117,7 @@
 	}
 }
 
-// Boxes of an earlier release hear no limit and hand out no places. The others pass them over as keepers, and tell them such a
+// Boxes of an earlier release hear no limit and grant no permits. The others pass them over as coordinators, and tell them such a
 // server as full, so that they go where there is room.
 func TestLimitsBesideBoxesThatKnowNone(t *testing.T) {
 	for _, boxes := range []int{6, 61} {
@@ -162,8 +162,8 @@
 	}
 	for _, box := range s.f.names() {
 		s.f.hear[addressOf(box)] = func(to string, q port.Question, a *port.Answer) error {
-			if q.Places != nil && old(strings.TrimSuffix(to, ":1")) {
-				a.Places = nil
+			if q.Permits != nil && old(strings.TrimSuffix(to, ":1")) {
+				a.Permits = nil
 			}
 			return nil
 		}
--- a/src/gateway/pushback.go
+++ b/src/gateway/pushback.go
@@ -49,7 +49,7 @@
 	return w.register.Begin(now, wordLife(s), owner)
 }
 
-// giveBack leaves the place of a request that was not sent to others.
+// giveBack leaves the permit of a request that was not sent to others.
 func (w *words) giveBack(id, owner string) {
 	if w.any.Load() {
 		w.with(func(r *pushback.Register) { r.GiveBack(id, owner) })
--- a/src/gateway/resting.go
+++ b/src/gateway/resting.go
@@ -24,7 +24,7 @@
 		if !resting {
 			break
 		}
-		if s, limited := v.nextPlace(e, now); limited {
+		if s, limited := v.nextPermit(e, now); limited {
 			if err := v.reserve(ctx, s, now, end); err != nil {
 				return err
 			}
@@ -63,8 +63,8 @@
 	return e.picker.RestEnds(now, &v.wish)
 }
 
-// nextPlace is the server that can be asked first, where all want rest or have no place free, if it has a limit.
-func (v *visit) nextPlace(e *pool, now time.Time) (catalog.Server, bool) {
+// nextPermit is the server that can be asked first, where all want rest or have no permit free, if it has a limit.
+func (v *visit) nextPermit(e *pool, now time.Time) (catalog.Server, bool) {
 	e.mu.Lock()
 	s, _, ok := e.picker.FirstToWake(now, &v.wish)
 	e.mu.Unlock()
@@ -107,7 +107,7 @@
 	if !resting {
 		return nil
 	}
-	if _, limited := v.nextPlace(e, now); limited && end.Sub(now) > v.placePatience(now) || !limited && v.tooLong(now, end) {
+	if _, limited := v.nextPermit(e, now); limited && end.Sub(now) > v.permitPatience(now) || !limited && v.tooLong(now, end) {
 		return v.resting(now, end)
 	}
 	return nil
--- a/src/gateway/roster.go
+++ b/src/gateway/roster.go
@@ -15,19 +15,19 @@
 // the members nor the results that lie at the servers, and each change of scheduler costs work. It is
 // guarded by the fleet's lock.
 type roster struct {
-	running    []core.RunningMember // that take work
-	boxes      []string             // of them, those that are eligible
-	readers    []string             // of them, those that read the platform first
-	able       []string             // of them, those whose machines can do about as much as the best
-	keepers    map[string]string    // by server: the box that hands out its places
-	links      map[string]uint32    // Mbit/s, by box
-	chosen     map[string]string    // scheduler by pool
-	version    uint64               // of the members that all these were worked out of
-	madeAt     time.Time            // when that was
-	until      time.Time            // when they are worked out anew, whether or not members change
-	silent     map[string]time.Time // boxes that did not answer this box, and when they are asked again
-	hints      map[string]hint      // what schedulers said of who follows them, by pool
-	complaints map[string]complaint // the last complaint about a box that did not answer another
+	running      []core.RunningMember // that take work
+	boxes        []string             // of them, those that are eligible
+	readers      []string             // of them, those that read the platform first
+	able         []string             // of them, those whose machines can do about as much as the best
+	coordinators map[string]string    // by server: the box that grants its permits
+	links        map[string]uint32    // Mbit/s, by box
+	chosen       map[string]string    // scheduler by pool
+	version      uint64               // of the members that all these were worked out of
+	madeAt       time.Time            // when that was
+	until        time.Time            // when they are worked out anew, whether or not members change
+	silent       map[string]time.Time // boxes that did not answer this box, and when they are asked again
+	hints        map[string]hint      // what schedulers said of who follows them, by pool
+	complaints   map[string]complaint // the last complaint about a box that did not answer another
 }
 
 // complaint is one box's word that another did not answer it.
@@ -44,14 +44,14 @@
 }
 
 func (r *roster) init() {
-	r.keepers = map[string]string{}
+	r.coordinators = map[string]string{}
 	r.chosen, r.silent, r.hints, r.complaints = map[string]string{}, map[string]time.Time{}, map[string]hint{}, map[string]complaint{}
 }
 
 // forget has everything worked out anew.
 func (r *roster) forget() {
 	clear(r.chosen)
-	clear(r.keepers)
+	clear(r.coordinators)
 	r.until = time.Time{}
 }
 
@@ -261,7 +261,7 @@
 	}
 	r.readers, r.able = readersOf(all), capable(all)
 	clear(r.chosen)
-	clear(r.keepers)
+	clear(r.coordinators)
 	r.boxes, r.until = eligible(all), now.Add(rosterHolds(all))
 	return r.boxes
 }
@@ -374,10 +374,10 @@
 	return g.fleet.schedulerOf(g.now(), pool, avoid)
 }
 
-// keeperOf is the box that hands out the places of a server, of those whose machines can do as much as others'. How long a box has been
-// running, and whether it answered this one, is left out of it: boxes differ in what they know of that, and two keepers hand out twice
+// coordinatorOf is the box that grants the permits of a server, of those whose machines can do as much as others'. How long a box has been
+// running, and whether it answered this one, is left out of it: boxes differ in what they know of that, and two of them grant twice
 // as much.
-func (f *fleet) keeperOf(now time.Time, server string, passed map[string]bool) string {
+func (f *fleet) coordinatorOf(now time.Time, server string, passed map[string]bool) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.eligible(now)
@@ -385,10 +385,10 @@
 	if len(passed) > 0 {
 		return firstByHash(server, r.able, passed, f.gateway.ID.Name)
 	}
-	box, ok := r.keepers[server]
+	box, ok := r.coordinators[server]
 	if !ok {
 		box = firstByHash(server, r.able, nil, f.gateway.ID.Name)
-		r.keepers[server] = box
+		r.coordinators[server] = box
 	}
 	return box
 }
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -293,7 +293,7 @@
 		return
 	}
 	owner := "results of " + handles[0]
-	if _, ok := g.takePlace(ctx, s, owner, 0); !ok || !g.words.begin(g.now(), s, owner).Open() {
+	if _, ok := g.takePermit(ctx, s, owner, 0); !ok || !g.words.begin(g.now(), s, owner).Open() {
 		g.Log.Info("results not given up at a server that takes no more now", "server", s.ID, "results", len(handles))
 		return
 	}
@@ -307,7 +307,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	owner := fmt.Sprint("call ", c.N)
 	r := PieceReply{Outcome: batch.CallWithheld}
-	if _, ok := g.takePlace(ctx, c.Server, owner, 0); ok {
+	if _, ok := g.takePermit(ctx, c.Server, owner, 0); ok {
 		if len(c.Free) > 0 {
 			d.giveUp(ctx, c.Server, c.Free)
 		}
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -38,8 +38,8 @@
 	maybeRan   bool
 	said       pushback.Word // by the server of the attempt that is at work
 	turnedAway []string      // servers that asked for rest in place of taking this request
-	withheld   bool          // from a server that asked for rest since it was chosen, or had no place left
-	asked      int           // times that it found no place, or waited for one, at servers with limits
+	withheld   bool          // from a server that asked for rest since it was chosen, or had no permit left
+	asked      int           // times that it found no permit, or waited for one, at servers with limits
 
 	// of a stream that has begun
 	begun     bool
--- a/src/metrics/gateway.go
+++ b/src/metrics/gateway.go
@@ -29,7 +29,7 @@
 	retries   *prometheus.CounterVec
 	withheld  *prometheus.CounterVec
 	said      *prometheus.CounterVec
-	places    *prometheus.CounterVec
+	permits   *prometheus.CounterVec
 	refused   *prometheus.CounterVec
 	suspected prometheus.Counter
 }
@@ -55,10 +55,10 @@
 		suspected: prometheus.NewCounter(prometheus.CounterOpts{Name: "stilemast_gateway_suspects_total",
 			Help: "Ends of servers counted against contents that ran there."}),
 		said:     counters("gateway_server_words_total", "Servers that said of themselves that they leave, want rest or limit their requests, by word.", "pool", "word"),
-		places:   counters("gateway_places_total", "Places asked for at servers that limit their requests.", "pool", "granted"),
+		permits:  counters("gateway_permits_total", "Permits asked for at servers that limit their requests.", "pool", "granted"),
 		withheld: counters("gateway_withheld_total", "Sends held back since the server took no new work any more when the first byte was due.", "pool"),
 	}
-	s.registry.MustRegister(s.ended, s.took, s.first, s.exchanges, s.exchanged, s.batches, s.pieces, s.batched, s.reads, s.pulls, s.pulled, s.retries, s.withheld, s.said, s.places, s.refused, s.suspected,
+	s.registry.MustRegister(s.ended, s.took, s.first, s.exchanges, s.exchanged, s.batches, s.pieces, s.batched, s.reads, s.pulls, s.pulled, s.retries, s.withheld, s.said, s.permits, s.refused, s.suspected,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -92,7 +92,7 @@
 		Suspected: func(contents int) { s.suspected.Add(float64(contents)) },
 		Withheld:  func(pool string) { s.withheld.WithLabelValues(pool).Inc() },
 		Said:      func(pool, word string) { s.said.WithLabelValues(pool, word).Inc() },
-		Placed:    func(pool string, ok bool) { s.places.WithLabelValues(pool, strconv.FormatBool(ok)).Inc() },
+		Permitted: func(pool string, ok bool) { s.permits.WithLabelValues(pool, strconv.FormatBool(ok)).Inc() },
 	}
 }
 
--- a/src/port/port.go
+++ b/src/port/port.go
@@ -166,7 +166,7 @@
 	Versions *Versions      `msgpack:"v"`
 	Publish  *PullPublished `msgpack:"b"`
 	Suspects *Suspects      `msgpack:"s,omitempty"`
-	Places   *AskPlaces     `msgpack:"l,omitempty"`
+	Permits  *AskPermits    `msgpack:"l,omitempty"`
 }
 
 // Answer answers a Question; the field of the same name is set, or Err.
@@ -178,7 +178,7 @@
 	Versions  *Versions   `msgpack:"v"`
 	Publish   *Published  `msgpack:"b"`
 	Suspects  *Suspects   `msgpack:"s,omitempty"`
-	Places    *Places     `msgpack:"l,omitempty"`
+	Permits   *Permits    `msgpack:"l,omitempty"`
 	Err       *code.Error `msgpack:"e"`
 }
 
@@ -231,25 +231,25 @@
 	Notes []crasher.Note `msgpack:"n"`
 }
 
-// AskPlaces asks the keeper of a server with a limit for places there (package quota).
-type AskPlaces struct {
+// AskPermits asks the coordinator of a server with a limit for permits there (package quota).
+type AskPermits struct {
 	From     string         `msgpack:"f"`
 	Pool     string         `msgpack:"p"`
 	Limit    core.LimitNote `msgpack:"l"`           // as the asker knows it
 	Known    time.Duration  `msgpack:"k"`           // for how long
-	Patience time.Duration  `msgpack:"w"`           // within which the first place must begin
-	Wants    int            `msgpack:"n"`           // places
-	Passed   []string       `msgpack:"o,omitempty"` // boxes before the keeper that know no limits
-	Silent   string         `msgpack:"s,omitempty"` // the keeper, which did not answer
+	Patience time.Duration  `msgpack:"w"`           // within which the first permit must begin
+	Wants    int            `msgpack:"n"`           // permits
+	Passed   []string       `msgpack:"o,omitempty"` // boxes before the coordinator that know no limits
+	Silent   string         `msgpack:"s,omitempty"` // the coordinator, which did not answer
 }
 
-// Places are the places that a keeper hands out.
-type Places struct {
-	Keeper string         `msgpack:"k,omitempty"` // the box that keeps the server, where it is another
-	N      int            `msgpack:"n"`
-	Begin  time.Duration  `msgpack:"b"` // until they begin
-	Next   time.Duration  `msgpack:"x"` // until the asker need ask again
-	Limit  core.LimitNote `msgpack:"l"` // as the keeper knows it
+// Permits are the permits that a coordinator grants.
+type Permits struct {
+	Coordinator string         `msgpack:"k,omitempty"` // the box that coordinates the server, where it is another
+	N           int            `msgpack:"n"`
+	Begin       time.Duration  `msgpack:"b"` // until they begin
+	Next        time.Duration  `msgpack:"x"` // until the asker need ask again
+	Limit       core.LimitNote `msgpack:"l"` // as the coordinator knows it
 }
 
 // Versions asks what a box holds, or tells it.
--- a/src/pushback/constants.go
+++ b/src/pushback/constants.go
@@ -19,13 +19,13 @@
 	// departureKept is how long a word of a life that left is kept after the server was last listed: servers were seen to
 	// serve on for many seconds, and lists of other boxes lag by a second or two.
 	departureKept = time.Minute
-	// placeLife is for how long a place is good after its begin: it covers a new connection and a pause of the scheduler of threads.
-	// What is used later than that would add to the places of the window after it.
-	placeLife = 250 * time.Millisecond
+	// permitLife is for how long a permit is good after its begin: it covers a new connection and a pause of the scheduler of threads.
+	// What is used later than that would add to the permits of the window after it.
+	permitLife = 250 * time.Millisecond
 	// liftFor is for how long a limit rises after its end, twofold with each liftStep, until it is forgotten.
 	liftFor  = 6 * time.Second
 	liftStep = time.Second
-	// wantsOver is the time over which the places that a box uses are counted, for how many it asks for at once.
+	// wantsOver is the time over which the permits that a box uses are counted, for how many it asks for at once.
 	wantsOver = 50 * time.Millisecond
 	// newsPart is the part of a limit under which a new one is told at once and not with the next heartbeat.
 	newsPart = 0.8
--- a/src/pushback/limits.go
+++ b/src/pushback/limits.go
@@ -19,14 +19,14 @@
 	changedAt   time.Time // when this box last heard of a change
 	listedAt    time.Time // when its server was last listed
 
-	places []place
-	next   time.Time // no free place before, as the keeper of the server said of the limit that holds
-	used   int       // places since usedAt
-	usedAt time.Time
+	permits []permit
+	next    time.Time // no free permit before, as the coordinator of the server said of the limit that holds
+	used    int       // permits since usedAt
+	usedAt  time.Time
 }
 
-// place is the right to send one request.
-type place struct {
+// permit is the right to send one request.
+type permit struct {
 	owner      string // the request that it was asked for, "" for any
 	from, till time.Time
 }
@@ -159,7 +159,7 @@
 	LimitNote
 	Rate  float64       // requests a second that all boxes together may send now
 	Known time.Duration // for how long this box has known of a limit
-	Wants int           // places that it used lately, and one
+	Wants int           // permits that it used lately, and one
 }
 
 // LimitOf gives the limit that is in force at a server; false for none.
@@ -175,61 +175,61 @@
 	return out, true
 }
 
-// Granted takes places that the keeper of a server handed out, the first of them to one request, and when it has the next.
-func (r *Register) Granted(now time.Time, id, owner string, places int, begin, next time.Duration) {
+// Granted takes permits that the coordinator of a server granted, the first of them to one request, and when it has the next.
+func (r *Register) Granted(now time.Time, id, owner string, permits int, begin, next time.Duration) {
 	l, ok := r.limits[id]
 	if !ok {
 		return
 	}
 	from := now.Add(begin)
-	for i := range places {
-		p := place{from: from, till: from.Add(placeLife)}
+	for i := range permits {
+		p := permit{from: from, till: from.Add(permitLife)}
 		if i == 0 {
 			p.owner = owner
 		}
-		l.places = append(l.places, p)
+		l.permits = append(l.permits, p)
 	}
 	l.next = now.Add(next)
 	r.limits[id] = l
 }
 
-// GiveBack leaves the place of a request that will not be sent to whoever needs it.
+// GiveBack leaves the permit of a request that will not be sent to whoever needs it.
 func (r *Register) GiveBack(id, owner string) {
-	for i, p := range r.limits[id].places {
+	for i, p := range r.limits[id].permits {
 		if p.owner == owner {
-			r.limits[id].places[i].owner = ""
+			r.limits[id].permits[i].owner = ""
 		}
 	}
 }
 
-// HasPlace says whether a request may be sent to a server without asking its keeper.
-func (r *Register) HasPlace(now time.Time, s Server, owner string) bool {
+// HasPermit says whether a request may be sent to a server without asking its coordinator.
+func (r *Register) HasPermit(now time.Time, s Server, owner string) bool {
 	l, ok := r.limits[s.ID]
-	return !ok || !l.in(now, s) || slices.ContainsFunc(l.places, func(p place) bool { return p.open(now, owner) })
+	return !ok || !l.in(now, s) || slices.ContainsFunc(l.permits, func(p permit) bool { return p.open(now, owner) })
 }
 
-func (p place) open(now time.Time, owner string) bool {
+func (p permit) open(now time.Time, owner string) bool {
 	return (p.owner == "" || p.owner == owner) && !now.Before(p.from) && now.Before(p.till)
 }
 
-// judgeLimit says whether a request may ask for a place, or has one.
+// judgeLimit says whether a request may ask for a permit, or has one.
 func (r *Register) judgeLimit(now time.Time, s Server) Verdict {
 	l, ok := r.limits[s.ID]
-	if !ok || !l.in(now, s) || !now.Before(l.next) || r.HasPlace(now, s, "") {
+	if !ok || !l.in(now, s) || !now.Before(l.next) || r.HasPermit(now, s, "") {
 		return Verdict{}
 	}
 	return Verdict{State: Full, Until: l.next}
 }
 
-// takePlace uses a place of a request up just before its first byte.
-func (r *Register) takePlace(now time.Time, s Server, owner string) Verdict {
+// takePermit uses a permit of a request up just before its first byte.
+func (r *Register) takePermit(now time.Time, s Server, owner string) Verdict {
 	l, ok := r.limits[s.ID]
 	if !ok || !l.in(now, s) {
 		return Verdict{}
 	}
-	l.places = slices.DeleteFunc(l.places, func(p place) bool { return !now.Before(p.till) })
+	l.permits = slices.DeleteFunc(l.permits, func(p permit) bool { return !now.Before(p.till) })
 	best := -1
-	for i, p := range l.places {
+	for i, p := range l.permits {
 		if p.open(now, owner) && (best < 0 || p.owner == owner && owner != "") {
 			best = i
 		}
@@ -238,7 +238,7 @@
 	if best < 0 {
 		v = Verdict{State: Full, Until: later(l.next, now.Add(answerSoon))}
 	} else {
-		l.places = slices.Delete(l.places, best, best+1)
+		l.permits = slices.Delete(l.permits, best, best+1)
 		if now.Sub(l.usedAt) >= wantsOver {
 			l.used, l.usedAt = 0, now
 		}
--- a/src/pushback/limits_test.go
+++ b/src/pushback/limits_test.go
@@ -114,24 +114,24 @@
 	}
 }
 
-// A place is good for a quarter of a second after its begin, for one request; one that was asked for is its asker's.
+// A permit is good for a quarter of a second after its begin, for one request; one that was asked for is its asker's.
 func TestAPlaceIsGoodForOneRequestAndAWhile(t *testing.T) {
 	var r Register
 	s := life("a", 1)
 	r.HearLimit(start, start, s, 4)
 	if v := r.Begin(start, s, "r"); v.Open() {
-		t.Fatal("a request began without a place")
+		t.Fatal("a request began without a permit")
 	}
 	r.Granted(start, "a", "r", 2, 100*time.Millisecond, time.Second)
 	at := func(d time.Duration) time.Time { return start.Add(d) }
 	if v := r.Begin(at(50*time.Millisecond), s, "r"); v.Open() || !v.Until.Equal(at(time.Second)) {
-		t.Errorf("before the place begins the server is %s until %s", v.State, v.Until.Sub(start))
+		t.Errorf("before the permit begins the server is %s until %s", v.State, v.Until.Sub(start))
 	}
 	if v := r.Begin(at(150*time.Millisecond), s, "other"); !v.Open() {
-		t.Errorf("the place for any request: %s", v.State)
+		t.Errorf("the permit for any request: %s", v.State)
 	}
 	if v := r.Begin(at(150*time.Millisecond), s, "other"); v.Open() {
-		t.Error("a request took the place of another")
+		t.Error("a request took the permit of another")
 	}
 	if v := r.Judge(at(150*time.Millisecond), s); v.State != Full {
 		t.Errorf("the server is %s for others", v.State)
@@ -140,13 +140,13 @@
 		t.Errorf("the request that asked: %s", v.State)
 	}
 	r.Granted(start, "a", "r", 1, 0, time.Second)
-	if v := r.Begin(at(placeLife), s, "r"); v.Open() {
-		t.Error("a place was used after its time")
+	if v := r.Begin(at(permitLife), s, "r"); v.Open() {
+		t.Error("a permit was used after its time")
 	}
 	r.Granted(start, "a", "r", 1, 0, time.Second)
 	r.GiveBack("a", "r")
-	if v := r.Begin(at(placeLife/2), s, "other"); !v.Open() {
-		t.Error("a place that was given back is lost")
+	if v := r.Begin(at(permitLife/2), s, "other"); !v.Open() {
+		t.Error("a permit that was given back is lost")
 	}
 }
 
--- a/src/pushback/register.go
+++ b/src/pushback/register.go
@@ -15,7 +15,7 @@
 	Leaving                // it gets no new work any more
 	Resting                // it wants nothing until a time
 	Returning              // its rest is over, and as many requests try it as may do so at once
-	Full                   // no place is left of the requests a second that it takes from all boxes together
+	Full                   // no permit is left of the requests a second that it takes from all boxes together
 )
 
 // String names the state for logs.
@@ -34,7 +34,7 @@
 }
 
 // Verdict says whether a server may get a request. Until is when one that rests may be asked, when one that returns is to be
-// judged again, and when the next place of one that is full is free.
+// judged again, and when the next permit of one that is full is free.
 type Verdict struct {
 	State State
 	Until time.Time
@@ -49,7 +49,7 @@
 // Idea. A server's own word is stronger than any list of it. It is kept apart from the lists, so that none of them replaces it: no
 // entry that is written again, no whole read after an outage, no list of another box. That a server leaves holds for the life
 // that said it, at all boxes; its rest holds between it and this box alone, whichever life asked. Its limit of requests a second holds
-// for the life that named it and for all boxes together: a request needs a place, which the keeper of the server hands out
+// for the life that named it and for all boxes together: a request needs a permit, which the coordinator of the server grants
 // (package quota).
 //
 // Pure: time comes in, on a clock that counts a machine's sleep. Not safe for concurrent use.
@@ -152,11 +152,11 @@
 }
 
 // Begin judges a server just before the first byte of a request goes there, and counts the request where it may go. owner names the
-// request for which a place was asked.
+// request for which a permit was asked.
 func (r *Register) Begin(now time.Time, s Server, owner string) Verdict {
 	v := r.Judge(now, s)
 	if v.Open() || v.State == Full {
-		v = r.takePlace(now, s, owner)
+		v = r.takePermit(now, s, owner)
 	}
 	if p, ok := r.rests[s.ID]; ok && v.Open() {
 		if p.begun >= p.window {
--- a/src/quota/keeper.go
+++ b/src/quota/limiter.go
@@ -3,17 +3,17 @@
 // Load. Servers in need name a limit for all boxes together, one request a second or thousands, in fleets of a few boxes or a
 // thousand. Each box sees only what it sends itself, so that no box alone can keep the limit.
 //
-// Idea. For each such server one box, its keeper, hands out places: a place is the right to send one request at a time or shortly after.
-// A box asks just before it would send, and sends elsewhere at once when there is no place. Places are handed out as a
-// rate with a small burst (the generic cell rate algorithm, ITU-T I.371), also ahead of time to those who can wait: the keeper's next free
-// place is the queue of all boxes, so that who can't be served in time knows it at once.
+// Idea. For each such server one box, its coordinator, grants permits: a permit is the right to send one request at a time or shortly after.
+// A box asks just before it would send, and sends elsewhere at once when there is no permit. Permits are granted as a
+// rate with a small burst (the generic cell rate algorithm, ITU-T I.371), also ahead of time to those who can wait: the next free
+// permit is the queue of all boxes, so that who can't be served in time knows it at once.
 //
-// What is unknown counts as used. A place that is not used in time is lost. A keeper that takes over from another hands out a part of
-// the limit at first, as the other may still do so, and so does one that stands in for a keeper which does not answer; one that has
+// What is unknown counts as used. A permit that is not used in time is lost. A limiter that takes over from another grants a part of
+// the limit at first, as the other may still do so, and so does one that stands in for a limiter which does not answer; one that has
 // lost sight of boxes leaves them their part.
 //
-// Trade-offs. A request to such a server costs one question more, of a millisecond or two; a large limit hands out several places at once
-// to those who ask often. While a keeper is lost and nobody knows it, its servers get half of what they take.
+// Trade-offs. A request to such a server costs one question more, of a millisecond or two; a large limit grants several permits at once
+// to those who ask often. While a coordinator is lost and nobody knows it, its servers get half of what they take.
 package quota
 
 import (
@@ -21,41 +21,41 @@
 	"time"
 )
 
-// Ask is a box's question for places at a server.
+// Ask is a box's question for permits at a server.
 type Ask struct {
 	Server      string
 	Incarnation int64         // the server's life
 	PerSecond   float64       // the server's limit
 	Known       time.Duration // for how long boxes have known of the limit
-	Patience    time.Duration // within which the first place must begin
-	Wants       int           // places
-	StandsIn    bool          // the keeper does not answer, and the next box hands out places meanwhile
+	Patience    time.Duration // within which the first permit must begin
+	Wants       int           // permits
+	StandsIn    bool          // the limiter does not answer, and the next box grants permits meanwhile
 }
 
 // Grant answers an Ask.
 type Grant struct {
-	Places int           // 0 for none
-	Begin  time.Duration // until the places begin
-	Next   time.Duration // until the asker need ask again: the next free place, or later when many ask
+	Permits int           // 0 for none
+	Begin   time.Duration // until the permits begin
+	Next    time.Duration // until the asker need ask again: the next free permit, or later when many ask
 }
 
-// Keeper hands out the places of the servers that this box keeps. Pure: time comes in. Not safe for concurrent use.
-type Keeper struct {
+// Limiter grants the permits of the servers that this box coordinates. Pure: time comes in. Not safe for concurrent use.
+type Limiter struct {
 	servers map[string]*server
 }
 
 type server struct {
 	incarnation int64
 	perSecond   float64
-	next        time.Time // when the next place begins by the rate alone, without the burst
-	sharesUntil time.Time // until when the keeper before may still hand out places
+	next        time.Time // when the next permit begins by the rate alone, without the burst
+	sharesUntil time.Time // until when the limiter before may still grant permits
 	usedAt      time.Time
 	turn        time.Time // of the last that got nothing to ask again
 }
 
-// Take hands out places. part is the part of the limit that the boxes which this keeper can see may use.
-func (k *Keeper) Take(now time.Time, a Ask, part float64) Grant {
-	s := k.serverOf(now, a)
+// Take grants permits. part is the part of the limit that the boxes which this limiter can see may use.
+func (l *Limiter) Take(now time.Time, a Ask, part float64) Grant {
+	s := l.serverOf(now, a)
 	s.usedAt = now
 	rate := s.perSecond * min(1, max(0, part))
 	if a.StandsIn || now.Before(s.sharesUntil) {
@@ -72,36 +72,36 @@
 	}
 	g := Grant{Begin: begin.Sub(now)}
 	if g.Begin <= a.Patience {
-		g.Places = 1
+		g.Permits = 1
 		if g.Begin == 0 {
 			free := int(float64(now.Add(burst).Sub(s.next))/float64(interval)) + 1
-			g.Places = max(1, min(a.Wants, free, mostPlaces(s.perSecond)))
+			g.Permits = max(1, min(a.Wants, free, mostPermits(s.perSecond)))
 		}
 		if s.next.Before(begin) {
 			s.next = begin
 		}
-		s.next = s.next.Add(time.Duration(g.Places) * interval)
+		s.next = s.next.Add(time.Duration(g.Permits) * interval)
 	}
 	g.Next = max(0, s.next.Add(-burst).Sub(now))
-	if g.Places == 0 {
+	if g.Permits == 0 {
 		g.Next = max(g.Next, s.askAgain(now))
 	}
 	return g
 }
 
-// serverOf gives the state of a server as the asker knows it; places that were handed out ahead keep their part of a changed limit.
-func (k *Keeper) serverOf(now time.Time, a Ask) *server {
-	if k.servers == nil {
-		k.servers = map[string]*server{}
+// serverOf gives the state of a server as the asker knows it; permits that were granted ahead keep their part of a changed limit.
+func (l *Limiter) serverOf(now time.Time, a Ask) *server {
+	if l.servers == nil {
+		l.servers = map[string]*server{}
 	}
-	s := k.servers[a.Server]
+	s := l.servers[a.Server]
 	if s == nil || s.incarnation < a.Incarnation {
 		s = &server{incarnation: a.Incarnation, perSecond: a.PerSecond, next: now}
 		if a.Known > takeoverFor {
 			s.sharesUntil = now.Add(takeoverFor)
-			s.next = now.Add(time.Duration(float64(burstFor) / takeoverPart)) // no burst: the keeper before may just have handed it out
+			s.next = now.Add(time.Duration(float64(burstFor) / takeoverPart)) // no burst: the limiter before may just have handed it out
 		}
-		k.servers[a.Server] = s
+		l.servers[a.Server] = s
 	}
 	if a.PerSecond != s.perSecond {
 		if ahead := s.next.Sub(now); ahead > 0 {
@@ -112,7 +112,7 @@
 	return s
 }
 
-// askAgain is when one that got nothing may ask again: they are given turns, so that a keeper's work follows the limit and not the
+// askAgain is when one that got nothing may ask again: they are given turns, so that a limiter's work follows the limit and not the
 // fleet.
 func (s *server) askAgain(now time.Time) time.Duration {
 	if s.turn.Before(now) {
@@ -122,22 +122,22 @@
 	return min(s.turn.Sub(now), mostPause)
 }
 
-// burstOf is how many places may be handed out at once after a pause.
+// burstOf is how many permits may be granted at once after a pause.
 func burstOf(perSecond float64) float64 { return burstFor.Seconds() * perSecond }
 
-// mostPlaces is how many places one question may get.
-func mostPlaces(perSecond float64) int {
+// mostPermits is how many permits one question may get.
+func mostPermits(perSecond float64) int {
 	return max(1, int(math.Round(perSecond*batchFor.Seconds())))
 }
 
 // Sweep forgets servers that nobody asks for.
-func (k *Keeper) Sweep(now time.Time) {
-	for id, s := range k.servers {
+func (l *Limiter) Sweep(now time.Time) {
+	for id, s := range l.servers {
 		if now.Sub(s.usedAt) > keptFor {
-			delete(k.servers, id)
+			delete(l.servers, id)
 		}
 	}
 }
 
-// Size counts the servers that are kept.
-func (k *Keeper) Size() int { return len(k.servers) }
+// Size counts the servers that are known.
+func (l *Limiter) Size() int { return len(l.servers) }
--- a/src/quota/keeper_test.go
+++ b/src/quota/limiter_test.go
@@ -11,11 +11,11 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// Whoever asks for whatever in whatever order, what begins within four seconds stays within what a server bears, though places are
-// used late in their time; and a keeper that is asked all the time hands out nearly all.
-func TestAKeeperHandsOutNoMoreThanTheLimit(t *testing.T) {
+// Whoever asks for whatever in whatever order, what begins within four seconds stays within what a server bears, though permits are
+// used late in their time; and a limiter that is asked all the time grants nearly all.
+func TestALimiterHandsOutNoMoreThanTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var k Keeper
+		var k Limiter
 		perSecond := rapid.SampledFrom([]float64{0.1, 0.7, 1, 1.1, 4, 20, 333, 5000}).Draw(t, "limit")
 		now := start
 		var used []time.Time
@@ -23,29 +23,29 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
 			a := Ask{Server: "s", PerSecond: perSecond, Patience: time.Duration(rapid.IntRange(0, 2000).Draw(t, "patience")) * time.Millisecond, Wants: rapid.IntRange(1, 100).Draw(t, "wants")}
 			g := k.Take(now, a, 1)
-			if g.Places > 0 && g.Begin > a.Patience {
-				t.Fatalf("a place that begins after %s for a patience of %s", g.Begin, a.Patience)
+			if g.Permits > 0 && g.Begin > a.Patience {
+				t.Fatalf("a permit that begins after %s for a patience of %s", g.Begin, a.Patience)
 			}
 			late := time.Duration(rapid.IntRange(0, 249).Draw(t, "late")) * time.Millisecond
-			for range g.Places {
+			for range g.Permits {
 				used = append(used, now.Add(g.Begin+late))
 			}
 		}
 		slices.SortFunc(used, time.Time.Compare)
 		if most := mostIn(used, 4*time.Second); most > allowed(perSecond) {
-			t.Fatalf("%d places within 4 s at %g a second, want %d at most", most, perSecond, allowed(perSecond))
+			t.Fatalf("%d permits within 4 s at %g a second, want %d at most", most, perSecond, allowed(perSecond))
 		}
 	})
 }
 
-// A box takes a server over from another that does not know it yet: both hand out places for two seconds.
-func TestTwoKeepersForAWhileStayWithinWhatAServerBears(t *testing.T) {
+// A box takes a server over from another that does not know it yet: both grant permits for two seconds.
+func TestTwoLimitersForAWhileStayWithinWhatAServerBears(t *testing.T) {
 	for _, perSecond := range []float64{1, 4, 50, 2000} {
-		var before, after Keeper
+		var before, after Limiter
 		var used []time.Time
-		take := func(k *Keeper, now time.Time) {
+		take := func(k *Limiter, now time.Time) {
 			g := k.Take(now, Ask{Server: "s", PerSecond: perSecond, Known: time.Minute, Wants: 100}, 1)
-			for range g.Places {
+			for range g.Permits {
 				used = append(used, now)
 			}
 		}
@@ -60,50 +60,50 @@
 		most := mostIn(used, 4*time.Second)
 		t.Logf("%g a second: at most %d in 4 s, %d allowed", perSecond, most, allowed(perSecond))
 		if most > allowed(perSecond) {
-			t.Errorf("%d places within 4 s at %g a second, want %d at most", most, perSecond, allowed(perSecond))
+			t.Errorf("%d permits within 4 s at %g a second, want %d at most", most, perSecond, allowed(perSecond))
 		}
 	}
 }
 
-func TestAKeeperKeepsToItsPart(t *testing.T) {
+func TestALimiterKeepsToItsPart(t *testing.T) {
 	for _, c := range []struct {
 		name     string
 		part     float64
 		standsIn bool
 		want     float64
 	}{{"all", 1, false, 1}, {"half in sight", 0.5, false, 0.5}, {"stands in", 1, true, takeoverPart}, {"nobody in sight", 0, false, 0}} {
-		var k Keeper
+		var k Limiter
 		n := 0
 		for at := time.Duration(0); at < 20*time.Second; at += 10 * time.Millisecond {
-			n += k.Take(start.Add(at), Ask{Server: "s", PerSecond: 10, Wants: 1, StandsIn: c.standsIn}, c.part).Places
+			n += k.Take(start.Add(at), Ask{Server: "s", PerSecond: 10, Wants: 1, StandsIn: c.standsIn}, c.part).Permits
 		}
 		if got := float64(n) / 200; got < c.want-0.05 || got > c.want+0.05 {
-			t.Errorf("%s: %.2f of the limit handed out, want %.2f", c.name, got, c.want)
+			t.Errorf("%s: %.2f of the limit granted, want %.2f", c.name, got, c.want)
 		}
 	}
 }
 
-// A limit that rises or falls counts at once, also for what was handed out ahead; a new life of a server begins anew.
+// A limit that rises or falls counts at once, also for what was granted ahead; a new life of a server begins anew.
 func TestALimitThatChangesCountsAtOnce(t *testing.T) {
-	var k Keeper
+	var k Limiter
 	for range 20 { // two seconds ahead
 		k.Take(start, Ask{Server: "s", PerSecond: 10, Patience: 2 * time.Second, Wants: 1}, 1)
 	}
 	if g := k.Take(start, Ask{Server: "s", PerSecond: 10, Wants: 1}, 1); g.Next < 1500*time.Millisecond {
-		t.Fatalf("the next place is free after %s", g.Next)
+		t.Fatalf("the next permit is free after %s", g.Next)
 	}
 	if g := k.Take(start, Ask{Server: "s", PerSecond: 100, Wants: 1}, 1); g.Next > 300*time.Millisecond {
-		t.Errorf("at ten times the limit the next place is free after %s", g.Next)
+		t.Errorf("at ten times the limit the next permit is free after %s", g.Next)
 	}
-	if g := k.Take(start, Ask{Server: "s", Incarnation: 1, PerSecond: 10, Wants: 1}, 1); g.Places != 1 {
-		t.Error("a new life of the server has no place")
+	if g := k.Take(start, Ask{Server: "s", Incarnation: 1, PerSecond: 10, Wants: 1}, 1); g.Permits != 1 {
+		t.Error("a new life of the server has no permit")
 	}
 }
 
-// Many boxes that ask in vain are told to come back later, so that what a keeper answers follows the limit.
-func TestAKeeperIsNotAskedByAllBoxesAllTheTime(t *testing.T) {
+// Many boxes that ask in vain are told to come back later, so that what a limiter answers follows the limit.
+func TestALimiterIsNotAskedByAllBoxesAllTheTime(t *testing.T) {
 	for _, boxes := range []int{6, 61, 985, 2000} {
-		var k Keeper
+		var k Limiter
 		until := make([]time.Time, boxes)
 		asked, got := 0, 0
 		const seconds = 20
@@ -112,20 +112,20 @@
 				if now := start.Add(at); !now.Before(until[i]) {
 					g := k.Take(now, Ask{Server: "s", PerSecond: 1, Wants: 1}, 1)
 					asked++
-					got += g.Places
+					got += g.Permits
 					until[i] = now.Add(max(g.Next, time.Millisecond))
 				}
 			}
 		}
-		t.Logf("%d boxes: %d questions a second, %d places in %d s", boxes, asked/seconds, got, seconds)
+		t.Logf("%d boxes: %d questions a second, %d permits in %d s", boxes, asked/seconds, got, seconds)
 		if most := 250; asked/seconds > most || got < seconds-2 {
-			t.Errorf("%d boxes: %d questions a second, want %d at most; %d places", boxes, asked/seconds, most, got)
+			t.Errorf("%d boxes: %d questions a second, want %d at most; %d permits", boxes, asked/seconds, most, got)
 		}
 	}
 }
 
-func TestAKeeperForgetsWhatNobodyAsksFor(t *testing.T) {
-	var k Keeper
+func TestALimiterForgetsWhatNobodyAsksFor(t *testing.T) {
+	var k Limiter
 	for i := range 100 {
 		k.Take(start, Ask{Server: fmt.Sprint(i), PerSecond: 1, Wants: 1}, 1)
 	}
--- a/src/quota/ways_test.go
+++ b/src/quota/ways_test.go
@@ -56,7 +56,7 @@
 }
 
 func kept(_ int, perSecond float64) way {
-	var k Keeper
+	var k Limiter
 	until := map[int]time.Time{}
 	return func(now time.Time, box int) bool {
 		if now.Before(until[box]) {
@@ -64,13 +64,13 @@
 		}
 		g := k.Take(now, Ask{Server: "s", PerSecond: perSecond, Wants: 1}, 1)
 		until[box] = now.Add(g.Next)
-		return g.Places > 0
+		return g.Permits > 0
 	}
 }
 
 // Load: requests arrive at boxes by chance, 40 a second or twice the limit in all, the server being the best for each. A box that keeps
 // the limit alone overruns it the more the larger the fleet; an equal part, or what was told, overruns it at first or leaves it idle;
-// a keeper does neither.
+// a limiter does neither.
 func TestWaysToShareALimit(t *testing.T) {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	for _, perSecond := range []float64{1, 4, 200} {
@@ -79,7 +79,7 @@
 				name  string
 				make  func(boxes int, perSecond float64) way
 				bound bool
-			}{{"alone", alone, false}, {"equal", equal, false}, {"told", told, false}, {"keeper", kept, true}} {
+			}{{"alone", alone, false}, {"equal", equal, false}, {"told", told, false}, {"limiter", kept, true}} {
 				may := w.make(boxes, perSecond)
 				rnd := rand.New(rand.NewPCG(1, uint64(boxes)))
 				load := max(40, 2*perSecond)
@@ -116,9 +116,9 @@
 	return most
 }
 
-// BenchmarkTake is a keeper's work for one question, with a thousand servers kept.
+// BenchmarkTake is a limiter's work for one question, with a thousand servers kept.
 func BenchmarkTake(b *testing.B) {
-	var k Keeper
+	var k Limiter
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	ids := make([]string, 1000)
 	for i := range ids {
