--- /dev/null
+++ b/src/gateway/limits_urgency_test.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Where all servers name a limit and callers want three times as much, the urgent are served before the less urgent.
+func TestTheUrgentGetTheFewPermits(t *testing.T) {
+	for _, boxes := range []int{6, 61} {
+		t.Run(fmt.Sprint(boxes, " boxes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newWordSite(t, boxes)
+				c := testCatalog(2)
+				for _, p := range c.Pipelines {
+					if p.Name == "look" {
+						p.Name, p.Prefix, p.Priority = "peek", "/peek/", 4
+						c.Pipelines = append(c.Pipelines, p)
+						break
+					}
+				}
+				s.f.publish(c)
+				time.Sleep(2 * time.Second)
+				s.nameLimit("model", 5, 4)
+				var mu sync.Mutex
+				var all sync.WaitGroup
+				served, asked := map[string]int{}, map[string]int{}
+				for i := range 720 { // 60 a second, of which 20 can be served
+					path := []string{"/look/x", "/peek/x", "/peek/x"}[i%3]
+					all.Go(func() {
+						a := s.askAs(i%boxes, path, fmt.Sprint("r", i), callerTime)
+						mu.Lock()
+						defer mu.Unlock()
+						asked[path]++
+						if a.ended {
+							served[path]++
+						}
+					})
+					time.Sleep(time.Second / 60)
+				}
+				all.Wait()
+				share := func(path string) float64 { return float64(served[path]) / float64(asked[path]) }
+				t.Logf("urgent: %.2f of %d served; less urgent: %.2f of %d", share("/look/x"), asked["/look/x"], share("/peek/x"), asked["/peek/x"])
+				if share("/look/x") < share("/peek/x")+0.05 {
+					t.Errorf("%.2f of the urgent are served, %.2f of the less urgent", share("/look/x"), share("/peek/x"))
+				}
+			})
+		})
+	}
+}
