Readers that fail together ask the next boxes at once

While the store said nothing to its three readers, the last box knew of a change after 1.85 to 2.0 s at 61 and 295 boxes, with 2.0 s allowed: the reads of all three end at one moment, their words cross, and each judged what it heard at its next failure, a read later. Ruled out: the time of a read (1 s of silence) and the tick of a box that begins to read (80 ms). One that has answers, or has asked for this failure, asks nobody.

--- a/src/catalog/feed.go
+++ b/src/catalog/feed.go
@@ -69,6 +69,7 @@
 // Read takes the platform's state as of a revision, read at a time. It says whether the content
 // changed; an older state than the held one changes nothing.
 func (f *Feed) Read(at time.Time, asOf uint64, digest string) bool {
+	f.relief.failed = time.Time{}
 	f.noteAnswered(at)
 	if asOf < f.asOf {
 		return false
--- a/src/catalog/relief.go
+++ b/src/catalog/relief.go
@@ -21,6 +21,7 @@
 	round      int                  // of this box while it reads for others
 	until      time.Time            // when that ends
 	asked      time.Time            // when this box last asked others
+	failed     time.Time            // when a read of this box last brought nothing, zero since one brought something
 	unanswered map[string]time.Time // boxes whose reads bring nothing, and when they said so
 }
 
@@ -35,6 +36,22 @@
 // Unanswered notes that a read of this box brought nothing and gives whom to tell. A box that reads only because nobody
 // confirmed its content tells nobody.
 func (f *Feed) Unanswered(now time.Time, living []string) Plea {
+	f.relief.failed = now
+	return f.plea(now, living)
+}
+
+// UnansweredToo gives whom this box asks now that another reader has said that it has no answers either: the reads of all may end
+// at one moment, and their words cross.
+func (f *Feed) UnansweredToo(now time.Time, living []string) Plea {
+	if f.relief.failed.IsZero() || now.Sub(f.relief.failed) > reliefFor || !f.relief.asked.Before(f.relief.failed) {
+		return Plea{}
+	}
+	p := f.plea(now, living)
+	p.Beside = nil
+	return p
+}
+
+func (f *Feed) plea(now time.Time, living []string) Plea {
 	round, reads := f.ownRound(now, living)
 	if !reads {
 		return Plea{}
--- a/src/catalog/relief_test.go
+++ b/src/catalog/relief_test.go
@@ -91,3 +91,44 @@
 		t.Error("a box reads for others that ask no more")
 	}
 }
+
+// Readers whose reads end without an answer at one moment hear of one another only afterwards. The last to hear of all the others
+// asks the next boxes then, and nobody does so twice for one failure, or after a read that brought something.
+func TestReadersWhoseReadsFailTogetherAskTheNext(t *testing.T) {
+	boxes, feeds := reliefFleet(61)
+	now := start.Add(500 * time.Millisecond)
+	var failing []string
+	for _, b := range boxes {
+		if feeds[b].Reads(now, boxes) {
+			failing = append(failing, b)
+		}
+	}
+	for _, b := range failing {
+		if p := feeds[b].Unanswered(now, boxes); len(p.Next) > 0 {
+			t.Fatalf("%s asked %v before it had heard of the others", b, p.Next)
+		}
+	}
+	asked := 0
+	hear := func(b string) {
+		for _, other := range failing {
+			if other != b {
+				feeds[b].HearUnanswered(now, other, 0)
+				p := feeds[b].UnansweredToo(now, boxes)
+				if len(p.Beside) > 0 {
+					t.Errorf("%s tells %v once more", b, p.Beside)
+				}
+				asked += len(p.Next)
+			}
+		}
+	}
+	hear(failing[0])
+	hear(failing[0])
+	if asked != readers {
+		t.Errorf("%d boxes were asked by one reader, want %d once", asked, readers)
+	}
+	feeds[failing[1]].Read(now, 1, "x")
+	hear(failing[1])
+	if asked != readers {
+		t.Error("a reader that has answers asked others")
+	}
+}
--- a/src/gateway/reading.go
+++ b/src/gateway/reading.go
@@ -83,6 +83,25 @@
 	p.mu.Lock()
 	plea := p.feed(document).Unanswered(now, living)
 	p.mu.Unlock()
+	g.plead(now, document, plea)
+}
+
+// hearUnanswered asks the next boxes to read once the last of the readers beside this one has said that it has no answers.
+func (g *Gateway) hearUnanswered(u *core.Unanswered) {
+	if u == nil {
+		return
+	}
+	now := g.now()
+	living := g.fleet.usable()
+	p := &g.published
+	p.mu.Lock()
+	plea := p.feed(u.Document).UnansweredToo(now, living)
+	p.mu.Unlock()
+	g.plead(now, u.Document, plea)
+}
+
+// plead tells other boxes that reads of a document bring nothing.
+func (g *Gateway) plead(now time.Time, document string, plea catalog.Plea) {
 	if len(plea.Beside)+len(plea.Next) == 0 {
 		return
 	}
--- a/src/gateway/silenced_test.go
+++ b/src/gateway/silenced_test.go
@@ -15,7 +15,7 @@
 // Evidence: the boxes' lines: "store lost" at all three in the same millisecond, "others are asked to read the store" at their next failure
 // 1.15 s later.
 //
-// Cause: what a reader hears of the others was judged at its own next failure only.
+// Cause: what a reader hears of the others was judged at its own next failure only; the words of readers that fail together cross.
 func TestReadersThatAreSilencedTogetherAskTheNextAtOnce(t *testing.T) {
 	for _, b := range budgets() {
 		for _, boxes := range []int{61, 295} {
