--- a/src/pushback/limits.go
+++ b/src/pushback/limits.go
@@ -103,7 +103,7 @@
 	r.limits[id] = l
 }
 
-// HearNote takes what another box knows of a server's limit, for how long it has known it. It says whether it is news.
+// HearNote takes what another box knows of a server's limit. It says whether it is news.
 func (r *Register) HearNote(now time.Time, n LimitNote) bool {
 	l, known := r.limits[n.Server.ID]
 	switch {
