--- a/src/gateway/bench_test.go
+++ b/src/gateway/bench_test.go
@@ -11,6 +11,7 @@
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/port"
+	"github.com/stilemast/stilemast/src/pushback"
 )
 
 // benchSizes are servers of the model pool; the stage pool has a third of them more.
@@ -107,3 +108,21 @@
 		})
 	}
 }
+
+// BenchmarkChoiceWhileLimitsAreKnown is a choice while all servers name a limit, and while one does.
+func BenchmarkChoiceWhileLimitsAreKnown(b *testing.B) {
+	for _, limited := range []int{1, 600} {
+		b.Run(fmt.Sprint(limited, " of 600"), func(b *testing.B) {
+			g := benchGateway(b, 600, 0)
+			for i := range limited {
+				g.hear(catalog.Server{ID: fmt.Sprintf("i-%08x", i), Pool: "model"}, pushback.Word{Limit: 4}, "bench", g.now())
+			}
+			e := g.pools.get("model")
+			for b.Loop() {
+				w := balance.Wish{Exclude: map[string]bool{}}
+				s, _, _ := e.picker.Pick(g.now(), &w)
+				e.picker.Ended(g.now(), s.ID, &w, balance.Good)
+			}
+		})
+	}
+}
--- a/src/gateway/limits_words_test.go
+++ b/src/gateway/limits_words_test.go
@@ -127,7 +127,9 @@
 				synctest.Test(t, func(t *testing.T) {
 					s := newWordSite(t, boxes)
 					first := s.coordinator(c.pool) // of the server that names the limit: were it a newer box
-					old := func(box string) bool { return box == first || strings.HasSuffix(box, "1") || strings.HasSuffix(box, "3") }
+					old := func(box string) bool {
+						return box == first || strings.HasSuffix(box, "1") || strings.HasSuffix(box, "3")
+					}
 					s.hearsNoLimits(old)
 					s.nameLimit(c.pool, c.naming, c.perSecond)
 					h := s.play(c.path, boxes, c.between, limitPlays)
