Results are given up after one look at what their server allows

A mutant survived: the look at a server's words had become a second one, since a permit is used up through the same door.

--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -9,6 +9,7 @@
 	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/pushback"
 	"github.com/stilemast/stilemast/src/suspects"
 )
 
@@ -288,13 +289,12 @@
 // knows of the rest, so that only a word which came in between has this effect.
 func (d *desk) giveUp(ctx context.Context, s catalog.Server, handles []string) {
 	g := d.gateway
-	if v := g.words.judge(g.now(), s); !v.Open() {
-		g.Log.Info("results not given up at a server that wants nothing", "server", s.ID, "state", v.State.String(), "results", len(handles))
-		return
+	owner, v := "results of "+handles[0], pushback.Verdict{State: pushback.Full}
+	if _, ok := g.takePermit(ctx, s, owner, 0); ok {
+		v = g.words.begin(g.now(), s, owner)
 	}
-	owner := "results of " + handles[0]
-	if _, ok := g.takePermit(ctx, s, owner, 0); !ok || !g.words.begin(g.now(), s, owner).Open() {
-		g.Log.Info("results not given up at a server that takes no more now", "server", s.ID, "results", len(handles))
+	if !v.Open() {
+		g.Log.Info("results not given up at a server that wants nothing", "server", s.ID, "state", v.State.String(), "results", len(handles))
 		return
 	}
 	g.hear(s, g.Backends.FreePieces(ctx, s, handles), "results given up", time.Time{})
