--- a/src/gateway/permits.go
+++ b/src/gateway/permits.go
@@ -29,8 +29,9 @@
 	errCoordinatorOff = errors.New("the coordinator did not answer lately")
 )
 
-// coordinatorOf is the box that grants the permits of a server: the scheduler of a pool whose calls one box forms, which so needs no
-// message; otherwise the first by rendezvous hash on the server, so that many servers have many coordinators.
+// coordinatorOf is the box that grants the permits of a server, since no box sees what all of them send: the scheduler of a pool whose
+// calls one box forms, which so needs no message; otherwise the first by rendezvous hash on the server, so that many servers have many
+// coordinators.
 func (g *Gateway) coordinatorOf(pool, server string, passed map[string]bool) string {
 	if x := g.index.Load(); x != nil {
 		if p := x.Pool(pool); p != nil && p.Batch != nil {
