Lines for whole reads of the store and for states that are passed over

A box that dropped what it had just read of the store said nothing, so that its lines could not tell an older state from one that never came. Each whole read now tells its revision beside the one held, and a state that is passed over is a warning.

--- a/src/gateway/published.go
+++ b/src/gateway/published.go
@@ -154,6 +154,7 @@
 		return
 	}
 	behindSince, _ := p.catalogs.Behind()
+	held := p.catalogs.Say(p.gateway.now())
 	changed := false
 	if readAt.IsZero() {
 		changed = p.catalogs.Pulled(asOf, digest)
@@ -162,6 +163,9 @@
 	}
 	if !changed {
 		p.mu.Unlock()
+		if !readAt.IsZero() && digest != held.Digest {
+			g.logPassedOver(port.DocumentConfig, asOf, held.Version, digest, held.Digest)
+		}
 		return
 	}
 	before := p.held
--- a/src/gateway/reading.go
+++ b/src/gateway/reading.go
@@ -168,6 +168,7 @@
 	var change CatalogChange
 	if f.at == 0 {
 		change, f.at, err = g.Store.Catalog(ctx)
+		g.logWholeRead(port.DocumentConfig, f.at, err)
 		if f.held == nil {
 			f.held = g.published.heldCatalog() // what stays in force should this one be unreadable
 		}
@@ -245,6 +246,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readLimit)
 	defer cancel()
 	list, at, err := g.Store.Servers(ctx)
+	g.logWholeRead(port.DocumentServers, at, err)
 	if err != nil {
 		return 0, err
 	}
@@ -271,6 +273,23 @@
 	return at, nil
 }
 
+// logWholeRead tells which state of the store a whole read showed, beside the one that is held.
+func (g *Gateway) logWholeRead(document string, at uint64, err error) {
+	if err != nil {
+		return
+	}
+	_, _, held := g.published.behind(document)
+	if document == port.DocumentServers {
+		held = catalog.RevisionOf(held)
+	}
+	g.Log.Info("store read whole", "document", document, "revision", at, "held_revision", held)
+}
+
+// logPassedOver tells of a state of the store that is not taken since a later one is held.
+func (g *Gateway) logPassedOver(document string, revision, held uint64, digest, heldDigest string) {
+	g.Log.Warn("older state of the store passed over", "document", document, "revision", revision, "held_revision", held, "digest", digest, "held_digest", heldDigest)
+}
+
 // confirmServers notes that a watch brought no change: what was read last is the newest still.
 func (g *Gateway) confirmServers(at time.Time, asOf uint64) {
 	p := &g.published
--- a/src/gateway/serverlist.go
+++ b/src/gateway/serverlist.go
@@ -40,6 +40,7 @@
 		return false
 	}
 	digest, changed := p.list.DigestAfter(d), false
+	held := p.lists.Say(now)
 	if readAt.IsZero() {
 		changed = p.lists.Pulled(asOf, digest)
 	} else {
@@ -48,6 +49,9 @@
 	p.known = true
 	if !changed {
 		p.mu.Unlock()
+		if !readAt.IsZero() && digest != held.Digest {
+			g.logPassedOver(port.DocumentServers, catalog.RevisionOf(asOf), catalog.RevisionOf(held.Version), digest, held.Digest)
+		}
 		return true
 	}
 	for i := range d.Put {
