Test, red: a server that leaves after the store was restored is used on

The store comes back from a copy 3 or 40 changes old, is written to again, and then a server leaves: 6 and 61 boxes use it for 8 s and more.

--- a/src/gateway/fleet_test.go
+++ b/src/gateway/fleet_test.go
@@ -36,6 +36,7 @@
 	stop      map[string]context.CancelFunc
 	storeOK   bool
 	rev       uint64
+	era       uint64 // of the store, one more each time it comes back from a copy
 	catalog   *catalog.Catalog
 	servers   []catalog.Server
 	reads     map[string]int                                                    // store calls by box
@@ -341,14 +342,27 @@
 		defer f.mu.Unlock()
 		return f.catalog, append([]catalog.Server(nil), f.servers...), f.rev
 	}
-	changed := func(ctx context.Context, after uint64, d time.Duration) bool {
+	era := func() uint64 {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.era
+	}
+	// changed waits for a change; the store ends its watches when it goes away and knows none from a revision that it lacks.
+	changed := func(ctx context.Context, after uint64, d time.Duration) (bool, error) {
+		began := era()
 		for end := time.Now().Add(d); time.Now().Before(end) && ctx.Err() == nil; {
-			if _, _, rev := state(); rev > after {
-				return true
+			_, _, rev := state()
+			switch {
+			case era() != began:
+				return false, errStore
+			case rev > after:
+				return true, nil
+			case rev < after:
+				return false, ErrHistoryGone
 			}
 			sleep(ctx, 10*time.Millisecond)
 		}
-		return false
+		return false, nil
 	}
 	return Store{
 		Catalog: func(ctx context.Context) (CatalogChange, uint64, error) {
@@ -372,8 +386,8 @@
 			if err := begin(ctx); err != nil {
 				return CatalogChange{}, 0, err
 			}
-			if !changed(ctx, after, d) {
-				return CatalogChange{}, after, nil
+			if ok, err := changed(ctx, after, d); !ok {
+				return CatalogChange{}, after, err
 			}
 			c, _, rev := state()
 			if err := f.links.carryCatalog(ctx, addressOf(box), c); err != nil {
@@ -385,8 +399,8 @@
 			if err := begin(ctx); err != nil {
 				return nil, 0, err
 			}
-			if !changed(ctx, after, d) {
-				return nil, after, nil
+			if ok, err := changed(ctx, after, d); !ok {
+				return nil, after, err
 			}
 			_, list, rev := state()
 			return append(f.removals(after, rev), putsOf(list)...), rev, nil
