What a box believes outlasts a restore of the store

What callers would see: after a restore, a server that left in the time that the store lost gets requests again, since the copy names it as ready; one that joined is dropped until it has written its entry again; an evacuation opens; a box that starts in that time serves a configuration with a key that was revoked.

Cause: a list of a later era may be older than what is known, and was believed.

Change: a life that said that it leaves stays left, and goes round as a server's own word; a server whose entry was removed is used again only once its entry has outlasted a lease, and boxes that know no better are told; an entry that the first list of an era lacks is used until entries have stopped coming back for two seconds, and no longer where another box says that this is over. An evacuation that the copy lacks stays until the operator takes it back in the new era; its end is told to boxes that hold it. Of a store with an older configuration only the evacuations are taken.

Weighed and not taken: merging beliefs into the documents (two boxes that hold different ones at one state would have to merge and tell each other); doubting all entries of a new era until they are written again (heartbeats of a server do not change its entry).

--- a/src/core/rumour.go
+++ b/src/core/rumour.go
@@ -101,7 +101,24 @@
 
 	Unanswered *Unanswered `msgpack:"n,omitempty"`
 
-	Era uint64 `msgpack:"z,omitempty"` // from which the revisions of the message count, 0 where the sender knows none
+	Era      uint64        `msgpack:"z,omitempty"` // from which the revisions of the message count, 0 where the sender knows none
+	Settled  bool          `msgpack:"j,omitempty"` // what the sender's list lacks since the store was restored is gone
+	Closures []ClosureNote `msgpack:"y,omitempty"`
+	Doubts   []DoubtNote   `msgpack:"g,omitempty"`
+}
+
+// ClosureNote passes on an evacuation of an earlier era of the store, or that one has ended (catalog.ClosureNote).
+type ClosureNote struct {
+	Domain   string `msgpack:"d"`
+	Closed   bool   `msgpack:"c"`
+	Revision uint64 `msgpack:"r"`
+}
+
+// DoubtNote passes on for how long a server is not used that had left before the store was restored (catalog.DoubtNote).
+type DoubtNote struct {
+	Server      string        `msgpack:"s"`
+	Incarnation int64         `msgpack:"i"`
+	For         time.Duration `msgpack:"f"`
 }
 
 // Unanswered is a box's word that its own reads of a published document bring nothing.
--- a/src/gateway/eras.go
+++ b/src/gateway/eras.go
@@ -6,6 +6,7 @@
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/port"
+	"github.com/stilemast/stilemast/src/pushback"
 )
 
 // eras is what a box knows of the store's eras.
@@ -28,6 +29,11 @@
 	return before
 }
 
+// confirmList has the registry know the era of the list that is held: the same list may be that of a later one. p.mu is held.
+func (p *published) confirmList(now time.Time) {
+	p.registry.Confirm(now, p.heldRevision(port.DocumentServers).Era())
+}
+
 // noteRise tells that the store came back from an older copy; before is 0 where it did not.
 func (g *Gateway) noteRise(before catalog.Era, held, revision catalog.Revision, from string) {
 	if before == 0 {
@@ -39,14 +45,25 @@
 	}
 }
 
-// tellEra fills a heartbeat with the era from which its numbers count. p.mu is held.
-func (p *published) tellEra(b *core.Beat) {
+// tellEra fills a heartbeat with the era from which its numbers count, and with what no document of the newest era has. p.mu is held.
+func (p *published) tellEra(now time.Time, b *core.Beat) {
 	base := p.eras.base
 	b.Era = uint64(base)
 	b.Config.Version = catalog.ConfigTold(p.catalogs.AsOf(), base)
 	b.List.Version = catalog.ListTold(p.lists.AsOf(), base)
+	b.Settled = p.registry.Settled(now)
+	b.Closures, b.Doubts = nil, nil
+	for _, n := range p.closures.Notes(now, p.configEra(), pushback.NotesMost) {
+		b.Closures = append(b.Closures, core.ClosureNote{Domain: n.Domain, Closed: n.Closed, Revision: n.At.Told(base)})
+	}
+	for _, n := range p.registry.Doubts(now, pushback.NotesMost) {
+		b.Doubts = append(b.Doubts, core.DoubtNote{Server: n.Server, Incarnation: int64(n.Incarnation), For: n.For})
+	}
 }
 
+// configEra is the era of the configuration that is held. p.mu is held.
+func (p *published) configEra() catalog.Era { return p.heldRevision(port.DocumentConfig).Era() }
+
 // heardBase is the era from which a message's numbers count, 0 where it does not say: then as this box's. p.mu is held.
 func (p *published) heardBase(era uint64) catalog.Era {
 	e := &p.eras
@@ -95,6 +112,88 @@
 	b.List.Version = uint64(catalog.ListHeard(b.List.Version, base))
 }
 
+// hearNotes takes what another box tells of evacuations and of servers that no document of the newest era has.
+func (g *Gateway) hearNotes(b core.Beat) {
+	if len(b.Closures)+len(b.Doubts) == 0 {
+		return
+	}
+	p := &g.published
+	now := g.now()
+	p.mu.Lock()
+	base, closed := p.heardBase(b.Era), false
+	for _, n := range b.Closures[:min(len(b.Closures), pushback.NotesMost)] {
+		note := catalog.ClosureNote{Domain: n.Domain, Closed: n.Closed, At: catalog.RevisionTold(n.Revision, base)}
+		if p.closures.Hear(now, note, p.configEra()) {
+			closed = true
+			g.Log.Warn("evacuation heard that the store does not say", "domain", n.Domain, "evacuated", n.Closed, "revision", note.At, "from", b.From.ID.Name)
+		}
+	}
+	var doubted []catalog.Changed
+	for _, n := range b.Doubts[:min(len(b.Doubts), pushback.NotesMost)] {
+		note := catalog.DoubtNote{Server: n.Server, Incarnation: catalog.Incarnation(n.Incarnation), For: n.For}
+		if c, changed := p.registry.HearDoubt(now, note); changed {
+			doubted = append(doubted, c)
+			g.Log.Warn("server not used, had left before the store was restored", "server", n.Server, "for_ms", n.For.Milliseconds(), "from", b.From.ID.Name)
+		}
+	}
+	p.mu.Unlock()
+	if closed {
+		g.applyAll()
+	} else if len(doubted) > 0 {
+		g.applyChanged(doubted)
+	}
+}
+
+// liftClosures takes the operator's word that failure domains are not evacuated any more.
+func (g *Gateway) liftClosures(domains []string, at catalog.Revision) {
+	if len(domains) == 0 {
+		return
+	}
+	p := &g.published
+	p.mu.Lock()
+	changed := p.closures.Lift(g.now(), domains, at)
+	p.mu.Unlock()
+	if changed {
+		g.Log.Info("evacuations taken back", "domains", domains, "revision", at)
+		g.applyAll()
+		g.announce()
+	}
+}
+
+// hearRestored takes that servers which a restored list names as working had said that they leave. All boxes are told as of a server's
+// own word: one that started since knows of none.
+func (g *Gateway) hearRestored(servers []catalog.Server) {
+	now := g.now()
+	var news []catalog.Server
+	g.words.with(func(r *pushback.Register) {
+		for _, s := range servers {
+			if r.HearLeaving(now, wordLife(s)) {
+				news = append(news, s)
+			}
+		}
+	})
+	if len(news) > 0 {
+		g.takeDepartures(news, "an earlier era of the store")
+	}
+}
+
+// endDoubts takes servers back whose entries outlasted a lease since the store was restored.
+func (g *Gateway) endDoubts(now time.Time) {
+	p := &g.published
+	p.mu.Lock()
+	back := p.registry.EndDoubts(now)
+	p.mu.Unlock()
+	if len(back) == 0 {
+		return
+	}
+	names := make([]string, len(back))
+	for i, c := range back {
+		names[i] = c.ID
+	}
+	g.Log.Info("servers used again, their entries outlasted a lease", "servers", len(back), "names", firstOf(names))
+	g.applyChanged(back)
+}
+
 // tellPublished turns the revisions of a document that is given into numbers.
 func (p *published) tellPublished(document string, d *port.Published) {
 	p.mu.Lock()
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -258,6 +258,7 @@
 	if behind := g.published.hear(m, h.AskedAt); behind || g.published.empty() {
 		g.pullPublished(f.gateway.stages) // without waiting for the next tick
 	}
+	g.hearNotes(m)
 	g.hearUnanswered(m.Unanswered)
 	g.suspects.Hear(m.Suspects, m.From.ID.Name)
 	g.hearDepartures(m.Leavings, m.From.ID.Name)
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -164,6 +164,7 @@
 		g.Log.Warn("process was paused", "gap_ms", now.Sub(last).Milliseconds())
 	}
 	g.dropLapsed(now)
+	g.endDoubts(now)
 	g.suspects.Tick()
 	g.sweepWords(now)
 	g.permits.sweep(now)
--- a/src/gateway/published.go
+++ b/src/gateway/published.go
@@ -24,6 +24,7 @@
 	held     *catalog.Catalog
 	list     *catalog.List    // of servers, as the platform has it
 	registry catalog.Registry // what this box believes of them
+	closures catalog.Closures
 	eras     eras
 	known    bool // a list of servers was seen
 	given    given
@@ -80,7 +81,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b.Config, b.List = p.catalogs.Say(now), p.lists.Say(now)
-	p.tellEra(b)
+	p.tellEra(now, b)
 }
 
 // hear takes the statements of a heartbeat. It says whether something newer is known than is held.
@@ -91,6 +92,10 @@
 	p.hearEra(&b)
 	p.catalogs.Hear(now, b.From.ID.Name, b.Config, askedAt)
 	p.lists.Hear(now, b.From.ID.Name, b.List, askedAt)
+	p.confirmList(now)
+	if b.Settled {
+		p.registry.Settle(now, catalog.ListRevision(catalog.State(b.List.Version)).Era())
+	}
 	if u := b.Unanswered; u != nil {
 		p.feed(u.Document).HearUnanswered(now, b.From.ID.Name, int(u.Round))
 	}
@@ -144,7 +149,8 @@
 }
 
 // takeCatalog puts a catalog in force unless it is older than the one that is. readAt is zero when
-// it came from a peer; raw is its encoded form, nil when that is not known.
+// it came from a peer; raw is its encoded form, nil when that is not known. Of what the store shows below the version in force,
+// which it lost, the evacuations are taken.
 func (g *Gateway) takeCatalog(c *catalog.Catalog, raw []byte, asOf catalog.State, readAt time.Time, from string) {
 	p := &g.published
 	if raw == nil && (p.heldCatalog() == nil || c.Version > p.heldCatalog().Version) {
@@ -153,8 +159,11 @@
 	p.mu.Lock()
 	now, before := p.gateway.now(), p.held
 	if before != nil && c.Version < before.Version {
-		p.mu.Unlock()
-		return
+		if readAt.IsZero() {
+			p.mu.Unlock()
+			return
+		}
+		c, raw = before.WithEvacuated(c.Evacuated), nil
 	}
 	digest := c.Digest()
 	behindSince, _ := p.catalogs.Behind()
@@ -179,13 +188,15 @@
 		raw = g.encode(c)
 	}
 	p.held = c
+	evacuations := p.closures.Take(now, c.Evacuated, revision, heldRevision.Era())
+	kept := p.closures.Kept()
 	p.given.hold(digest, raw)
 	g.index.Store(catalog.NewIndex(c))
 	p.mu.Unlock()
 	g.noteRise(rise, heldRevision, revision, from)
-	g.Log.Info("configuration in force", "version", c.Version, "revision", revision, "from", from, "pipelines", len(c.Pipelines), "workspaces", len(c.Workspaces), "evacuated", c.Evacuated, "held_version", versionOf(before), "behind_ms", milliseconds(g.now(), behindSince))
+	g.Log.Info("configuration in force", "version", c.Version, "revision", revision, "from", from, "pipelines", len(c.Pipelines), "workspaces", len(c.Workspaces), "evacuated", c.Evacuated, "kept_evacuated", kept, "held_version", versionOf(before), "behind_ms", milliseconds(g.now(), behindSince))
 	g.logChanges(c.Version, catalog.ChangesOf(before, c))
-	if before == nil || !slices.Equal(before.Evacuated, c.Evacuated) {
+	if before == nil || evacuations {
 		g.applyAll()
 	} else {
 		g.desk.takeLimits()
--- a/src/gateway/pushback.go
+++ b/src/gateway/pushback.go
@@ -143,13 +143,22 @@
 	defer p.mu.Unlock()
 	var out []core.LeavingNote
 	g.words.with(func(r *pushback.Register) {
-		for _, s := range r.Departed(func(id string) bool { _, works := p.registry.Get(id); return works }) {
+		for _, s := range r.Departed(p.named) {
 			out = append(out, core.LeavingNote{Server: s.ID, Incarnation: uint64(s.Incarnation)})
 		}
 	})
 	return out
 }
 
+// named says whether a server is listed as one that takes work, or used without an entry. p.mu is held.
+func (p *published) named(id string) bool {
+	if s := p.list.Get(id); s != nil && s.Works() {
+		return true
+	}
+	_, works := p.registry.Get(id)
+	return works
+}
+
 // hearDepartures takes from another box which servers said that they leave.
 func (g *Gateway) hearDepartures(notes []core.LeavingNote, from string) {
 	if len(notes) == 0 {
--- a/src/gateway/reading.go
+++ b/src/gateway/reading.go
@@ -143,6 +143,7 @@
 		}
 		f.held = after
 		g.checkNumbers(port.DocumentConfig, asked, f.at)
+		g.liftClosures(f.restored, f.at)
 		g.takeCatalog(after, nil, catalog.ConfigAt(f.at), began, "store")
 	}
 }
@@ -151,6 +152,7 @@
 type catalogFollower struct {
 	at         catalog.Revision // 0 to read it whole next
 	held       *catalog.Catalog // as of at
+	restored   []string         // failure domains of which an evacuation was taken back by the last change
 	unreadable catalog.Revision // of the last configuration that could not be read
 }
 
@@ -179,6 +181,7 @@
 		after = change.apply(f.held)
 		began = g.now()
 	}
+	f.restored = change.Restored
 	if u := change.Unreadable; u != nil && u.Revision != f.unreadable {
 		f.unreadable = u.Revision
 		g.logUnreadable(u, f.held)
--- a/src/gateway/serverlist.go
+++ b/src/gateway/serverlist.go
@@ -49,6 +49,7 @@
 	p.known = true
 	rise, heldRevision := p.takeEra(revision.Era()), catalog.ListRevision(catalog.State(held.Version))
 	if !changed {
+		p.confirmList(now)
 		p.mu.Unlock()
 		g.noteRise(rise, heldRevision, revision, from)
 		if !readAt.IsZero() && digest != held.Digest {
@@ -66,10 +67,14 @@
 	g.noteRise(rise, heldRevision, revision, from)
 	g.logServers(c, listed, revision, from)
 	g.logEffects(effects, revision, from)
+	g.hearRestored(effects.Leaving)
 	g.applyChanged(effects.Changed)
 	g.listEnds(c, effects)
 	g.takeRestarts(effects.Restarted, revision, from)
 	g.announce()
+	if len(effects.Doubted)+len(effects.Leaving) > 0 {
+		g.tellBoxes([]string{from}, g.newsBeat(now)) // it may have started since, and know of neither
+	}
 	return true
 }
 
@@ -218,7 +223,7 @@
 // whatever the list says: while the store takes no writes a list names leaving servers as ready for as long as that lasts.
 // p.mu is held.
 func (p *published) inUse(s *catalog.Server) bool {
-	return (p.held == nil || !slices.Contains(p.held.Evacuated, s.Domain)) && !p.gateway.leaves(*s)
+	return !p.closures.Closed(s.Domain) && !p.gateway.leaves(*s)
 }
 
 // takeDifference takes a list of servers that was told as a difference to another. When that other is
--- a/src/gateway/starting.go
+++ b/src/gateway/starting.go
@@ -65,7 +65,10 @@
 func (g *Gateway) logEffects(t catalog.Effects, revision catalog.Revision, from string) {
 	now := g.now()
 	if len(t.Lapsed) > 0 {
-		g.Log.Warn("servers kept without an entry after an outage", "servers", len(t.Lapsed), "names", firstOf(t.Lapsed), "revision", revision, "from", from)
+		g.Log.Warn("servers kept without an entry after an outage or a restore", "servers", len(t.Lapsed), "names", firstOf(t.Lapsed), "revision", revision, "from", from)
+	}
+	if len(t.Doubted) > 0 {
+		g.Log.Warn("servers that had left are listed again by a restored store", "servers", len(t.Doubted), "names", firstOf(t.Doubted), "revision", revision, "from", from)
 	}
 	for i, b := range t.Back {
 		if i < serverLines {
