A box that starts again under a clock that was set back is known to the others

What would be seen: a box whose machine's clock was set back by seconds and whose process started again takes no part: the others hold its earlier life for the newer one, then for dead. It is told no news, reads and schedules for nobody, and retry budgets are shared without it, until the clock has passed the earlier start.

Cause: lives of boxes are numbered by the wall clock at their start, another counter that was taken to rise for ever.

Change: who hears a beat of a lower life answers with the higher one; a gateway box that hears of a higher life of its name at its own address, where only an earlier process of its own can have been, takes the next number. A box of the product's own path does not: requests are known by its incarnation there (open).

--- a/src/core/members.go
+++ b/src/core/members.go
@@ -25,6 +25,9 @@
 	Rand   *rand.Rand
 	Expect func(b *Beat) // fills in what other parts of the box tell; may be nil
 	Start  time.Time     // of this box
+	// Renumbers lets this box take a later incarnation than that of its earlier life at its address, which took it from a clock that was
+	// set back since. Nothing but members may know the box by its incarnation then.
+	Renumbers bool
 
 	all     map[string]*Member
 	names   []string // of all, sorted
@@ -233,7 +236,7 @@
 	if reply.Digest != b.Digest && b.Digest != 0 {
 		reply.Table = &TableNote{Buckets: m.buckets()}
 	}
-	if e.id == b.From.ID && e.state >= MemberSuspect { // it must hear of that to refute it
+	if e.id == b.From.ID && e.state >= MemberSuspect || e.id.Incarnation > b.From.ID.Incarnation { // it must hear of that to refute it
 		reply.Rumours = append(reply.Rumours, m.rumourOf(e))
 	}
 	h.Reply = append(h.Reply, BeatTo{Address: b.From.Address, Beat: reply})
--- a/src/core/rumour.go
+++ b/src/core/rumour.go
@@ -247,8 +247,13 @@
 	return r.State > e.state
 }
 
-// refute answers a rumour that this very life is suspected or dead.
+// refute answers a rumour that this very life is suspected or dead, or that an earlier one has a later incarnation.
 func (m *Members) refute(r Rumour) {
+	if m.Renumbers && r.ID.Incarnation > m.Self.ID.Incarnation && r.Address == m.Self.Address {
+		m.Self.ID.Incarnation, m.Self.Round = r.ID.Incarnation+1, 0
+		m.spread(m.Self)
+		return
+	}
 	if r.ID.Incarnation != m.Self.ID.Incarnation || r.State < MemberSuspect || r.Round < m.Self.Round {
 		return
 	}
--- a/src/gateway/fleet_test.go
+++ b/src/gateway/fleet_test.go
@@ -50,6 +50,7 @@
 	turnsAway func(box string) bool                                             // whether the store answers a box with an error; nil for none
 	silent    func(box string) bool                                             // whether a box hears nothing of the store; nil for none
 	hear      map[string]func(to string, q port.Question, a *port.Answer) error // by the asker's address
+	clockBack time.Duration                                                     // how far the clock was set back from which a box that starts takes its life
 	earlier   func(box string) bool                                             // whether a box reads the store as one of a release that knows no eras; nil for none
 	regions   catalog.Regions                                                   // nil where none is known
 	links     *links                                                            // what the boxes' links carry, nil when they carry anything at once
@@ -140,7 +141,7 @@
 	address := addressOf(name)
 	g := &Gateway{
 		Settings: Settings{Address: address, FailureDomain: "d", Seeds: []string{addressOf("box0"), addressOf("box1")}, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Admission: true, SharedBatches: true},
-		ID:       core.BoxID{Name: name, Incarnation: uint64(time.Now().UnixNano())},
+		ID:       core.BoxID{Name: name, Incarnation: uint64(time.Now().Add(-f.clockBack).UnixNano())},
 		Rand:     rand.New(rand.NewPCG(catalog.Hash(name), 1)),
 		Backends: Backends{
 			Send: func(ctx context.Context, c *Call) (*Reply, error) { return f.send(ctx, name, c) },
