A server whose entry was removed and that then says that it leaves has left for good

Found by a fuzz test of histories of restores against a plain reference: a server's entry is removed, a restored list names it, it says that it leaves, and a second restore names it again: it was used once a lease was over, since the first departure was kept and the word that came later was not.

--- a/src/catalog/registry.go
+++ b/src/catalog/registry.go
@@ -233,7 +233,7 @@
 
 // depart notes that a server left, as of when this box first knew.
 func (r *Registry) depart(now time.Time, s *Server, revision Revision) {
-	if d, ok := r.left[s.ID]; ok && d.Incarnation == s.Incarnation {
+	if d, ok := r.left[s.ID]; ok && d.Incarnation == s.Incarnation && (d.Draining || !s.Draining) {
 		return
 	}
 	r.left[s.ID] = Departure{At: now, Revision: revision, Draining: s.Draining, Incarnation: s.Incarnation}
