A box whose reads are all that the others have goes on reading

What would be seen: where the boxes that were asked to read get no answer and another does, a leaving server is used for up to 3 s by 61 boxes (bound 3 s), and for up to 4.5 s where all boxes but one are of a release that takes nothing of a restored store.

Cause: a box that reads since nobody confirmed stopped once it had read, and waited again for as long as a box far down the order waits. It can't tell its own reads, as the others tell them on, from reads of others.

Change: a statement names the box whose read its age counts from (a hash); a box that began since nobody confirmed reads on while no other box's read is known. After a restore, boxes that name no reader count for nothing: what they say is of the earlier era.

Ruled out: going by the age alone (an own read comes back late, and in a large fleet all words are older than a read lasts, so that boxes would not stop); reading on after any read (boxes that had all read at one moment would all have read on).

--- a/src/catalog/feed.go
+++ b/src/catalog/feed.go
@@ -36,16 +36,22 @@
 // Cost. A constant number of readers; one pull for each box and change. Not safe for concurrent use.
 type Feed struct {
 	Self    string
-	Started time.Time         // of this box
-	First   bool              // this box is one of those that every other begins with
-	Chosen  []string          // the boxes that read first (Readers); nil ranks all by hash
-	Links   map[string]uint32 // Mbit/s of the boxes' links, as far as known
+	Started time.Time // of this box
+	First   bool      // this box is one of those that every other begins with
+	// Restored says that the platform came back from an older copy: reads of boxes that don't name the reader prove nothing.
+	Restored bool
+	Chosen   []string          // the boxes that read first (Readers); nil ranks all by hash
+	Links    map[string]uint32 // Mbit/s of the boxes' links, as far as known
 
 	asOf      State
 	digest    string
 	content   uint64    // version of the held document, 0 where it has none
 	since     time.Time // when asOf was learned
 	confirmed time.Time
+	reader    uint32    // the box whose read that was
+	own       time.Time // when this box read last
+	others    time.Time // the latest read of another box that is known
+	alone     bool      // it reads since nobody else is known to: what it reads is all that the others have, and it goes on
 	news      time.Time // when the held content was the newest, by the word of peers; proves nothing
 	told      map[string]core.Statement
 	pulling   string               // the box that is asked now
@@ -89,14 +95,14 @@
 // Read takes the platform's state, read at a time, and the version that the document bears. It says whether the content
 // changed; an older state than the held one changes nothing.
 func (f *Feed) Read(at time.Time, asOf State, digest string, content uint64) bool {
-	f.relief.failed = time.Time{}
+	f.relief.failed, f.own = time.Time{}, at
 	f.noteAnswered(at)
 	if f.held().after(stamp{content, asOf}) {
 		return false
 	}
 	changed := digest != f.digest
 	f.take(at, asOf, digest, content)
-	f.confirm(at)
+	f.confirm(at, f.readerHash())
 	return changed
 }
 
@@ -130,15 +136,18 @@
 	f.caughtUp()
 }
 
-func (f *Feed) confirm(at time.Time) {
+func (f *Feed) confirm(at time.Time, reader uint32) {
 	if at.After(f.confirmed) {
-		f.confirmed = at
+		f.confirmed, f.reader = at, reader
 	}
 }
 
+// readerHash names this box as a reader.
+func (f *Feed) readerHash() uint32 { return max(1, uint32(Hash("reads", f.Self))) }
+
 // Say makes the statement for a heartbeat.
 func (f *Feed) Say(now time.Time) core.Statement {
-	st := core.Statement{Version: uint64(f.asOf), Digest: f.digest, Age: -1, Content: f.content}
+	st := core.Statement{Version: uint64(f.asOf), Digest: f.digest, Age: -1, Content: f.content, Reader: f.reader}
 	if !f.confirmed.IsZero() {
 		st.Age = now.Sub(f.confirmed)
 	}
@@ -164,11 +173,18 @@
 		return
 	}
 	f.take(now, max(f.asOf, State(st.Version)), f.digest, f.content)
-	if at := now.Add(-st.Age); st.Age >= 0 && at.After(f.news) {
+	if st.Age < 0 {
+		return
+	}
+	at := now.Add(-st.Age)
+	if at.After(f.news) {
 		f.news = at
 	}
-	if !askedAt.IsZero() && st.Age >= 0 {
-		f.confirm(askedAt.Add(-st.Age))
+	if at.After(f.others) && st.Reader != f.readerHash() && (st.Reader != 0 || !f.Restored) {
+		f.others = at
+	}
+	if !askedAt.IsZero() {
+		f.confirm(askedAt.Add(-st.Age), st.Reader)
 	}
 }
 
@@ -225,7 +241,7 @@
 }
 
 // Reads says whether this box should read the platform now: it is among the first of the living, those ask it to, or
-// nobody has confirmed its content for a while.
+// nobody has confirmed its content for a while, or only its own reads have.
 func (f *Feed) Reads(now time.Time, living []string) bool {
 	ahead := f.Ahead(living)
 	if f.asOf == 0 {
@@ -243,7 +259,12 @@
 	if f.news.After(last) {
 		last = f.news
 	}
-	return now.Sub(last) > patience
+	if now.Sub(last) > patience {
+		f.alone = true
+		return true
+	}
+	f.alone = f.alone && now.Sub(f.own) < patience && now.Sub(f.others) > patience
+	return f.alone
 }
 
 // Ahead counts the living boxes that read before this one: those chosen, then the others by hash.
--- a/src/catalog/relief_test.go
+++ b/src/catalog/relief_test.go
@@ -86,7 +86,7 @@
 		t.Error("a box that was asked does not read")
 	}
 	end := last.Add(reliefFor)
-	f.confirm(end)
+	f.confirm(end, 0)
 	if f.Reads(end, boxes) {
 		t.Error("a box reads for others that ask no more")
 	}
--- a/src/core/spread.go
+++ b/src/core/spread.go
@@ -12,6 +12,8 @@
 	Age     time.Duration `msgpack:"a"` // negative when never confirmed
 	// Content is the version that the document itself bears, 0 where it has none or the teller does not say.
 	Content uint64 `msgpack:"n,omitempty"`
+	// Reader names, by a hash, the box whose read Age counts from, 0 where the teller does not say.
+	Reader uint32 `msgpack:"b,omitempty"`
 }
 
 // Spread carries one published document (the configuration or the box list) to every box with few
--- a/src/gateway/eras.go
+++ b/src/gateway/eras.go
@@ -26,6 +26,9 @@
 		return 0
 	}
 	before, e.newest = e.newest, era
+	if before > 0 {
+		p.catalogs.Restored, p.lists.Restored = true, true
+	}
 	return before
 }
 
--- a/src/gateway/restored_test.go
+++ b/src/gateway/restored_test.go
@@ -486,6 +486,7 @@
 	f.alter = func(to string, b *core.Beat) {
 		if earlier(boxAt(to)) || earlier(b.From.ID.Name) {
 			b.Era, b.Settled, b.Closures, b.Doubts, b.Config.Content, b.List.Content = 0, false, nil, nil, 0, 0
+			b.Config.Reader, b.List.Reader = 0, 0
 		}
 	}
 	for i := range boxes {
