--- a/src/catalog/registry.go
+++ b/src/catalog/registry.go
@@ -179,6 +179,9 @@
 		s.Incarnation = old.Incarnation // an entry that can't be read begins no life
 	}
 	left, departed := r.left[s.ID]
+	if old != nil && old.Fault != "" && !departed { // what names no server to use replaced one that was
+		left, departed = Departure{Revision: old.Revision, Incarnation: old.Incarnation}, t.RoseFrom > 0
+	}
 	if departed && r.contradicts(now, s, left, t) {
 		return
 	}
