Test: a difference to an earlier list, in the store's era

The test's bare numbers are of before any era, and the fleet's store names one now: what it gave the box was older than what the box held. The same check with numbers of that era.

--- a/src/gateway/published_test.go
+++ b/src/gateway/published_test.go
@@ -113,11 +113,15 @@
 		want := serversByID(g.published.list.Servers())
 		f.setStore(false, f.servers) // nothing more is read
 		time.Sleep(2 * time.Second)
-		g.takeServers(serversByID(f.servers[:2]), 50, time.Time{}, "one reader")
+		later := func(n uint64) catalog.State {
+			r, _ := catalog.RevisionAt(f.era, f.rev+n)
+			return catalog.ListAt(r)
+		}
+		g.takeServers(serversByID(f.servers[:2]), later(1), time.Time{}, "one reader")
 		change := catalog.Difference{Put: []catalog.Server{{ID: "new", Pool: "model", Domain: "d", Slots: 64}}, Gone: []string{"model0"}}
 		want["new"] = change.Put[0]
 		delete(want, "model0")
-		g.takeDifference(&port.Published{AsOf: 60, Digest: catalog.Digest(want), Base: base, Since: &change}, "another")
+		g.takeDifference(&port.Published{AsOf: uint64(later(2)), Digest: catalog.Digest(want), Base: base, Since: &change}, "another")
 		if got := serversByID(g.published.list.Servers()); !maps.Equal(got, want) {
 			t.Errorf("holds %v, want %v", got, want)
 		}
