--- a/src/gateway/restored_test.go
+++ b/src/gateway/restored_test.go
@@ -138,6 +138,23 @@
 	}
 }
 
+func TestAReaderTakesWhatItDidNotTakeBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1)
+		settle()
+		g := f.box("box0")
+		ahead := catalog.ListAt(catalog.RevisionTold(f.rev+2, f.era))
+		g.takeServers(serversByID(f.servers[1:]), ahead, time.Time{}, "a box whose number is of another history")
+		f.drain("model1")
+		time.Sleep(2 * time.Second)
+		f.written(5)
+		time.Sleep(2 * time.Second)
+		if g.mayUse("model1") || !g.mayUse("piece0") {
+			t.Error("a list that was passed over while a later one was held is not taken once it is the newest")
+		}
+	})
+}
+
 // leavingKnown is within which all boxes know of a leaving server while those that read the store fail: two thirds of the time in which
 // such a server may still get requests, which is longer in larger fleets.
 func leavingKnown(boxes int) time.Duration {
