Each box tells of a restore, also one whose list is the same in the new era

A box that heard of the new era with the content that it held took no list, and so wrote no line and counted nothing; nor did it stop counting on reads of boxes that name no reader. The base from which numbers count is not lowered below the first era: 0 on the wire says that none is known.

--- a/src/gateway/eras.go
+++ b/src/gateway/eras.go
@@ -91,7 +91,7 @@
 	p.mu.Lock()
 	held := p.heldRevision(document)
 	mistaken := at.Era() > 0 && held.Era() == at.Era() && p.feed(document).Renumber(began, asOf)
-	if mistaken && p.eras.base >= at.Era() {
+	if mistaken && p.eras.base >= at.Era() && at.Era() > 1 {
 		p.eras.base = at.Era() - 1
 	}
 	p.mu.Unlock()
--- a/src/gateway/published.go
+++ b/src/gateway/published.go
@@ -88,11 +88,13 @@
 func (p *published) hear(b core.Beat, askedAt time.Time) (behind bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.gateway.now()
+	now, held := p.gateway.now(), p.heldRevision(port.DocumentServers)
 	p.hearEra(&b)
 	p.catalogs.Hear(now, b.From.ID.Name, b.Config, askedAt)
 	p.lists.Hear(now, b.From.ID.Name, b.List, askedAt)
 	p.confirmList(now)
+	revision := p.heldRevision(port.DocumentServers)
+	p.gateway.noteRise(p.takeEra(revision.Era()), held, revision, b.From.ID.Name)
 	if b.Settled {
 		p.registry.Settle(now, catalog.ListRevision(catalog.State(b.List.Version)).Era())
 	}
--- a/src/gateway/restored_test.go
+++ b/src/gateway/restored_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -155,6 +156,35 @@
 	})
 }
 
+func TestARestoreIsCountedOnceByEachBox(t *testing.T) {
+	for _, boxes := range []int{6, 61} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newEmptyFleet(t)
+			counted := make([]atomic.Int32, boxes)
+			f.watch = func(box string) Watcher {
+				i, _ := strconv.Atoi(strings.TrimPrefix(box, "box"))
+				return Watcher{Restored: func() { counted[i].Add(1) }}
+			}
+			for i := range boxes {
+				f.start(fmt.Sprint("box", i))
+			}
+			settle()
+			for n := int32(1); n <= 2; n++ {
+				c := f.copyStore()
+				f.written(40)
+				time.Sleep(2 * time.Second)
+				f.restore(c, 500*time.Millisecond)
+				time.Sleep(4 * time.Second)
+				for i := range counted {
+					if got := counted[i].Load(); got != n {
+						t.Errorf("box%d of %d counts %d restores, want %d", i, boxes, got, n)
+					}
+				}
+			}
+		})
+	}
+}
+
 // leavingKnown is within which all boxes know of a leaving server while those that read the store fail: two thirds of the time in which
 // such a server may still get requests, which is longer in larger fleets.
 func leavingKnown(boxes int) time.Duration {
