--- /dev/null
+++ b/src/gateway/restored_beliefs_test.go
@@ -0,0 +1,315 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+// wroteAgain is how long after the store's return what it lost is written again.
+const wroteAgain = 4 * time.Second
+
+func TestAServerThatLeftIsNotUsedWhenARestoredStoreListsItAgain(t *testing.T) {
+	fleetOf(t, func(t *testing.T, f *testFleet, boxes int) {
+		c := f.copyStore()
+		f.drain("model1")
+		f.strike("model2")
+		time.Sleep(1200 * time.Millisecond)
+		if users := append(f.users("model1", boxes), f.users("model2", boxes)...); len(users) > 0 {
+			t.Fatalf("before the restore %v use a server that has left", users)
+		}
+		f.restore(c, 500*time.Millisecond)
+		fresh := f.startFresh()
+		for began, again := time.Now(), false; time.Since(began) < 12*time.Second; time.Sleep(10 * time.Millisecond) {
+			if time.Since(began) > wroteAgain && !again {
+				f.drain("model1")
+				f.strike("model2")
+				again = true
+			}
+			for _, id := range []string{"model1", "model2"} {
+				if users := f.users(id, boxes); len(users) > 0 && (time.Since(began) > freshKnows || !slices.Equal(users, []string{fresh})) {
+					t.Fatalf("%s after the store's return %v use %s, which has left; %s has started since", time.Since(began), users, id, fresh)
+				}
+			}
+		}
+	})
+}
+
+// freshKnows is how long after its start a box must know what the others do.
+const freshKnows = time.Second
+
+// startFresh starts a box and gives its name. It reads the store itself at once, as the seeds do.
+func (f *testFleet) startFresh() string {
+	f.kill("box0")
+	f.start("box0")
+	return "box0"
+}
+
+func TestAServerThatLeftAndLivesIsUsedAgainOnceItsEntryOutlastsALease(t *testing.T) {
+	fleetOf(t, func(t *testing.T, f *testFleet, boxes int) {
+		c := f.copyStore()
+		f.strike("model2") // its entry lapsed, and is written again in what the store lost
+		time.Sleep(time.Second)
+		f.restore(c, 500*time.Millisecond)
+		time.Sleep(10 * time.Second)
+		if users := f.users("model2", boxes); len(users) != boxes {
+			t.Errorf("%d of %d boxes use a server whose entry has stood for 10 s since the restore", len(users), boxes)
+		}
+	})
+}
+
+func TestAServerThatARestoredStoreLacksIsUsedUntilItCouldBeBack(t *testing.T) {
+	for _, again := range []bool{true, false} {
+		t.Run(fmt.Sprint("written again: ", again), func(t *testing.T) {
+			fleetOf(t, func(t *testing.T, f *testFleet, boxes int) {
+				c := f.copyStore()
+				f.join("model9", "model")
+				time.Sleep(time.Second)
+				f.restore(c, 500*time.Millisecond)
+				for began := time.Now(); time.Since(began) < 1500*time.Millisecond; time.Sleep(10 * time.Millisecond) {
+					if users := f.users("model9", boxes); len(users) != boxes {
+						t.Fatalf("%s after the store's return %d of %d boxes use a server that had joined", time.Since(began), len(users), boxes)
+					}
+				}
+				if again {
+					f.join("model9", "model")
+				}
+				time.Sleep(6 * time.Second)
+				want := 0
+				if again {
+					want = boxes
+				}
+				if users := f.users("model9", boxes); len(users) != want {
+					t.Errorf("later %d of %d boxes use it, want %d", len(users), boxes, want)
+				}
+			})
+		})
+	}
+}
+
+func TestAnEvacuationThatARestoredStoreLacksStaysUntilTheOperatorTakesItBack(t *testing.T) {
+	fleetOf(t, func(t *testing.T, f *testFleet, boxes int) {
+		c := f.copyStore()
+		f.evacuate([]string{"d"}, nil)
+		time.Sleep(2 * time.Second)
+		f.restore(c, 500*time.Millisecond)
+		for _, after := range []time.Duration{0, 4 * time.Second} {
+			time.Sleep(after)
+			fresh := f.startFresh()
+			for began := time.Now(); time.Since(began) < 4*time.Second; time.Sleep(50 * time.Millisecond) {
+				if users := f.users("model1", boxes); len(users) > 0 && (time.Since(began) > freshKnows || !slices.Equal(users, []string{fresh})) {
+					t.Fatalf("%s after %s has started %v use servers of an evacuated failure domain", time.Since(began), fresh, users)
+				}
+			}
+		}
+		f.evacuate([]string{"d"}, nil)
+		time.Sleep(2 * time.Second)
+		f.evacuate(nil, []string{"d"})
+		time.Sleep(2 * time.Second)
+		if users := f.users("model1", boxes); len(users) != boxes {
+			t.Errorf("%d of %d boxes use a failure domain that the operator has taken back", len(users), boxes)
+		}
+	})
+}
+
+func TestAnEvacuationThatIsWrittenAndTakenBackAtOnceAfterARestoreIsOver(t *testing.T) {
+	fleetOf(t, func(t *testing.T, f *testFleet, boxes int) {
+		c := f.copyStore()
+		f.evacuate([]string{"d"}, nil)
+		time.Sleep(2 * time.Second)
+		f.restore(c, 500*time.Millisecond)
+		time.Sleep(3 * time.Second)
+		f.written(1)
+		f.evacuate(nil, []string{"d"}) // one change for whoever watches
+		time.Sleep(2 * time.Second)
+		if users := f.users("model1", boxes); len(users) != boxes {
+			t.Errorf("%d of %d boxes use a failure domain that the operator has taken back", len(users), boxes)
+		}
+	})
+}
+
+// versions gives the lowest and the highest version of the configuration that boxes hold.
+func (f *testFleet) versions(boxes int) (least, most uint64) {
+	for i := range boxes {
+		v := f.box(fmt.Sprint("box", i)).Version()
+		if i == 0 || v < least {
+			least = v
+		}
+		most = max(most, v)
+	}
+	return least, most
+}
+
+func TestNoConfigurationGoesBackWhenTheStoreIsRestored(t *testing.T) {
+	fleetOf(t, func(t *testing.T, f *testFleet, boxes int) {
+		c := f.copyStore()
+		f.publish(testCatalog(2))
+		f.publish(testCatalog(3))
+		time.Sleep(2 * time.Second)
+		f.restore(c, 500*time.Millisecond)
+		fresh := f.startFresh()
+		for began := time.Now(); time.Since(began) < 3*time.Second; time.Sleep(10 * time.Millisecond) {
+			if least, _ := f.versions(boxes); least < 3 && time.Since(began) > freshKnows {
+				t.Fatalf("%s after the store's return a box holds version %d, 3 was in force; of the box that started since: %d", time.Since(began), least, f.box(fresh).Version())
+			}
+		}
+		f.publish(testCatalog(3))
+		time.Sleep(time.Second)
+		f.publish(testCatalog(4))
+		time.Sleep(2 * time.Second)
+		if least, most := f.versions(boxes); least != 4 || most != 4 {
+			t.Errorf("boxes hold versions %d to %d two seconds after 4 was accepted", least, most)
+		}
+	})
+}
+
+func TestAnEvacuationIsKeptWhileARestoredStoreHasAnOlderConfiguration(t *testing.T) {
+	fleetOf(t, func(t *testing.T, f *testFleet, boxes int) {
+		c := f.copyStore()
+		f.publish(testCatalog(2))
+		time.Sleep(2 * time.Second)
+		f.restore(c, 500*time.Millisecond)
+		time.Sleep(2 * time.Second)
+		f.evacuate([]string{"d"}, nil)
+		time.Sleep(2 * time.Second)
+		if users := f.users("model1", boxes); len(users) > 0 {
+			t.Errorf("%d of %d boxes use an evacuated failure domain", len(users), boxes)
+		}
+		if least, _ := f.versions(boxes); least != 2 {
+			t.Errorf("a box holds version %d, 2 was in force", least)
+		}
+	})
+}
+
+func TestRestoreUponRestore(t *testing.T) {
+	for _, older := range []bool{false, true} {
+		t.Run(fmt.Sprint("the second copy is older: ", older), func(t *testing.T) {
+			fleetOf(t, func(t *testing.T, f *testFleet, boxes int) {
+				first := f.copyStore()
+				f.written(10)
+				second := f.copyStore()
+				if older {
+					first, second = second, first
+				}
+				f.drain("model1")
+				f.strike("model2")
+				f.join("model9", "model")
+				f.publish(testCatalog(2))
+				time.Sleep(2 * time.Second)
+				f.restore(first, 500*time.Millisecond)
+				time.Sleep(1500 * time.Millisecond)
+				f.restore(second, 500*time.Millisecond)
+				check := func(ids ...string) {
+					t.Helper()
+					for _, id := range ids {
+						if users := f.users(id, boxes); len(users) > 0 {
+							t.Fatalf("%v use %s, which has left", users, id)
+						}
+					}
+				}
+				for range 300 {
+					check("model1", "model2")
+					time.Sleep(10 * time.Millisecond)
+				}
+				f.drain("model1")
+				f.strike("model2")
+				f.join("model9", "model")
+				f.publish(testCatalog(2))
+				for range 600 {
+					check("model1", "model2")
+					time.Sleep(10 * time.Millisecond)
+				}
+				if users := f.users("model9", boxes); len(users) != boxes {
+					t.Errorf("%d of %d boxes use the server that had joined", len(users), boxes)
+				}
+				f.drain("model9")
+				time.Sleep(stopsWithin)
+				check("model1", "model2", "model9")
+			})
+		})
+	}
+}
+
+func TestABoxThatWasCutOffDuringARestoreBringsNothingBack(t *testing.T) {
+	away := map[string]func(f *testFleet, box string, away bool){
+		"cut off": func(f *testFleet, box string, away bool) {
+			f.setLost(box, away)
+			if away {
+				f.turnAway(func(b string) bool { return b == box })
+			} else {
+				f.turnAway(nil)
+			}
+		},
+		"cut off from boxes only": func(f *testFleet, box string, away bool) { f.setLost(box, away) },
+	}
+	for name, away := range away {
+		t.Run(name, func(t *testing.T) {
+			fleetOf(t, func(t *testing.T, f *testFleet, boxes int) {
+				box := f.readersOf()[0]
+				c := f.copyStore()
+				f.written(40)
+				time.Sleep(2 * time.Second)
+				away(f, box, true)
+				f.restore(c, 500*time.Millisecond)
+				time.Sleep(3 * time.Second)
+				f.drain("model1")
+				f.strike("model2")
+				time.Sleep(stopsWithin)
+				away(f, box, false)
+				for began := time.Now(); time.Since(began) < 5*time.Second; time.Sleep(10 * time.Millisecond) {
+					for _, id := range []string{"model1", "model2"} {
+						users := f.users(id, boxes)
+						if len(users) > 0 && (time.Since(began) > stopsWithin || !slices.Equal(users, []string{box})) {
+							t.Fatalf("%s after it came back %v use %s, which left", time.Since(began), users, id)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+func TestCallersOfAFleetWhoseStoreIsRestoredAreAnswered(t *testing.T) {
+	fleetOf(t, func(t *testing.T, f *testFleet, boxes int) {
+		f.domains()
+		var mu sync.Mutex
+		reached := map[string]int{}
+		f.send = func(_ context.Context, _ string, c *Call) (*Reply, error) {
+			if err := c.Start(); err != nil {
+				return nil, err
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			reached[c.Server.ID]++
+			return textReply(http.StatusOK, "ok"), nil
+		}
+		c := f.copyStore()
+		f.join("model9", "model")
+		f.drain("model1")
+		time.Sleep(2 * time.Second)
+		var all sync.WaitGroup
+		failed := 0
+		for i := range 200 {
+			if i == 20 {
+				go f.restore(c, 500*time.Millisecond)
+			}
+			all.Go(func() {
+				a := f.ask(fmt.Sprint("box", i%boxes), "/look/x", fmt.Sprint("r", i), func(r *Request) { r.Pieces = nil })
+				if a.status != http.StatusOK {
+					mu.Lock()
+					failed++
+					mu.Unlock()
+				}
+			})
+			time.Sleep(20 * time.Millisecond)
+		}
+		all.Wait()
+		if failed > 0 || reached["model1"] > 0 {
+			t.Errorf("%d of 200 callers were not answered, %d reached a server that had left", failed, reached["model1"])
+		}
+	})
+}
--- /dev/null
+++ b/src/gateway/restored_mixed_test.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/port"
+)
+
+// newMixedFleet is a fleet in which some boxes tell, hear and read as those of a release that knows no eras: fields that they don't know
+// are lost on the way to and from them, and they read the store's bare numbers.
+func newMixedFleet(t *testing.T, boxes int, earlier func(box string) bool) *testFleet {
+	f := newEmptyFleet(t)
+	f.earlier = earlier
+	boxAt := func(address string) string { return strings.TrimSuffix(address, ":1") }
+	f.alter = func(to string, b *core.Beat) {
+		if earlier(boxAt(to)) || earlier(b.From.ID.Name) {
+			b.Era, b.Settled, b.Closures, b.Doubts, b.Config.Content, b.List.Content = 0, false, nil, nil, 0, 0
+			b.Config.Reader, b.List.Reader = 0, 0
+		}
+	}
+	for i := range boxes {
+		box := fmt.Sprint("box", i)
+		f.hear[addressOf(box)] = func(to string, _ port.Question, a *port.Answer) error {
+			if a.Publish != nil && (earlier(box) || earlier(boxAt(to))) {
+				a.Publish.Era = 0
+			}
+			return nil
+		}
+	}
+	for i := range boxes {
+		f.start(fmt.Sprint("box", i))
+	}
+	settle()
+	return f
+}
+
+// bare is the store as a box reads it that knows no eras.
+func (f *testFleet) bare(s Store) Store {
+	number := func(r catalog.Revision) catalog.Revision { return catalog.RevisionTold(r.Number(), 0) }
+	after := func(r catalog.Revision) catalog.Revision {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		out, _ := catalog.RevisionAt(f.era, r.Number())
+		return out
+	}
+	entry := func(s catalog.Server) catalog.Server {
+		s.Revision = number(s.Revision)
+		return s
+	}
+	return Store{
+		Catalog: func(ctx context.Context) (CatalogChange, catalog.Revision, error) {
+			c, at, err := s.Catalog(ctx)
+			return c, number(at), err
+		},
+		Servers: func(ctx context.Context) ([]catalog.Server, catalog.Revision, error) {
+			list, at, err := s.Servers(ctx)
+			for i := range list {
+				list[i] = entry(list[i])
+			}
+			return list, number(at), err
+		},
+		WatchCatalog: func(ctx context.Context, from catalog.Revision, wait time.Duration) (CatalogChange, catalog.Revision, error) {
+			c, at, err := s.WatchCatalog(ctx, after(from), wait)
+			return c, number(at), err
+		},
+		WatchServers: func(ctx context.Context, from catalog.Revision, wait time.Duration) ([]ServerChange, catalog.Revision, error) {
+			changes, at, err := s.WatchServers(ctx, after(from), wait)
+			for i := range changes {
+				changes[i].Server = entry(changes[i].Server)
+			}
+			return changes, number(at), err
+		},
+	}
+}
+
+// playMix has a server leave in a fleet of which some boxes are of an earlier release, before or after a restore.
+func playMix(t *testing.T, boxes int, restored bool, earlier func(i int) bool) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newMixedFleet(t, boxes, func(box string) bool {
+			i, err := strconv.Atoi(strings.TrimPrefix(box, "box"))
+			return err == nil && earlier(i)
+		})
+		c := f.copyStore()
+		f.written(40)
+		f.publish(testCatalog(2))
+		time.Sleep(2 * time.Second)
+		if restored {
+			f.restore(c, 500*time.Millisecond)
+			time.Sleep(4 * time.Second)
+		}
+		f.drain("model1")
+		last := f.lastUse("model1", boxes, 8*time.Second)
+		t.Logf("%d boxes: last use after %s", boxes, last)
+		if want := leavingKnown(boxes); last > want {
+			t.Errorf("a box used the server for %s after it had left, want %s at most", last, want)
+		}
+	})
+}
+
+func TestAServerThatLeavesIsDroppedInTheMiddleOfAnUpgrade(t *testing.T) {
+	mixes := map[string]func(i int) bool{
+		"one box of five is of an earlier release": func(i int) bool { return i%5 == 4 },
+		"one box of five is of this release":       func(i int) bool { return i%5 != 4 },
+	}
+	for name, earlier := range mixes {
+		for _, restored := range []bool{false, true} {
+			for _, boxes := range restoreSizes() {
+				t.Run(fmt.Sprint(name, ", restored: ", restored, ", ", boxes, " boxes"), func(t *testing.T) { playMix(t, boxes, restored, earlier) })
+			}
+		}
+	}
+}
+
+func TestAServerThatLeavesIsDroppedWhereOneBoxOnlyKnowsEras(t *testing.T) {
+	for _, restored := range []bool{false, true} {
+		for _, boxes := range restoreSizes() {
+			t.Run(fmt.Sprint("restored: ", restored, ", ", boxes, " boxes"), func(t *testing.T) {
+				playMix(t, boxes, restored, func(i int) bool { return i < boxes-1 })
+			})
+		}
+	}
+}
