Log which pools a box can't reach and which box schedules a pool

Connections to servers are opened by package paths, which logs a line when two servers of a pool fail without a success between and one when a server is reached again; a box logs its choice of a pool's scheduler when it changes. No decision hangs on either yet.

--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -66,6 +66,7 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	Pool   string // of the server, for Client.Dial
 	// Matches reports whether a response belongs to this request; nil accepts the first one.
 	Matches func(http.Header) bool
 	// Fresh requires a connection that is new or was used very recently, for requests that can't be repeated
@@ -81,9 +82,14 @@
 	Share connections.Share
 }
 
+// Dialer opens a connection to a server of a pool.
+type Dialer func(ctx context.Context, pool, address string) (net.Conn, error)
+
 // Client sends requests and keeps idle connections to servers. The zero value is ready to use.
 type Client struct {
 	Dials atomic.Int64 // connections opened so far
+	// Dial opens a connection to a server of a pool; nil uses the function Dial.
+	Dial Dialer
 
 	mu      sync.Mutex
 	idle    map[string][]*conn
@@ -309,7 +315,7 @@
 		cn := c.popIdle(address)
 		if cn == nil {
 			if c.reserve(address, r.Share.Open) {
-				return c.dial(ctx, address, r.Share)
+				return c.dial(ctx, address, r)
 			}
 			if timeout == nil {
 				timeout = time.After(shareWait)
@@ -411,9 +417,9 @@
 }
 
 // dial opens a connection that was reserved.
-func (c *Client) dial(ctx context.Context, address string, share connections.Share) (*conn, error) {
+func (c *Client) dial(ctx context.Context, address string, r *Request) (*conn, error) {
 	c.Dials.Add(1)
-	raw, err := Dial(ctx, address)
+	raw, err := c.connect(ctx, r.Pool, address)
 	if err != nil {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -422,13 +428,20 @@
 		return nil, err
 	}
 	cn := &conn{Conn: raw, client: c, address: address, keepIdle: -1}
-	if share.Open > 0 {
-		cn.keepIdle = share.Idle
+	if r.Share.Open > 0 {
+		cn.keepIdle = r.Share.Idle
 	}
 	cn.reader = bufio.NewReaderSize(cn, readBuffer)
 	return cn, nil
 }
 
+func (c *Client) connect(ctx context.Context, pool, address string) (net.Conn, error) {
+	if c.Dial != nil {
+		return c.Dial(ctx, pool, address)
+	}
+	return Dial(ctx, address)
+}
+
 // Dial opens a TCP connection that detects an unresponsive peer within seconds.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
--- a/src/gateway/roster.go
+++ b/src/gateway/roster.go
@@ -22,6 +22,7 @@
 	coordinators map[string]string    // box that grants a server's permits, by server
 	links        map[string]uint32    // Mbit/s, by box
 	chosen       map[string]string    // scheduler by pool
+	logged       map[string]string    // the same when it was last logged
 	version      uint64               // of the membership from which all this was computed
 	madeAt       time.Time            // time of that computation
 	until        time.Time            // time of the next computation even if no member changes
@@ -45,7 +46,7 @@
 }
 
 func (r *roster) init() {
-	r.coordinators = map[string]string{}
+	r.coordinators, r.logged = map[string]string{}, map[string]string{}
 	r.chosen, r.silent, r.redirects, r.silenceReports = map[string]string{}, map[string]time.Time{}, map[string]redirect{}, map[string]silenceReport{}
 }
 
@@ -226,6 +227,7 @@
 	if !ok {
 		box = f.choose(now, pool, nil)
 		f.roster.chosen[pool] = box
+		f.logScheduler(now, pool, box)
 	}
 	if box == f.gateway.ID.Name && f.claims(pool) {
 		return box
@@ -239,6 +241,14 @@
 	return box
 }
 
+// logScheduler logs the scheduler of a pool if this box chose another one before. The fleet's lock is held.
+func (f *fleet) logScheduler(now time.Time, pool, box string) {
+	if before := f.roster.logged[pool]; before != box {
+		f.roster.logged[pool] = box
+		f.gateway.Log.Info("scheduler chosen", "pool", pool, "box_chosen", box, "before", before, "claims", box == f.claimant(now, pool, nil), "members", len(f.usableNow))
+	}
+}
+
 // choose returns the claimant of a pool, or else the first eligible box by hash. The fleet's lock is held.
 func (f *fleet) choose(now time.Time, pool string, avoid map[string]bool) string {
 	if box := f.claimant(now, pool, avoid); box != "" {
--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -14,8 +14,10 @@
 	"github.com/stilemast/stilemast/src/clock"
 	"github.com/stilemast/stilemast/src/config"
 	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/exchange"
 	"github.com/stilemast/stilemast/src/gateway"
 	"github.com/stilemast/stilemast/src/metrics"
+	"github.com/stilemast/stilemast/src/paths"
 	"github.com/stilemast/stilemast/src/peer"
 )
 
@@ -40,7 +42,8 @@
 
 // Adapter connects gateways to a platform.
 type Adapter struct {
-	Open    func(*config.GatewaySettings) Ports
+	// Open opens the ports; connections to servers are opened with the dialer.
+	Open    func(*config.GatewaySettings, exchange.Dialer) Ports
 	Callers func(*gateway.Gateway) http.Handler // serves callers' requests
 	Ready   func(*gateway.Gateway) http.Handler // serves the readiness check
 }
@@ -118,7 +121,8 @@
 	}
 	n.peerListener = beats
 	n.peers = peer.NewClient(nil)
-	n.ports = n.Adapter.Open(s)
+	router := &paths.Router{Direct: exchange.Dial, Table: paths.Table{Now: clock.Now, Log: n.Log}}
+	n.ports = n.Adapter.Open(s, router.Dial)
 	set := metrics.NewGateway()
 	n.gateway = &gateway.Gateway{
 		Settings: gateway.Settings{
