--- a/src/gateway/fleet_test.go
+++ b/src/gateway/fleet_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -20,7 +22,9 @@
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/crasher"
+	"github.com/stilemast/stilemast/src/exchange"
 	"github.com/stilemast/stilemast/src/observe"
+	"github.com/stilemast/stilemast/src/paths"
 	"github.com/stilemast/stilemast/src/policy"
 	"github.com/stilemast/stilemast/src/port"
 	"github.com/stilemast/stilemast/src/pushback"
@@ -69,6 +73,9 @@
 
 	send  func(ctx context.Context, box string, c *Call) (*Reply, error)
 	probe func(address string) error // opens a connection to a server; nil: always succeeds
+
+	// dial opens a connection from a box to a server, for each send, call of pieces and probe; nil: always succeeds.
+	dial func(ctx context.Context, box, server string) error
 }
 
 func newTestFleet(t *testing.T, boxes int) *testFleet {
@@ -148,13 +155,25 @@
 func (f *testFleet) startWith(name string, change func(*Gateway)) *Gateway {
 	f.t.Helper()
 	address := addressOf(name)
+	router := f.router(name)
 	g := &Gateway{
 		Settings: Settings{Address: address, FailureDomain: "d", Seeds: []string{addressOf("box0"), addressOf("box1")}, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Admission: true, SharedBatches: true},
 		ID:       core.BoxID{Name: name, Incarnation: uint64(time.Now().Add(-f.clockBack).UnixNano())},
 		Rand:     rand.New(rand.NewPCG(catalog.Hash(name), 1)),
 		Backends: Backends{
-			Send: func(ctx context.Context, c *Call) (*Reply, error) { return f.send(ctx, name, c) },
+			Send: func(ctx context.Context, c *Call) (*Reply, error) {
+				if err := f.connect(ctx, router, c.Server.Pool, c.Server.ID); err != nil {
+					return nil, &exchange.NotSent{Cause: err}
+				}
+				return f.send(ctx, name, c)
+			},
 			RunPieces: func(ctx context.Context, c PieceCall) PieceReply {
+				if err := f.connect(ctx, router, c.Server.Pool, c.Server.ID); err != nil {
+					if exchange.ConnectionRefused(err) {
+						return PieceReply{Outcome: batch.CallAbsent}
+					}
+					return PieceReply{Outcome: batch.CallBroken}
+				}
 				if err := c.Start(); err != nil {
 					return PieceReply{Outcome: batch.CallWithheld}
 				}
@@ -164,7 +183,10 @@
 				outcome, results := f.runPieces(ctx, name, c.Server, c.Items)
 				return PieceReply{Outcome: outcome, Results: results}
 			},
-			Probe: func(_ context.Context, address string) error {
+			Probe: func(ctx context.Context, address string) error {
+				if f.dial != nil {
+					return f.connect(ctx, router, "", address)
+				}
 				if f.probe == nil || !wait(f.ctx, 2*time.Millisecond) {
 					return nil
 				}
@@ -208,6 +230,32 @@
 	return g
 }
 
+// router returns the router of a box.
+func (f *testFleet) router(box string) *paths.Router {
+	return &paths.Router{
+		Table: paths.Table{Now: time.Now, Log: slog.New(slog.DiscardHandler)},
+		Direct: func(ctx context.Context, server string) (net.Conn, error) {
+			if err := f.dial(ctx, box, server); err != nil {
+				return nil, err
+			}
+			near, _ := net.Pipe()
+			return near, nil
+		},
+	}
+}
+
+// connect opens a connection to a server and closes it again.
+func (f *testFleet) connect(ctx context.Context, r *paths.Router, pool, server string) error {
+	if f.dial == nil {
+		return nil
+	}
+	c, err := r.Dial(ctx, pool, server)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // kill ends a box without notice.
 func (f *testFleet) kill(name string) {
 	f.mu.Lock()
