Duties go to boxes with a path to the pool's servers

Cause: schedulers and coordinators of permits are chosen by membership, uptime, capacity and claims, never by what they reach.

Change: a pool that is lost is announced with the box's entry of the members' table (RUMOUR.NoPath); boxes that announce it are passed over for its scheduling and its servers' permits, unless no box is left, and hand over at once, as in a planned stop.

Ruled out: an announcement of all pools at once when one is lost (services can be cut off one by one).

--- a/src/candidates/candidates.go
+++ b/src/candidates/candidates.go
@@ -3,6 +3,7 @@
 package candidates
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -81,6 +82,28 @@
 	return catalog.Readers(candidates)
 }
 
+// WithoutPath adds to the boxes that are passed over for a task of a pool, given by its hash, those without a path to its
+// servers; unless none would be left.
+func WithoutPath(all []Box, pool uint64, avoid map[string]bool) map[string]bool {
+	out, left := maps.Clone(avoid), 0
+	for i := range all {
+		switch b := &all[i]; {
+		case avoid[b.Name]:
+		case b.HasPath(pool):
+			left++
+		default:
+			if out == nil {
+				out = map[string]bool{}
+			}
+			out[b.Name] = true
+		}
+	}
+	if left == 0 {
+		return avoid
+	}
+	return out
+}
+
 // FirstByHash returns the first box for a pool by rendezvous hash, or otherwise if there is none.
 func FirstByHash(pool string, boxes []string, avoid map[string]bool, otherwise string) string {
 	best, rank := otherwise, uint64(0)
--- a/src/candidates/candidates_test.go
+++ b/src/candidates/candidates_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -66,3 +67,22 @@
 		}
 	}
 }
+
+func TestBoxesWithoutPathArePassedOver(t *testing.T) {
+	all := []Box{{Name: "a"}, {Name: "b", NoPath: []uint64{1}}, {Name: "c", NoPath: []uint64{1, 2}}}
+	for _, c := range []struct {
+		pool  uint64
+		avoid map[string]bool
+		want  map[string]bool
+	}{
+		{1, nil, map[string]bool{"b": true, "c": true}},
+		{2, nil, map[string]bool{"c": true}},
+		{3, nil, nil},
+		{2, map[string]bool{"a": true}, map[string]bool{"a": true, "c": true}},
+		{1, map[string]bool{"a": true}, map[string]bool{"a": true}}, // no box with a path is left
+	} {
+		if got := WithoutPath(all, c.pool, c.avoid); !maps.Equal(got, c.want) {
+			t.Errorf("pool %d, avoiding %v: %v, want %v", c.pool, c.avoid, got, c.want)
+		}
+	}
+}
--- a/src/gateway/connections.go
+++ b/src/gateway/connections.go
@@ -56,7 +56,7 @@
 	r.MayCarry = func(to paths.Target) bool { return !g.Draining() && g.lists(to) }
 }
 
-// announcePaths announces to which pools this box has no path, so that it is not asked to carry connections to them.
+// announcePaths announces to which pools this box has no path, so that their duties move to boxes that have one.
 func (g *Gateway) announcePaths() {
 	pools := g.Paths.Tick()
 	if slices.Equal(pools, g.noPath) {
@@ -66,6 +66,7 @@
 	g.noPath = pools
 	g.fleet.setNoPath(pools)
 	g.announce()
+	g.schedulers.handOverAll()
 }
 
 // lists reports whether a server is listed at the address of a target.
--- a/src/gateway/permits.go
+++ b/src/gateway/permits.go
@@ -43,7 +43,7 @@
 	if !g.Settings.SharedBatches {
 		return g.ID.Name
 	}
-	return g.fleet.coordinatorOf(g.now(), server, passed)
+	return g.fleet.coordinatorOf(g.now(), pool, server, passed)
 }
 
 // limitAt returns the limit in force at a server; false for none.
--- a/src/gateway/roster.go
+++ b/src/gateway/roster.go
@@ -17,6 +17,7 @@
 type roster struct {
 	running      []core.RunningMember // boxes that take work
 	all          []candidates.Box     // the same, for choices among them
+	anyNoPath    bool                 // some of them have no path to the servers of a pool
 	boxes        []string             // of them, the eligible schedulers
 	readers      []string             // of them, those that read the platform first
 	able         []string             // of them, those with about the capacity of the largest machine
@@ -177,9 +178,11 @@
 	r.version, r.madeAt = f.core.Version(), now
 	r.running = f.core.Running(now)
 	all := make([]candidates.Box, 0, len(r.running)) // a new list and map, as readers may hold the previous ones
+	r.anyNoPath = false
 	r.links = make(map[string]uint32, len(r.running))
 	for _, m := range r.running {
 		all = append(all, candidates.Box{Name: m.Name, Up: m.Up, Seed: slices.Contains(f.gateway.Settings.Seeds, m.Address), Address: m.Address, Domain: m.Domain, Capacity: m.Capacity, NoPath: m.NoPath})
+		r.anyNoPath = r.anyNoPath || len(m.NoPath) > 0
 		r.links[m.Name] = m.Capacity.Link
 	}
 	r.all = all
@@ -253,12 +256,22 @@
 
 // choose returns the claimant of a pool, or else the first eligible box by hash. The fleet's lock is held.
 func (f *fleet) choose(now time.Time, pool string, avoid map[string]bool) string {
+	avoid = f.passOver(now, pool, avoid)
 	if box := f.claimant(now, pool, avoid); box != "" {
 		return box
 	}
 	return candidates.FirstByHash(pool, f.schedulers(now), avoid, f.gateway.ID.Name)
 }
 
+// passOver adds the boxes without a path to the servers of a pool to those that are passed over for its duties. The fleet's
+// lock is held.
+func (f *fleet) passOver(now time.Time, pool string, avoid map[string]bool) map[string]bool {
+	if f.eligible(now); !f.roster.anyNoPath {
+		return avoid
+	}
+	return candidates.WithoutPath(f.roster.all, catalog.Hash(pool), avoid)
+}
+
 // setNoPath sets the pools to whose servers this box has no path.
 func (f *fleet) setNoPath(pools []string) {
 	hashes := make([]uint64, len(pools))
@@ -313,17 +326,17 @@
 // coordinatorOf returns the box that grants the permits of a server, chosen among those with enough capacity.
 // Uptime and whether a box answered this one don't count: boxes differ in what they know of these, and two
 // coordinators would grant twice as much.
-func (f *fleet) coordinatorOf(now time.Time, server string, passed map[string]bool) string {
+func (f *fleet) coordinatorOf(now time.Time, pool, server string, passed map[string]bool) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.eligible(now)
 	r := &f.roster
 	if len(passed) > 0 {
-		return candidates.FirstByHash(server, r.able, passed, f.gateway.ID.Name)
+		return candidates.FirstByHash(server, r.able, f.passOver(now, pool, passed), f.gateway.ID.Name)
 	}
 	box, ok := r.coordinators[server]
 	if !ok {
-		box = candidates.FirstByHash(server, r.able, nil, f.gateway.ID.Name)
+		box = candidates.FirstByHash(server, r.able, f.passOver(now, pool, nil), f.gateway.ID.Name)
 		r.coordinators[server] = box
 	}
 	return box
