A server that is silent for a second is neither crashed nor disconnected

What callers would see: contents that ran at a sound server which paused for a second counted as crashing it, and its open connections broke, so that requests that may not be repeated ended with an unknown outcome.

Cause, two of a kind. A server whose probes got no answer for 0.85 s counted as crashed. And the keep-alive of connections gave up by TCP_USER_TIMEOUT, 1.5 s, at the first probe due after it, whatever the number of probes; the kernel counts intervals in whole seconds, so a silence of 1 s was enough where it began just before the first probe. The constants said three probes of half a second.

Change: a silent server is probed on until a probe began 1.5 s after the first without an answer. Connections to servers end after 2.5 s without an acknowledgement and at the second probe, 3 s after the last byte, so that a silence takes 2 s at least; connections between boxes keep 1.5 s.

--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -24,14 +24,18 @@
 
 // Parameters of connections to servers.
 const (
-	dialTimeout       = 700 * time.Millisecond // timeout for opening a connection
-	maxIdle           = 4 * time.Second        // maximum idle time of a connection that is reused
-	maxFreshIdle      = 300 * time.Millisecond // the same for requests that can't be repeated
-	idleMargin        = time.Second            // subtracted from the idle time that the server announces
-	userTimeout       = 1500 * time.Millisecond
+	dialTimeout  = 700 * time.Millisecond // timeout for opening a connection
+	maxIdle      = 4 * time.Second        // maximum idle time of a connection that is reused
+	maxFreshIdle = 300 * time.Millisecond // the same for requests that can't be repeated
+	idleMargin   = time.Second            // subtracted from the idle time that the server announces
+	// The kernel counts keep-alive times in whole seconds, and TCP_USER_TIMEOUT ends a connection at the first probe that is due
+	// after it, whatever the number of probes. A server that runs may be silent for a second and a half, also if the silence begins
+	// just before the first probe.
+	userTimeout       = 2500 * time.Millisecond
+	peerUserTimeout   = 1500 * time.Millisecond // of boxes, whose silence counts as failure
 	keepAliveIdle     = time.Second
-	keepAlivePeriod   = 500 * time.Millisecond
-	keepAliveProbes   = 3
+	keepAlivePeriod   = time.Second
+	keepAliveProbes   = 2
 	tcpUserTimeout    = 0x12 // socket option TCP_USER_TIMEOUT of Linux
 	readBuffer        = 4 << 10
 	maxInlineWrite    = 4 << 10                // bytes that can be written to any idle connection without blocking
@@ -459,15 +463,24 @@
 	return Dial(ctx, to.Address)
 }
 
-// Dial opens a TCP connection that detects an unresponsive peer within seconds.
+// Dial opens a TCP connection to a server that detects within seconds that the server is silent.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
+	return dialTCP(ctx, address, userTimeout)
+}
+
+// DialPeer is Dial for connections between boxes.
+func DialPeer(ctx context.Context, address string) (net.Conn, error) {
+	return dialTCP(ctx, address, peerUserTimeout)
+}
+
+func dialTCP(ctx context.Context, address string, silence time.Duration) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	d := net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAlivePeriod, Count: keepAliveProbes},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			return raw.Control(func(fd uintptr) {
-				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silence.Milliseconds()))
 			})
 		},
 	}
--- a/src/exchange/exchange_test.go
+++ b/src/exchange/exchange_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -375,3 +376,39 @@
 		t.Error("a header that took longer than the read timeout was accepted")
 	}
 }
+
+// With TCP_USER_TIMEOUT set, the kernel ends a silent connection at the first keep-alive probe that is due after that time.
+func TestServerMayBeSilentForASecondAndAHalf(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, err := Dial(t.Context(), l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	option := func(name int, unit time.Duration) time.Duration {
+		var v int
+		if e := raw.Control(func(fd uintptr) { v, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, name) }); e != nil || err != nil {
+			t.Fatal(e, err)
+		}
+		return time.Duration(v) * unit
+	}
+	idle, period, limit := option(syscall.TCP_KEEPIDLE, time.Second), option(syscall.TCP_KEEPINTVL, time.Second), option(tcpUserTimeout, time.Millisecond)
+	end := idle
+	for end < limit || end == idle {
+		end += period
+	}
+	if shortest := end - idle; shortest < 1500*time.Millisecond {
+		t.Errorf("a silence of %s may end a connection that waits for a response", shortest)
+	}
+	if limit < 1500*time.Millisecond || max(end, limit) > 3*time.Second {
+		t.Errorf("silence ends a connection that waits after %s, and one that sends after %s; want 1.5 to 3 s", end, limit)
+	}
+}
--- a/src/peer/client.go
+++ b/src/peer/client.go
@@ -70,7 +70,7 @@
 	if c.Dial != nil {
 		return c.Dial(ctx, address)
 	}
-	return exchange.Dial(ctx, address)
+	return exchange.DialPeer(ctx, address)
 }
 
 // Beat queues a heartbeat. It is dropped if the queue for that box is full.
--- a/src/suspects/constants.go
+++ b/src/suspects/constants.go
@@ -11,6 +11,9 @@
 	silentTogether     = time.Second            // servers that are unresponsive within this time of each other don't count as crashed
 	maxLogLines        = 8                      // log lines for the suspects of one crash; each contains their number
 
+	// soundSilence is the longest silence of a server that is running.
+	soundSilence = 1500 * time.Millisecond
+
 	// A terminating process may still accept connections for a moment, so its address is probed again.
 	probeTries    = 2
 	probeInterval = 250 * time.Millisecond
--- a/src/suspects/tracker.go
+++ b/src/suspects/tracker.go
@@ -94,6 +94,7 @@
 	server Server
 	tries  int
 	due    time.Time // time of the next probe; zero while one is running
+	silent time.Time // when the first of the latest probes without an answer began; zero if the last one was answered
 }
 
 // Check returns the crashes attributed to a content at a pool.
@@ -131,9 +132,10 @@
 // but only after three missed heartbeats, and by then the content could have crashed several more servers.
 func (u *Tracker) probe(s Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	began := u.Now()
 	p := u.Probe(ctx, s)
 	cancel()
-	last := u.recordProbe(s, p)
+	last := u.recordProbe(s, p, began)
 	switch {
 	case p == Absent:
 		u.RecordCrash(s, Refused)
@@ -142,8 +144,9 @@
 	}
 }
 
-// recordProbe records the result of a probe and reports whether it was the last.
-func (u *Tracker) recordProbe(s Server, p Presence) (last bool) {
+// recordProbe records the result of a probe and reports whether it was the last: a server that does not answer is probed for
+// longer than a running one may be silent.
+func (u *Tracker) recordProbe(s Server, p Presence, began time.Time) (last bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.Now()
@@ -159,7 +162,15 @@
 	}
 	a.tries++
 	a.due = now.Add(probeInterval)
-	last = p == Absent || a.tries >= probeTries
+	switch {
+	case p != NoAnswer:
+		a.silent = time.Time{}
+	case a.silent.IsZero():
+		a.silent, a.due = began, now
+	default:
+		a.due = now
+	}
+	last = p == Absent || a.tries >= probeTries && (p != NoAnswer || began.Sub(a.silent) >= soundSilence)
 	if last {
 		delete(u.probing, s.Incarnation)
 	}
