--- a/src/gateway/bench_test.go
+++ b/src/gateway/bench_test.go
@@ -103,7 +103,7 @@
 		b.Run(fmt.Sprint(n/2), func(b *testing.B) {
 			g := benchGateway(b, n, n/2)
 			for b.Loop() {
-				g.fleet.roster.invalidate()
+				g.fleet.roster.Invalidate()
 				g.schedulerOf("encode", nil)
 			}
 		})
--- a/src/gateway/claim_test.go
+++ b/src/gateway/claim_test.go
@@ -12,6 +12,7 @@
 	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/candidates"
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/duties"
 )
 
 // countCallers counts the calls to the stage servers by box, from now on.
@@ -133,7 +134,7 @@
 				t.Errorf("%s takes %s for the scheduler, box3 takes %s", n, got, want)
 			}
 			g.fleet.mu.Lock()
-			if g.fleet.claims("encode") && n == want {
+			if len(g.fleet.core.Self.Claims) > 0 && n == want {
 				claims++
 			}
 			g.fleet.mu.Unlock()
@@ -148,7 +149,7 @@
 // needed.
 func TestLargeFleetNeedsTwoReportsOfUnresponsiveScheduler(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t, twoReportsFrom+2)
+		f := newTestFleet(t, duties.TwoReportsFrom+2)
 		time.Sleep(5 * time.Second)
 		g := f.box("box0")
 		f.setLost("box1", true)
@@ -158,7 +159,7 @@
 		if !g.fleet.mayAsk(g.now(), "box1") {
 			t.Error("a scheduler is skipped after the report of one box")
 		}
-		time.Sleep(2 * reportValidity)
+		time.Sleep(2 * duties.ReportValidity)
 		g.fleet.handleSilenceReport(g.now(), "box1", "box3")
 		if !g.fleet.mayAsk(g.now(), "box1") {
 			t.Error("a scheduler is skipped after an expired report")
--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -141,13 +141,9 @@
 const (
 	seedContactInterval = 50 * time.Millisecond   // interval at which a newly started box contacts seeds that it has not met
 	seedContactPeriod   = 2 * time.Second         // after the start
-	twoReportsFrom      = 16                      // in fleets larger than this, two boxes must report a scheduler as silent
-	reportValidity      = time.Second             // validity of the first report
 	formingFor          = time.Second             // maximum wait of a new box to meet one that may schedule
 	formingPollInterval = 10 * time.Millisecond   // polling interval of that wait
 	recentContact       = 2 * core.LoadNotesEvery // a box heard of within this time is not silent, whatever others report
-	redirectValidity    = 1500 * time.Millisecond // validity of a scheduler's redirect to its successor
-	avoidFor            = 3 * time.Second         // for which a box that did not answer is not chosen
 )
 
 // resultsPerMessage is the maximum number of held results reported to a scheduler in one message.
--- a/src/gateway/costs_test.go
+++ b/src/gateway/costs_test.go
@@ -131,13 +131,10 @@
 		time.Sleep(candidates.SettledAfter + candidates.CohortSpread)
 		g := f.box("box7")
 		rebuilds := func(watch time.Duration) (times int) {
-			var last time.Time
+			var last *candidates.Box // a rebuild makes a new list
 			for began := time.Now(); time.Since(began) < watch; time.Sleep(candidates.MinValidity / 4) {
-				g.fleet.mu.Lock()
-				at := g.fleet.roster.madeAt
-				g.fleet.mu.Unlock()
-				if !at.Equal(last) {
-					times, last = times+1, at
+				if first := &g.fleet.boxesToAsk(g.now())[0]; first != last {
+					times, last = times+1, first
 				}
 			}
 			return times
@@ -152,17 +149,13 @@
 			}
 		}
 		time.Sleep(2 * candidates.MinValidity)
-		g.fleet.mu.Lock()
-		held := slices.Contains(g.fleet.eligible(g.now()), "box20")
-		g.fleet.mu.Unlock()
+		held := slices.Contains(candidates.Schedulers(g.fleet.boxesToAsk(g.now())), "box20")
 		if held {
 			t.Error("a box that is gone is still eligible as scheduler")
 		}
 		f.start("box30")
 		time.Sleep(candidates.SettledAfter + time.Second)
-		g.fleet.mu.Lock()
-		defer g.fleet.mu.Unlock()
-		if !slices.Contains(g.fleet.eligible(g.now()), "box30") {
+		if !slices.Contains(candidates.Schedulers(g.fleet.boxesToAsk(g.now())), "box30") {
 			t.Error("a settled box is not eligible as scheduler")
 		}
 	})
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/stilemast/stilemast/src/balance"
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/duties"
 	"github.com/stilemast/stilemast/src/port"
 )
 
@@ -27,7 +28,7 @@
 	usableNow []string
 	logged    []string  // the usable boxes when they were last logged
 	loggedAt  time.Time // time of that log line
-	roster    roster
+	roster    duties.Roster
 }
 
 // waitNote is a scheduler's report on the waiting times in its pool.
@@ -45,7 +46,8 @@
 	f.waits = map[uint64]waitNote{}
 	f.usableNow = []string{g.ID.Name}
 	f.logged = f.usableNow
-	f.roster.init()
+	f.roster.Self, f.roster.Seeds, f.roster.Members, f.roster.Log = g.ID.Name, g.Settings.Seeds, f.core, g.Log
+	f.roster.Init()
 }
 
 // sendHeartbeats sends the heartbeats that are due, also to seeds whose names are not known yet.
@@ -246,7 +248,7 @@
 	now := g.now()
 	f.mu.Lock()
 	f.seen[m.From.ID.Name] = now
-	f.roster.clearSilent(m.From.ID.Name)
+	f.roster.Heard(m.From.ID.Name)
 	f.core.Expect = g.beatFiller(now)
 	h := f.core.Receive(now, m)
 	changed := f.core.Changed()
@@ -303,7 +305,7 @@
 	f.mu.Lock()
 	before := f.usableNow
 	f.usableNow = f.core.Usable()
-	f.roster.invalidate()
+	f.roster.Invalidate()
 	after := f.usableNow
 	f.mu.Unlock()
 	_, lost := core.Differences(before, after)
@@ -378,7 +380,7 @@
 func (f *fleet) recordSender(box, address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.roster.clearSilent(box)
+	f.roster.Heard(box)
 	f.addresses[box] = address
 }
 
@@ -407,10 +409,10 @@
 func (f *fleet) avoidEnded(now time.Time, box string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now.Before(f.roster.silent[box]) {
+	if f.roster.IsSilent(now, box) {
 		return false
 	}
-	f.roster.avoid(now, box)
+	f.roster.Avoid(now, box)
 	return true
 }
 
--- a/src/gateway/permits.go
+++ b/src/gateway/permits.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/duties"
 	"github.com/stilemast/stilemast/src/exclusion"
 	"github.com/stilemast/stilemast/src/port"
 	"github.com/stilemast/stilemast/src/pushback"
@@ -43,7 +44,7 @@
 	if !g.Settings.SharedBatches {
 		return g.ID.Name
 	}
-	return g.fleet.coordinatorOf(g.now(), pool, server, passed)
+	return withRoster(&g.fleet, func(r *duties.Roster) string { return r.CoordinatorOf(g.now(), pool, server, passed) })
 }
 
 // limitAt returns the limit in force at a server; false for none.
--- a/src/gateway/roster_test.go
+++ b/src/gateway/roster_test.go
@@ -14,6 +14,7 @@
 	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/candidates"
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/duties"
 )
 
 // After a restart of the whole fleet each box knows only itself at first. Pieces must still go to one box, or
@@ -137,7 +138,7 @@
 		if got := g.schedulerOf("encode", nil); got != next {
 			t.Errorf("%s is the scheduler, want %s as %s said", got, next, first)
 		}
-		time.Sleep(redirectValidity)
+		time.Sleep(duties.RedirectValidity)
 		if got := g.schedulerOf("encode", nil); got != first {
 			t.Errorf("a scheduler's hint does not expire: %s", got)
 		}
--- a/src/paths/carrier.go
+++ b/src/paths/carrier.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/stilemast/stilemast/src/candidates"
 	"github.com/stilemast/stilemast/src/catalog"
@@ -23,7 +22,7 @@
 	all, hash := r.Boxes(), catalog.Hash(pool)
 	var second candidates.Box
 	take := func(b candidates.Box) bool {
-		if b.Name == r.Self || tried[b.Name] || !b.HasPath(hash) || r.isAvoided(b.Name) {
+		if b.Name == r.Self || tried[b.Name] || !b.HasPath(hash) || r.avoided.Has(r.Now(), b.Name) {
 			return false
 		}
 		if (b.Domain == r.Domain) != elsewhere {
@@ -59,27 +58,6 @@
 	return ok
 }
 
-// avoid stops asking a box for a while.
-func (r *Router) avoid(box string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.avoided == nil {
-		r.avoided = map[string]time.Time{}
-	}
-	r.avoided[box] = r.Now().Add(avoidCarrier)
-}
-
-func (r *Router) isAvoided(box string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	until, ok := r.avoided[box]
-	if ok && !r.Now().Before(until) {
-		delete(r.avoided, box)
-		return false
-	}
-	return ok
-}
-
 // report reports the result of a connection through another box to the metrics.
 func (r *Router) report(pool, result string) {
 	if r.Tunnelled != nil {
--- a/src/paths/dial.go
+++ b/src/paths/dial.go
@@ -149,7 +149,7 @@
 	var answer *port.TunnelError
 	switch {
 	case !errors.As(x.err, &answer):
-		r.avoid(x.by.Name)
+		r.avoided.Add(r.Now(), x.by.Name, avoidCarrier)
 		r.report(d.to.Pool, "unreachable")
 	case answer.Result == port.TunnelRefused:
 		d.refusals++
@@ -158,7 +158,7 @@
 		if answer.Result == port.TunnelNoPath {
 			d.noPath++
 		}
-		r.avoid(x.by.Name)
+		r.avoided.Add(r.Now(), x.by.Name, avoidCarrier)
 		r.report(d.to.Pool, answer.Result.String())
 	}
 }
--- a/src/paths/router.go
+++ b/src/paths/router.go
@@ -14,13 +14,13 @@
 	"errors"
 	"log/slog"
 	"net"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/stilemast/stilemast/src/candidates"
 	"github.com/stilemast/stilemast/src/exchange"
+	"github.com/stilemast/stilemast/src/exclusion"
 	"github.com/stilemast/stilemast/src/port"
 )
 
@@ -53,9 +53,8 @@
 	// Tunnelled, if set, is called with the result of each connection through another box.
 	Tunnelled func(pool, result string)
 
-	mu      sync.Mutex
-	avoided map[string]time.Time // carriers that failed, and until when they are not asked
-	tunnels atomic.Int64         // connections carried for other boxes
+	avoided exclusion.Set // carriers that failed
+	tunnels atomic.Int64  // connections carried for other boxes
 }
 
 // Dial opens a connection to a server.
