--- a/src/gateway/paths_test.go
+++ b/src/gateway/paths_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -139,7 +140,7 @@
 	began := time.Now()
 	for n := 0; time.Since(began) < length; n++ {
 		path := sitePaths[min(n%8, 1)]
-		box, id, counts := fmt.Sprint("box", r.IntN(s.boxes)), fmt.Sprintf("%d-%d", seed, n), time.Since(began) >= skip
+		box, id, counts := s.draw(r, n), fmt.Sprintf("%d-%d", seed, n), time.Since(began) >= skip
 		callers.Go(func() {
 			a := s.f.ask(box, path, id, func(q *Request) { q.Left = 2500 * time.Millisecond })
 			s.count(box, path, counts, a)
@@ -149,6 +150,17 @@
 	callers.Wait()
 }
 
+// draw returns the box of the n-th request: one by chance, every fourth time one without a path if there are any.
+func (s *pathSite) draw(r *rand.Rand, n int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n%4 == 0 && len(s.cut) > 0 {
+		cut := slices.Sorted(maps.Keys(s.cut))
+		return cut[r.IntN(len(cut))]
+	}
+	return fmt.Sprint("box", r.IntN(s.boxes))
+}
+
 func (s *pathSite) count(box, path string, counts bool, a callResult) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
