A server that cannot be reached is probed, and its calls cost the jobs nothing

Cause: a connection that could not be opened counted as a failed call. It paused the server, for longer each time (up to 6.4 s), and only another call, with pieces in it, could find out that it was back; four such calls ended a job.

Change: outcome CallUnreachable. It counts against no job, the pool's scheduler probes the server by connecting, twice a second, and resumes calls as soon as it is reached. One box for each pool probes, and only servers that it needed.

TestServersAreUsedAsSoonAsTheyAreReached: four of five servers got no call within 1.5 s after they could be reached -> all did.

--- a/src/batch/call.go
+++ b/src/batch/call.go
@@ -88,6 +88,8 @@
 		return "moved"
 	case CallWithheld:
 		return "withheld"
+	case CallUnreachable:
+		return "unreachable"
 	case CallAbsent:
 		return "absent"
 	}
@@ -157,4 +159,5 @@
 	CallMoved                // another server answers at the address
 	CallWithheld             // not sent: the server no longer takes new work
 	CallAbsent               // not sent: no process listens at the address
+	CallUnreachable          // not sent: no connection to the server could be opened
 )
--- a/src/batch/ending.go
+++ b/src/batch/ending.go
@@ -34,14 +34,14 @@
 	return out
 }
 
-// fails reports whether the outcome counts as a failure of the server and of the call's jobs.
-func (o CallOutcome) fails() bool { return o != CallFull && o != CallWithheld }
+// fails reports whether the outcome counts as a failure of the call's jobs.
+func (o CallOutcome) fails() bool { return o != CallFull && o != CallWithheld && o != CallUnreachable }
 
 // requeue requeues the pieces of a call that produced nothing and pauses the server.
 func (s *Scheduler) requeue(now time.Time, rc *runningCall, v *serverState, outcome CallOutcome, out *Actions) {
 	if v != nil {
 		v.used = max(0, v.used-rc.bytes)
-		if !outcome.fails() {
+		if !outcome.fails() && outcome != CallUnreachable {
 			v.pausedUntil = now.Add(fullPause)
 		} else {
 			v.pausedUntil = now.Add(failurePause << min(v.failures, maxDoublings))
@@ -68,6 +68,16 @@
 	}
 }
 
+// Resume ends the pause of a server that can be reached again.
+func (s *Scheduler) Resume(now time.Time, id string) Actions {
+	v := s.servers[id]
+	if v == nil || v.call != 0 {
+		return Actions{}
+	}
+	v.pausedUntil, v.failures = now, 0
+	return s.dispatch(now)
+}
+
 // takeResults stores the handles of a completed call, handles its failed items and ends the jobs that are complete.
 func (s *Scheduler) takeResults(now time.Time, n uint64, rc *runningCall, v *serverState, results []ItemResult, out *Actions) {
 	s.learn(now, rc, v)
--- a/src/batch/scheduler_test.go
+++ b/src/batch/scheduler_test.go
@@ -324,3 +324,25 @@
 	}
 	return out
 }
+
+func TestUnreachableServerCostsJobsNothingAndResumes(t *testing.T) {
+	s := testScheduler(1)
+	a := s.Submit(start, testJob("a", 1, 2), "")
+	if len(a.Calls) != 1 {
+		t.Fatalf("%d calls", len(a.Calls))
+	}
+	now := start
+	for range maxJobFailures + 1 {
+		now = now.Add(700 * time.Millisecond)
+		out := s.CallEnded(now, a.Calls[0].N, CallUnreachable, nil)
+		if len(out.Replies) > 0 {
+			t.Fatalf("the job ended: %+v", out.Replies)
+		}
+		if len(out.Calls) > 0 {
+			t.Fatal("the server was not paused")
+		}
+		if a = s.Resume(now, a.Calls[0].Server.ID); len(a.Calls) != 1 {
+			t.Fatalf("%d calls after the server could be reached", len(a.Calls))
+		}
+	}
+}
--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -137,6 +137,12 @@
 	maxSilentAsks        = 2                      // unanswered questions after which another box is asked
 )
 
+// Probes of servers to which no call could be sent.
+const (
+	probeInterval = 500 * time.Millisecond
+	maxProbing    = time.Minute // the server is tried with a call then
+)
+
 // Choice of schedulers.
 const (
 	seedContactInterval = 50 * time.Millisecond   // interval at which a newly started box contacts seeds that it has not met
--- a/src/gateway/fleet_test.go
+++ b/src/gateway/fleet_test.go
@@ -172,7 +172,7 @@
 					if exchange.ConnectionRefused(err) {
 						return PieceReply{Outcome: batch.CallAbsent}
 					}
-					return PieceReply{Outcome: batch.CallBroken}
+					return PieceReply{Outcome: batch.CallUnreachable}
 				}
 				if err := c.Start(); err != nil {
 					return PieceReply{Outcome: batch.CallWithheld}
--- a/src/gateway/paths_test.go
+++ b/src/gateway/paths_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/catalog"
 )
 
@@ -44,6 +45,7 @@
 
 	mu     sync.Mutex
 	cut    map[string]bool
+	gone   map[string]bool // servers that no box reaches
 	mode   cutMode
 	served map[attempts]attemptCount
 }
@@ -62,7 +64,7 @@
 var sitePaths = []string{"/draft/x", "/look/x"}
 
 func newPathSite(t *testing.T, boxes int) *pathSite {
-	s := &pathSite{f: newEmptyFleet(t), boxes: boxes, cut: map[string]bool{}, served: map[attempts]attemptCount{}}
+	s := &pathSite{f: newEmptyFleet(t), boxes: boxes, cut: map[string]bool{}, gone: map[string]bool{}, served: map[attempts]attemptCount{}}
 	s.f.catalog = testCatalog(1)
 	for i := range s.f.catalog.Pipelines {
 		s.f.catalog.Pipelines[i].Attempts = 2
@@ -99,9 +101,9 @@
 }
 
 // dial opens a connection from a box to a server.
-func (s *pathSite) dial(ctx context.Context, box, _ string) error {
+func (s *pathSite) dial(ctx context.Context, box, server string) error {
 	s.mu.Lock()
-	cut, mode := s.cut[box], s.mode
+	cut, mode := s.cut[box] || s.gone[server], s.mode
 	s.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -150,11 +152,11 @@
 	callers.Wait()
 }
 
-// draw returns the box of the n-th request: one by chance, every fourth time one without a path if there are any.
+// draw returns the box of the n-th request: one by chance, every fifth time one without a path if there are any.
 func (s *pathSite) draw(r *rand.Rand, n int) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if n%4 == 0 && len(s.cut) > 0 {
+	if n%5 == 0 && len(s.cut) > 0 {
 		cut := slices.Sorted(maps.Keys(s.cut))
 		return cut[r.IntN(len(cut))]
 	}
@@ -312,3 +314,51 @@
 		})
 	}
 }
+
+// Nobody reaches four of five servers of a stage for a while; what waits meanwhile must not wait on.
+func TestServersAreUsedAsSoonAsTheyAreReached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPathSite(t, 6)
+		var mu sync.Mutex
+		called := map[string]time.Time{}
+		run := s.f.runPieces
+		s.f.runPieces = func(ctx context.Context, box string, v catalog.Server, items []batch.Item) (batch.CallOutcome, []batch.ItemResult) {
+			mu.Lock()
+			called[v.ID] = time.Now()
+			mu.Unlock()
+			return run(ctx, box, v, items)
+		}
+		var back time.Time
+		go func() {
+			time.Sleep(time.Second)
+			s.mu.Lock()
+			s.mode = cutSilent
+			for i := range 4 {
+				s.gone[fmt.Sprint("piece", i)] = true
+			}
+			s.mu.Unlock()
+			time.Sleep(12 * time.Second)
+			s.mu.Lock()
+			clear(s.gone)
+			back = time.Now()
+			s.mu.Unlock()
+		}()
+		r := rand.New(rand.NewPCG(1, 1))
+		for n := 0; n < 16*25; n++ {
+			box, id := fmt.Sprint("box", r.IntN(6)), fmt.Sprint("r", n)
+			go s.f.ask(box, "/draft/x", id, func(q *Request) { q.Left = 4 * time.Second })
+			if time.Sleep(40 * time.Millisecond); !back.IsZero() && time.Since(back) > 1500*time.Millisecond {
+				break
+			}
+		}
+		mu.Lock()
+		last := maps.Clone(called)
+		mu.Unlock()
+		for i := range 5 {
+			if id := fmt.Sprint("piece", i); last[id].Before(back) {
+				t.Errorf("%s got no call within 1.5 s after it could be reached again", id)
+			}
+		}
+		time.Sleep(5 * time.Second) // until the last requests have ended
+	})
+}
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -9,6 +9,7 @@
 	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/exchange"
 	"github.com/stilemast/stilemast/src/pushback"
 	"github.com/stilemast/stilemast/src/suspects"
 )
@@ -27,9 +28,10 @@
 	core               *batch.Scheduler
 	pool               string
 	usedAt             time.Time
-	delayedAt          time.Time // when calls were last delayed for a handover
-	receivedAt         time.Time // when another box last handed the pool over to this one
-	scheduledElsewhere bool      // another box was the pool's scheduler at the last check
+	delayedAt          time.Time       // when calls were last delayed for a handover
+	receivedAt         time.Time       // when another box last handed the pool over to this one
+	scheduledElsewhere bool            // another box was the pool's scheduler at the last check
+	probing            map[string]bool // servers that are probed because they can't be reached
 }
 
 // justReceived reports whether another box has just handed the pool over to this one.
@@ -58,7 +60,7 @@
 		d.mu.Unlock()
 		return s
 	}
-	s = &scheduler{core: batch.NewScheduler(d.gateway.ID.Name, *p), pool: pool, scheduledElsewhere: true}
+	s = &scheduler{core: batch.NewScheduler(d.gateway.ID.Name, *p), pool: pool, scheduledElsewhere: true, probing: map[string]bool{}}
 	s.core.VerdictOf, s.core.RestsUntil, s.core.LimitOf = d.gateway.suspects.Check, d.gateway.restsUntil, d.gateway.limitRate
 	d.enableOverdue(s.core, pool)
 	s.core.MayYield = func() bool {
@@ -359,6 +361,9 @@
 	pending, calls := s.core.Pending()
 	s.mu.Unlock()
 	late, gone, noRoom, failed := batch.CountReasons(results)
+	if outcome == batch.CallUnreachable {
+		go d.awaitServer(s, c.Server)
+	}
 	g.Log.Info("batch ended", "pool", s.pool, "server", c.Server.ID, "pieces", len(c.Items), "outcome", outcome.String(), "took_ms", took.Milliseconds(), "pending", pending, "calls", calls, "late", late, "gone", gone, "no_room", noRoom, "failed", failed, "says_leaving", r.Signals.Leaving, "asks_rest_ms", r.Signals.Rest.Milliseconds(), "names_limit", r.Signals.Limit, "requests", c.Requests())
 	if g.Observer.Batched != nil {
 		g.Observer.Batched(s.pool, len(c.Items), outcome.String(), took)
@@ -366,6 +371,33 @@
 	d.execute(s, a)
 }
 
+// awaitServer probes a server to which no connection could be opened until one can, and resumes calls to it then: waiting
+// pieces are not used to find out.
+func (d *schedulers) awaitServer(s *scheduler, v catalog.Server) {
+	g := d.gateway
+	s.mu.Lock()
+	probing := s.probing[v.ID]
+	s.probing[v.ID] = true
+	s.mu.Unlock()
+	if probing {
+		return
+	}
+	began, reached := g.now(), false
+	for !reached && g.Backends.Probe != nil && g.now().Sub(began) < maxProbing && g.mayUse(v.ID) && g.schedulerOf(s.pool, nil) == g.ID.Name && g.stages.Err() == nil {
+		sleep(g.stages, probeInterval)
+		reached = g.Backends.Probe(g.stages, exchange.Target{Pool: v.Pool, Server: v.ID, Address: v.Address}) == nil
+	}
+	s.mu.Lock()
+	delete(s.probing, v.ID)
+	var a batch.Actions
+	if reached {
+		a = s.core.Resume(g.now(), v.ID)
+	}
+	s.mu.Unlock()
+	g.Log.Info("server probed after a call could not be sent", "pool", s.pool, "server", v.ID, "reached", reached, "took_ms", g.now().Sub(began).Milliseconds())
+	d.execute(s, a)
+}
+
 // recordContents records what the end of a call shows about the contents in it.
 func (d *schedulers) recordContents(c batch.Call, outcome batch.CallOutcome, results []batch.ItemResult) {
 	g := d.gateway
