--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -364,7 +364,7 @@
 	if outcome == batch.CallUnreachable {
 		go d.awaitServer(s, c.Server)
 	}
-	g.Log.Info("batch ended", "pool", s.pool, "server", c.Server.ID, "pieces", len(c.Items), "outcome", outcome.String(), "took_ms", took.Milliseconds(), "pending", pending, "calls", calls, "late", late, "gone", gone, "no_room", noRoom, "failed", failed, "says_leaving", r.Signals.Leaving, "asks_rest_ms", r.Signals.Rest.Milliseconds(), "names_limit", r.Signals.Limit, "requests", c.Requests())
+	g.Log.Info("batch ended", "pool", s.pool, "server", c.Server.ID, "pieces", len(c.Items), "outcome", outcome.String(), "took_ms", took.Milliseconds(), "pending", pending, "calls", calls, "late", late, "gone", gone, "no_room", noRoom, "failed", failed, "says_leaving", r.Signals.Leaving, "asks_rest_ms", r.Signals.Rest.Milliseconds(), "names_limit", r.Signals.Limit, "says_brittle", r.Signals.Brittle, "requests", c.Requests())
 	if g.Observer.Batched != nil {
 		g.Observer.Batched(s.pool, len(c.Items), outcome.String(), took)
 	}
--- a/src/pushback/signals.go
+++ b/src/pushback/signals.go
@@ -16,6 +16,7 @@
 	Leaving bool          // the server takes no new work
 	Rest    time.Duration // time for which it wants no requests from this box, 0 for none
 	Limit   float64       // requests per second from all boxes together, 0 if none is given; see ParseLimit
+	Brittle int           // requests per second that the server can turn away without failing, 0 if it does not say so
 }
 
 // Range of limits accepted from responses, in requests per second. With a lower one too few requests would be sent to
@@ -25,6 +26,9 @@
 	MaxLimit = 1e5
 )
 
+// MaxBrittle is the largest number of rejected requests per second that counts.
+const MaxBrittle = 10_000
+
 // InvalidLimit stands for a limit that can't be parsed. It neither sets a limit nor ends one.
 const InvalidLimit = -1
 
@@ -47,6 +51,23 @@
 	return least
 }
 
+// ParseBrittle parses the numbers in which a response says how many requests per second its server can turn away, and returns
+// the lowest. A server that names none that can be read can turn away none; without values the result is 0.
+func ParseBrittle(values []string) int {
+	if len(values) == 0 {
+		return 0
+	}
+	least := MaxBrittle
+	for _, v := range values {
+		n, err := strconv.Atoi(strings.TrimSpace(v))
+		if err != nil && !errors.Is(err, strconv.ErrRange) {
+			n = 1
+		}
+		least = min(least, max(n, 1))
+	}
+	return least
+}
+
 // Server is one incarnation of a backend server. A larger number is a later incarnation; 0 is an unknown one.
 type Server struct {
 	ID          string
