Carriers are of the own region; a server that was never lost does not end a lost path

Only servers to which a direct connection failed are probed, and only they end the fault. A body may not cross another region, so carriers are of the box's own.

--- a/src/gateway/connections.go
+++ b/src/gateway/connections.go
@@ -52,6 +52,9 @@
 	r.Self, r.Domain, r.Now, r.Log, r.Through, r.Tunnelled = g.ID.Name, g.Settings.FailureDomain, g.now, g.Log, g.Peers.Tunnel, g.Observer.Tunnelled
 	r.Table.Now, r.Table.Log = g.now, g.Log
 	r.Boxes = func() []candidates.Box { return g.fleet.boxesToAsk(g.now()) }
+	r.MayAsk = func(domain string) bool {
+		return g.Settings.Regions[domain] == g.Settings.Regions[g.Settings.FailureDomain]
+	}
 	r.Usable = func(box string) bool { return g.fleet.stateOf(box) == core.MemberAlive }
 	r.MayCarry = func(to paths.Target) bool { return !g.Draining() && g.lists(to) }
 }
--- a/src/paths/carrier.go
+++ b/src/paths/carrier.go
@@ -22,7 +22,7 @@
 	all, hash := r.Boxes(), catalog.Hash(pool)
 	var second candidates.Box
 	take := func(b candidates.Box) bool {
-		if b.Name == r.Self || tried[b.Name] || !b.HasPath(hash) || r.avoided.Has(r.Now(), b.Name) {
+		if b.Name == r.Self || tried[b.Name] || !b.HasPath(hash) || !r.MayAsk(b.Domain) || r.avoided.Has(r.Now(), b.Name) {
 			return false
 		}
 		if (b.Domain == r.Domain) != elsewhere {
--- a/src/paths/router.go
+++ b/src/paths/router.go
@@ -44,6 +44,8 @@
 	Self, Domain string
 	// Boxes lists the boxes that take work; the list must not be changed.
 	Boxes func() []candidates.Box
+	// MayAsk reports whether a request may pass through a failure domain on its way to a server.
+	MayAsk func(domain string) bool
 	// Usable reports whether a box may still carry connections.
 	Usable func(box string) bool
 	// MayCarry reports whether this box may connect to a server for another box.
--- a/src/paths/router_test.go
+++ b/src/paths/router_test.go
@@ -43,6 +43,7 @@
 			Direct:   func(ctx context.Context, address string) (net.Conn, error) { return w.direct(ctx, name, address) },
 			Through:  w.through,
 			Boxes:    func() []candidates.Box { return w.list(boxes) },
+			MayAsk:   func(string) bool { return true },
 			Usable:   func(string) bool { return true },
 			MayCarry: func(Target) bool { return true },
 		}
@@ -348,3 +349,40 @@
 		t.Errorf("drew %q, want the only box with a path", b.Name)
 	}
 }
+
+func TestRequestsDoNotPassThroughForbiddenDomains(t *testing.T) {
+	w := newWorld(t, "d0/a", "d1/b", "d2/c")
+	r := w.boxes["d0/a"]
+	r.MayAsk = func(domain string) bool { return domain != "d1" }
+	for range 50 {
+		if b, ok := r.carrier("model", map[string]bool{}, true); !ok || b.Name != "d2/c" {
+			t.Fatalf("drew %q", b.Name)
+		}
+	}
+	if b, ok := r.carrier("model", map[string]bool{"d2/c": true}, true); ok {
+		t.Errorf("drew %q", b.Name)
+	}
+}
+
+// All servers of a pool but one are cut off. That one can be reached all the time, which says nothing of the others.
+func TestServerThatWasNeverLostDoesNotEndTheFault(t *testing.T) {
+	w := newWorld(t, "d0/a", "d1/c")
+	r := w.boxes["d0/a"]
+	to := func(s string) Target { return Target{Pool: "model", Server: s, Address: s} }
+	r.Table.OnlyOthers(to("x"), syscall.ECONNREFUSED)
+	r.Table.OnlyOthers(to("y"), syscall.ECONNREFUSED)
+	r.Table.Carried(to("spared"))
+	for range 3 {
+		if due := r.Table.dueProbes(); len(due) == 1 && due[0] == to("spared") {
+			t.Error("the server that was never lost is probed")
+		}
+		r.Table.probeEnded("model")
+		r.Table.pools["model"].probedAt = time.Time{}
+	}
+	if r.Table.Reached(to("spared")); !r.Table.Lost("model") {
+		t.Error("a server that was never lost ended the fault")
+	}
+	if r.Table.Reached(to("x")); r.Table.Lost("model") {
+		t.Error("a server that is reached again did not end the fault")
+	}
+}
--- a/src/paths/table.go
+++ b/src/paths/table.go
@@ -31,6 +31,7 @@
 // evidence is a server that only other boxes reach.
 type evidence struct {
 	target Target
+	failed bool // a direct connection failed too; otherwise only others tried, as the pool is lost
 	first  time.Time
 	last   time.Time // when another box last connected to it for this one
 	probed time.Time
@@ -99,8 +100,9 @@
 	if p == nil {
 		return
 	}
+	before, known := p.servers[to.Address]
 	delete(p.servers, to.Address)
-	if !p.lost {
+	if !p.lost || known && !before.failed && p.anyFailed() { // the path to this server may never have been lost
 		return
 	}
 	now := t.Now()
@@ -108,6 +110,16 @@
 	t.pools[to.Pool] = &poolState{servers: map[string]evidence{}, held: now.Add(holdFor)}
 }
 
+// anyFailed reports whether a direct connection to a remembered server failed.
+func (p *poolState) anyFailed() bool {
+	for _, e := range p.servers {
+		if e.failed {
+			return true
+		}
+	}
+	return false
+}
+
 // OnlyOthers records that a connection from this box failed while another box opened one to the same server.
 func (t *Table) OnlyOthers(to Target, cause error) {
 	t.mu.Lock()
@@ -127,9 +139,11 @@
 	e, known := p.servers[to.Address]
 	if !known {
 		e = evidence{target: to, first: now}
-		t.Log.Warn("server can only be reached through other boxes", "pool", to.Pool, "server", to.Server, "servers", len(p.servers)+1, "cause", cause.Error())
 	}
-	e.last = now
+	if !e.failed {
+		t.Log.Warn("server can only be reached through other boxes", "pool", to.Pool, "server", to.Server, "servers", len(p.servers), "cause", cause.Error())
+	}
+	e.failed, e.last = true, now
 	p.servers[to.Address] = e
 	p.silent = !isRefusal(cause)
 	if !p.lost && (len(p.servers) >= lostServers || now.Sub(e.first) >= lostAfter) {
@@ -147,6 +161,9 @@
 		return
 	}
 	now := t.Now()
+	if len(p.servers) == 0 {
+		p.since = now
+	}
 	e, known := p.servers[to.Address]
 	if !known {
 		e = evidence{target: to, first: now}
@@ -155,7 +172,8 @@
 	p.servers[to.Address] = e
 }
 
-// dueProbes returns the servers to try directly now: one of each pool, the one that was tried longest ago.
+// dueProbes returns the servers to try directly now: one of each pool, the one that was tried longest ago of those to which a
+// connection failed.
 func (t *Table) dueProbes() []Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -167,7 +185,11 @@
 			continue
 		}
 		var next evidence
+		anyFailed := p.anyFailed()
 		for _, e := range p.servers {
+			if anyFailed && !e.failed {
+				continue
+			}
 			if next.target == (Target{}) || e.probed.Before(next.probed) {
 				next = e
 			}
