A witness proves its path; the crash of a server that answers again is withdrawn

TestBoxesWithoutPathDoNotReportCrashes: two cut boxes confirmed a third one's refused connection. A box that confirms a refusal now connects to another server at that moment, or answers that it has no path; one such box suffices.

--- a/src/crasher/register.go
+++ b/src/crasher/register.go
@@ -101,6 +101,20 @@
 	return r.addCrashes(now, incarnation, list)
 }
 
+// WithdrawCrash removes a crash that was no crash, and returns the number of contents against which it was counted.
+func (r *Register) WithdrawCrash(now time.Time, incarnation Incarnation) (contents int) {
+	delete(r.ended, incarnation)
+	for _, e := range r.entries {
+		before := len(e.crashes)
+		e.crashes = slices.DeleteFunc(e.crashes, func(x crash) bool { return x.incarnation == incarnation })
+		if len(e.crashes) < before {
+			e.changed = now
+			contents++
+		}
+	}
+	return contents
+}
+
 // addCrashes counts a crash against the contents of recent broken exchanges and returns them.
 func (r *Register) addCrashes(now time.Time, incarnation Incarnation, list []brokenExchange) []Counted {
 	var out []Counted
--- a/src/crasher/register_test.go
+++ b/src/crasher/register_test.go
@@ -214,3 +214,23 @@
 func (r *Register) allNotes(now time.Time) []Note {
 	return r.notes(now, r.keys(func(*entry) bool { return true }))
 }
+
+func TestWithdrawnCrashCountsNoMore(t *testing.T) {
+	var r Register
+	now := time.Unix(100, 0)
+	for i := range barThreshold {
+		r.RecordBroken(now, Incarnation(i+1), Key{1}, Key{byte(i + 2)})
+		r.RecordCrash(now, Incarnation(i+1))
+	}
+	if v := r.Check(now, Key{1}); !v.Barred {
+		t.Fatalf("%+v", v)
+	}
+	if n := r.WithdrawCrash(now, 1); n != 2 {
+		t.Errorf("withdrawn from %d contents, want 2", n)
+	}
+	if v, alone := r.Check(now, Key{1}), r.Check(now, Key{2}); v.Barred || v.Ends != barThreshold-1 || alone.Ends != 0 {
+		t.Errorf("%+v and %+v", v, alone)
+	}
+	r.Notes(now)
+	r.Sweep(now.Add(time.Hour))
+}
--- a/src/paths/carrier.go
+++ b/src/paths/carrier.go
@@ -52,12 +52,6 @@
 	return second, second.Name != ""
 }
 
-// hasCarrier reports whether another box could be asked.
-func (r *Router) hasCarrier(pool string, tried map[string]bool) bool {
-	_, ok := r.carrier(pool, tried, false)
-	return ok
-}
-
 // report reports the result of a connection through another box to the metrics.
 func (r *Router) report(pool, result string) {
 	if r.Tunnelled != nil {
@@ -89,12 +83,26 @@
 		r.Table.Reached(to)
 		r.tunnels.Add(1)
 		return &counted{Conn: c, end: sync.OnceFunc(func() { r.tunnels.Add(-1) })}, port.TunnelOpen
-	case exchange.ConnectionRefused(err):
+	case exchange.ConnectionRefused(err) && r.confirmPath(ctx, to):
 		return nil, port.TunnelRefused
 	}
 	return nil, port.TunnelNoPath
 }
 
+// confirmPath reports whether this box can connect to another server now, so that the one that refused it is absent.
+func (r *Router) confirmPath(ctx context.Context, to Target) bool {
+	other, ok := r.Table.ReachedBeside(to)
+	if !ok {
+		return false
+	}
+	c, err := r.Direct(ctx, other.Address)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
 // Tunnels returns the number of connections that this box carries for others.
 func (r *Router) Tunnels() int { return int(r.tunnels.Load()) }
 
--- a/src/paths/constants.go
+++ b/src/paths/constants.go
@@ -11,9 +11,6 @@
 	maxCarriers = 4                      // boxes asked for one connection
 	silentWays  = 2                      // carriers asked at once where the ways so far are silent
 	draws       = 8                      // random boxes looked at before all are
-	// confirmations is the number of other boxes that a server must refuse too before it counts as absent: one may have lost its
-	// path with this box.
-	confirmations = 2
 	// avoidCarrier is how long a box that could not carry a connection is not asked. Within it, the box announces that it has no
 	// path.
 	avoidCarrier = time.Second
--- a/src/paths/dial.go
+++ b/src/paths/dial.go
@@ -26,7 +26,7 @@
 
 	directErr error // of the direct way, once it failed
 	carried   bool  // a carrier connected
-	refusals  int   // carriers that the server refused
+	refused   bool  // a carrier that has a path was refused, so no process listens at the server
 	noPath    int   // carriers that could not reach the server
 }
 
@@ -55,7 +55,7 @@
 			if x.err == nil {
 				return d.connection(x), nil
 			}
-			if d.isAbsent() {
+			if d.refused {
 				return nil, syscall.ECONNREFUSED
 			}
 			if d.running == 0 {
@@ -152,7 +152,7 @@
 		r.avoided.Add(r.Now(), x.by.Name, avoidCarrier)
 		r.report(d.to.Pool, "unreachable")
 	case answer.Result == port.TunnelRefused:
-		d.refusals++
+		d.refused = true
 		r.report(d.to.Pool, "refused")
 	default:
 		if answer.Result == port.TunnelNoPath {
@@ -177,14 +177,6 @@
 	return &carried{Conn: x.conn, by: x.by.Name}
 }
 
-// isAbsent reports whether the server refuses connections of other boxes too, so that no process listens there.
-func (d *dial) isAbsent() bool {
-	if d.refusals >= confirmations {
-		return true
-	}
-	return d.refusals > 0 && d.running == 0 && d.noPath == 0 && !d.router.hasCarrier(d.to.Pool, d.tried)
-}
-
 // failure returns the error of a dial without a connection. A refusal counts as such only if no other box could be asked
 // about it.
 func (d *dial) failure(err error) error {
--- a/src/paths/table.go
+++ b/src/paths/table.go
@@ -15,6 +15,8 @@
 
 	mu    sync.Mutex
 	pools map[string]*poolState
+	// reached are the two servers that this box connected to last, the latest first.
+	reached [2]Target
 }
 
 // poolState is what is known of the paths to the servers of one pool. Pools without evidence have none.
@@ -49,6 +51,18 @@
 	return !p.lost && !alone
 }
 
+// ReachedBeside returns the server that this box connected to last, other than the given one, or false if there is none.
+func (t *Table) ReachedBeside(to Target) (Target, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.reached {
+		if r.Address != "" && r.Address != to.Address {
+			return r, true
+		}
+	}
+	return Target{}, false
+}
+
 // Lost reports whether this box has no path to the servers of a pool.
 func (t *Table) Lost(pool string) bool {
 	t.mu.Lock()
@@ -96,6 +110,9 @@
 func (t *Table) Reached(to Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.reached[0].Address != to.Address {
+		t.reached[0], t.reached[1] = to, t.reached[0]
+	}
 	p := t.pools[to.Pool]
 	if p == nil {
 		return
--- a/src/suspects/tracker.go
+++ b/src/suspects/tracker.go
@@ -94,7 +94,9 @@
 	server Server
 	tries  int
 	due    time.Time // time of the next probe; zero while one is running
-	silent time.Time // when the first of the latest probes without an answer began; zero if the last one was answered
+	silent time.Time // since when its silence counts as a crash
+	// counted: the silence was counted as a crash. The server is probed on, and the crash is withdrawn if it answers.
+	counted bool
 }
 
 // Check returns the crashes attributed to a content at a pool.
@@ -132,21 +134,36 @@
 // but only after three missed heartbeats, and by then the content could have crashed several more servers.
 func (u *Tracker) probe(s Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	began := u.Now()
 	p := u.Probe(ctx, s)
 	cancel()
-	last := u.recordProbe(s, p, began)
+	last := u.recordProbe(s, p)
 	switch {
 	case p == Absent:
 		u.RecordCrash(s, Refused)
 	case p == NoAnswer && last && u.onlySilent(s):
 		u.RecordCrash(s, Silent)
+		u.watchSilent(s)
 	}
 }
 
-// recordProbe records the result of a probe and reports whether it was the last: a server that does not answer is probed for
-// longer than a running one may be silent.
-func (u *Tracker) recordProbe(s Server, p Presence, began time.Time) (last bool) {
+// watchSilent goes on probing a server whose silence was counted as a crash, for as long as a running one may be silent.
+func (u *Tracker) watchSilent(s Server) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := u.Now()
+	u.probing[s.Incarnation] = &probing{server: s, due: now, silent: now, counted: true}
+}
+
+// withdraw withdraws the crash of a server that answers after all.
+func (u *Tracker) withdraw(s Server) {
+	u.mu.Lock()
+	contents := u.register.WithdrawCrash(u.Now(), s.Incarnation)
+	u.mu.Unlock()
+	u.Log.Info("server that counted as crashed answers again", "server", s.ID, "pool", s.Pool, "contents", contents)
+}
+
+// recordProbe records the result of a probe and reports whether it was the last.
+func (u *Tracker) recordProbe(s Server, p Presence) (last bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.Now()
@@ -162,15 +179,15 @@
 	}
 	a.tries++
 	a.due = now.Add(probeInterval)
-	switch {
-	case p != NoAnswer:
-		a.silent = time.Time{}
-	case a.silent.IsZero():
-		a.silent, a.due = began, now
-	default:
+	if a.counted {
 		a.due = now
+		last = p != NoAnswer || now.Sub(a.silent) >= soundSilence
+		if p == Present {
+			go u.withdraw(s)
+		}
+	} else {
+		last = p == Absent || a.tries >= probeTries
 	}
-	last = p == Absent || a.tries >= probeTries && (p != NoAnswer || began.Sub(a.silent) >= soundSilence)
 	if last {
 		delete(u.probing, s.Incarnation)
 	}
