--- a/src/suspects/tracker_test.go
+++ b/src/suspects/tracker_test.go
@@ -87,6 +87,7 @@
 			if v := u.Check(key); v.Ends != c.ends {
 				t.Errorf("silent for %s: %+v, want %d ends", c.silent, v, c.ends)
 			}
+			time.Sleep(time.Second) // until the last probe has ended
 		})
 	}
 }
