Places at brittle servers where the coordinator is of an earlier release

A box that asked such a coordinator got no place at all, so that in the middle of an upgrade nothing would have been sent to servers whose coordinators were not upgraded yet. It grants itself as many places as the server has slots. Comments of tests shortened.

--- a/src/brittle/tracker.go
+++ b/src/brittle/tracker.go
@@ -244,11 +244,16 @@
 		if box == t.Self {
 			return box, t.take(ctx, q), nil
 		}
-		ctx, cancel := context.WithTimeout(ctx, q.Patience+placeTimeout)
-		a, err = t.Ask(ctx, box, q)
+		asking, cancel := context.WithTimeout(ctx, q.Patience+placeTimeout)
+		a, err = t.Ask(asking, box, q)
 		cancel()
-		if err != nil || a == nil || a.Coordinator == "" {
-			return box, a, err
+		switch {
+		case err != nil:
+			return box, nil, err
+		case a == nil: // an earlier release, which grants none: this box keeps to the slots alone
+			return t.Self, t.take(ctx, q), nil
+		case a.Coordinator == "":
+			return box, a, nil
 		}
 		box = a.Coordinator
 	}
@@ -271,15 +276,14 @@
 		return
 	}
 	q := port.AskPlace{From: t.Self, Pool: s.Pool, Server: s.ID, Owner: t.Self + "/" + owner, End: uint8(end)}
+	t.release(q) // this box may have granted it
 	if box := t.Coordinator(s.Pool, s.ID); box != t.Self {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), placeTimeout)
 			defer cancel()
 			_, _ = t.Ask(ctx, box, q) // a place whose release is lost is free after its hold
 		}()
-		return
 	}
-	t.release(q)
 }
 
 // Answer answers another box's question.
--- a/src/brittle/tracker_test.go
+++ b/src/brittle/tracker_test.go
@@ -119,6 +119,26 @@
 	})
 }
 
+func TestPlacesAreGrantedWhereCoordinatorIsOfAnEarlierRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newTracker("a")
+		x.Coordinator = func(string, string) string { return "old" }
+		x.Ask = func(context.Context, string, port.AskPlace) (*port.Place, error) { return nil, nil }
+		x.Record(testServer, 6, time.Now())
+		for _, owner := range []string{"1", "2", "3"} {
+			if got := x.Acquire(t.Context(), testServer, owner, 0, 0); got != (owner != "3") {
+				t.Errorf("place %s: %v", owner, got)
+			}
+		}
+		x.Release(testServer, "1", quota.PlaceUsed)
+		time.Sleep(retryAfter)
+		if !x.Acquire(t.Context(), testServer, "4", 0, 0) {
+			t.Error("a place that was given back is not free")
+		}
+		time.Sleep(placeTimeout)
+	})
+}
+
 func FuzzMerge(f *testing.F) {
 	f.Add("s", uint64(5), uint64(1), uint16(6), false)
 	f.Fuzz(func(t *testing.T, server string, incarnation, sequence uint64, n uint16, ended bool) {
--- a/src/gateway/paths_test.go
+++ b/src/gateway/paths_test.go
@@ -255,7 +255,6 @@
 	}
 }
 
-// A second's bound, the time in which a job is asked for again twice.
 func TestPoolsAreScheduledByBoxesWithPath(t *testing.T) {
 	for _, boxes := range pathSizes() {
 		for _, mode := range []cutMode{cutRefused, cutSilent} {
