Status shows a lost path and what a box carries; all boxes cut off at once is played

Cause: an operator saw a lost path in logs and the tunnel counter only; and the case of all boxes cut off was tested for one connection, not for duties. Change: no_path of a pool and tunnels in the status; two tests. Result: the status shows the path before, during and after a cut as it is; six boxes that are all cut off, refused or silent, keep their schedulers, stay ready, and serve again within 2 s of the end.

--- a/src/gateway/paths_test.go
+++ b/src/gateway/paths_test.go
@@ -361,3 +361,54 @@
 		time.Sleep(5 * time.Second) // until the last requests have ended
 	})
 }
+
+func TestStatusShowsLostPath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPathSite(t, 6)
+		shown := func() bool {
+			for _, p := range s.f.box("box0").Status().Pools {
+				if p.Pool == "model" {
+					return p.NoPath
+				}
+			}
+			return false
+		}
+		s.run(t, 1, time.Second, 0)
+		before := shown()
+		s.cutOff(cutRefused, "box0")
+		s.run(t, 2, contactTime, 0)
+		during := shown()
+		s.cutOff(cutRefused)
+		s.run(t, 3, contactTime, 0)
+		if before || !during || shown() {
+			t.Errorf("shown before %v, during %v and after the cut %v", before, during, shown())
+		}
+	})
+}
+
+func TestBoxesThatAreAllCutOffKeepDutiesAndRecover(t *testing.T) {
+	for _, mode := range []cutMode{cutRefused, cutSilent} {
+		t.Run(mode.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newPathSite(t, 6)
+				s.run(t, 1, 2*time.Second, 0)
+				before := s.f.box("box0").schedulerOf("encode", nil)
+				s.cutOff(mode, boxNames(6)...)
+				s.run(t, 2, contactTime, 0)
+				for _, name := range boxNames(6) {
+					g := s.f.box(name)
+					if after := g.schedulerOf("encode", nil); after != before || !g.Ready() {
+						t.Errorf("%s takes %s for the scheduler, %s before; ready %v", name, after, before, g.Ready())
+					}
+				}
+				s.cutOff(mode)
+				s.run(t, 3, 5*time.Second, 2*time.Second)
+				for _, path := range sitePaths {
+					if _, n := s.counts(path); n.share() < fairShare {
+						t.Errorf("%s: %d of %d first attempts served after the links were back", path, n.served, n.all)
+					}
+				}
+			})
+		})
+	}
+}
--- a/src/gateway/status.go
+++ b/src/gateway/status.go
@@ -13,7 +13,7 @@
 // Status returns the state of this box.
 func (g *Gateway) Status() status.Gateway {
 	now := g.now()
-	s := status.Gateway{Box: g.ID.Name, Version: g.Version(), ConfirmedAge: status.Ms(g.ConfirmedAge()), Members: g.Members(), Running: g.Running(), Draining: g.Draining(), Writes: g.writes.Status(), Forecasts: g.forecastStatus(now), Returning: g.returning.Status()}
+	s := status.Gateway{Box: g.ID.Name, Version: g.Version(), ConfirmedAge: status.Ms(g.ConfirmedAge()), Members: g.Members(), Running: g.Running(), Draining: g.Draining(), Tunnels: g.Paths.Tunnels(), Writes: g.writes.Status(), Forecasts: g.forecastStatus(now), Returning: g.returning.Status()}
 	overdue := g.OverdueStatus()
 	for _, e := range g.pools.list() {
 		s.Pools = append(s.Pools, g.poolStatus(now, e, overdue))
@@ -28,7 +28,7 @@
 	e.mu.Unlock()
 	x := g.index.Load()
 	waits, _ := g.waitsIn(now, e.name)
-	out := status.Pool{Pool: e.name, Servers: servers, Contended: x != nil && x.Contended(e.name), Wait: status.Ms(waits.All), Connections: g.connectionShare(e.name)}
+	out := status.Pool{Pool: e.name, Servers: servers, Contended: x != nil && x.Contended(e.name), Wait: status.Ms(waits.All), NoPath: g.Paths.Table.Lost(e.name), Connections: g.connectionShare(e.name)}
 	if e.speeds.InForce() {
 		s := e.speeds.Status(now)
 		out.Speeds = &s
--- a/src/status/status.go
+++ b/src/status/status.go
@@ -19,6 +19,7 @@
 	Members      int          `json:"members"`
 	Running      int          `json:"running"` // requests served and jobs scheduled for other boxes
 	Draining     bool         `json:"draining"`
+	Tunnels      int          `json:"tunnels"` // connections to servers that this box carries for others
 	Pools        []Pool       `json:"pools"`
 
 	Writes connections.Status `json:"writes"` // to callers
@@ -40,6 +41,7 @@
 	Contended bool         `json:"contended"` // a pipeline with little time for its calls uses it
 	Wait      Milliseconds `json:"wait_ms"`   // of a piece behind all others; 0 if no recent report is known
 
+	NoPath      bool                 `json:"no_path,omitempty"` // this box reaches its servers through other boxes only
 	Connections connections.Share    `json:"connections"`       // of this box at each server
 	Speeds      *pace.Status         `json:"speeds,omitempty"`  // while speeds of servers are in force
 	Overdue     *batch.OverdueStatus `json:"overdue,omitempty"` // if this box schedules the pool
