Servers' builds are read and logged, and that a request continues a stream

Now: the entry's version is read (a server that names none has a build of its own), goes from box to box with the entry, and stands in the lines of exchanges and listed servers and in the status of a pool; a line "stream goes on" with the id of the last event, the attempt that began it, the server and its build. Nothing is decided by it yet.

--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -3,6 +3,7 @@
 package balance
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -101,6 +102,7 @@
 	scale       float64              // factor from the reported loads to those of all boxes
 	servers     map[string]*server
 	domains     map[string]int                  // number of servers by failure domain
+	builds      map[string]int                  // number of servers by build
 	cached      map[uint64]map[uint64]time.Time // by hash of a prompt part and of a server: when the server processed the part
 	freshReads  []freshRead                     // recent reads to report to other boxes
 	picks       uint64                          // number of choices made
@@ -115,7 +117,7 @@
 
 // NewPool returns a pool without servers for a box in a failure domain.
 func NewPool(box, domain string) *Pool {
-	return &Pool{Box: box, Domain: domain, salt: catalog.Hash(box), reports: map[string]boxReport{}, byHash: map[uint64]*server{}, busy: map[string]*server{}, paused: map[string]*server{}, servers: map[string]*server{}, domains: map[string]int{}, cached: map[uint64]map[uint64]time.Time{}, popularity: newPopularity()}
+	return &Pool{Box: box, Domain: domain, salt: catalog.Hash(box), reports: map[string]boxReport{}, byHash: map[uint64]*server{}, busy: map[string]*server{}, paused: map[string]*server{}, servers: map[string]*server{}, domains: map[string]int{}, builds: map[string]int{}, cached: map[uint64]map[uint64]time.Time{}, popularity: newPopularity()}
 }
 
 // Configure sets the complete list of servers that take new work.
@@ -147,10 +149,10 @@
 			p.servers[v.ID] = st
 			p.byHash[st.hash] = st
 		} else {
-			p.domains[st.Domain]--
+			p.count(st, -1)
 		}
 		st.Server = v
-		p.domains[v.Domain]++
+		p.count(st, 1)
 	}
 	for _, id := range gone {
 		if v := p.servers[id]; v != nil {
@@ -165,9 +167,20 @@
 	delete(p.byHash, v.hash)
 	delete(p.busy, v.ID)
 	delete(p.paused, v.ID)
-	p.domains[v.Domain]--
+	p.count(v, -1)
 }
 
+// count adds to the numbers of servers by failure domain and build.
+func (p *Pool) count(v *server, n int) {
+	p.domains[v.Domain] += n
+	if p.builds[v.Build] += n; p.builds[v.Build] == 0 {
+		delete(p.builds, v.Build)
+	}
+}
+
+// Builds returns the number of servers of each build.
+func (p *Pool) Builds() map[string]int { return maps.Clone(p.builds) }
+
 // forgetIncarnation drops the state of a server's previous incarnation: loads, failures and cached prompt parts.
 func (p *Pool) forgetIncarnation(v *server) {
 	delete(p.busy, v.ID)
--- a/src/catalog/catalog.go
+++ b/src/catalog/catalog.go
@@ -164,6 +164,9 @@
 	// Revision is the store revision at which the entry was written, 0 if unknown. It orders the entries of
 	// one server and is not part of their content.
 	Revision Revision `msgpack:"v,omitempty"`
+	// Build is the version of the server's software; it never changes within an incarnation and is therefore not part of
+	// the entry's digest. What two builds write into a stream doesn't fit together.
+	Build string `msgpack:"w,omitempty"`
 	// Cold is for how much longer, at the time of writing, the server could take only a little load after its
 	// start.
 	Cold time.Duration `msgpack:"c,omitempty"`
--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -190,6 +190,9 @@
 	defer watch.Stop()
 	c.Start = v.startInBoundary(s, g.startCheck(ctx, s, "request "+v.request.ID, v.request.ID, now))
 	began := g.now()
+	if c.LastEvent != "" {
+		g.Log.Info("stream goes on", "request", v.request.ID, "resumes", v.request.Resumes, "last_event", c.LastEvent, "server", s.ID, "build", s.Build, "same_response", v.begun, "left_ms", c.Left.Milliseconds())
+	}
 	stop := v.freeInputs(e, len(handles) > 0)
 	defer stop()
 	reply, err := g.Backends.Send(ctx, c)
@@ -428,7 +431,7 @@
 	rests := e.picker.Current(s) && e.picker.Ended(now, s.ID, &v.wish, o)
 	e.mu.Unlock()
 	took := now.Sub(began)
-	g.Log.Info("exchange", "request", v.request.ID, "pool", e.name, "content", v.content.String(), "server", s.ID, "incarnation", s.Incarnation, "domain", s.Domain, "outcome", o.String(), "took_ms", took.Milliseconds(), "detail", detail, "chosen", why, "rests", rests, "says_leaving", v.signals.Leaving, "asks_rest_ms", v.signals.Rest.Milliseconds(), "names_limit", v.signals.Limit, "says_brittle", v.signals.Brittle)
+	g.Log.Info("exchange", "request", v.request.ID, "pool", e.name, "content", v.content.String(), "server", s.ID, "incarnation", s.Incarnation, "build", s.Build, "domain", s.Domain, "outcome", o.String(), "took_ms", took.Milliseconds(), "detail", detail, "chosen", why, "rests", rests, "says_leaving", v.signals.Leaving, "asks_rest_ms", v.signals.Rest.Milliseconds(), "names_limit", v.signals.Limit, "says_brittle", v.signals.Brittle)
 	v.signals = pushback.Signals{}
 	g.brittle.Release(&s, v.request.ID, placeEnd(o))
 	if g.Observer.Exchanged != nil {
--- a/src/gateway/ports.go
+++ b/src/gateway/ports.go
@@ -35,6 +35,7 @@
 	Pieces      []int // of each stage; nil if not stated
 	PieceKey    string
 	LastEvent   string // id of the last event that the caller has, "" for none
+	Resumes     string // ID of the try that brought the first event of the stream, "" if not stated
 }
 
 // Caller receives the answer. Exactly one of Refuse and Whole is called, or Begin followed by any number of
--- a/src/gateway/serverlist.go
+++ b/src/gateway/serverlist.go
@@ -131,7 +131,7 @@
 			continue
 		}
 		if old := change.Before[s.ID]; old == nil || old.Draining != s.Draining {
-			g.Log.Info("server listed", "server", s.ID, "pool", s.Pool, "domain", s.Domain, "draining", s.Draining, "revision", revision, "from", from)
+			g.Log.Info("server listed", "server", s.ID, "pool", s.Pool, "build", s.Build, "domain", s.Domain, "draining", s.Draining, "revision", revision, "from", from)
 		}
 	}
 	for _, id := range change.Gone {
--- a/src/gateway/status.go
+++ b/src/gateway/status.go
@@ -24,11 +24,11 @@
 
 func (g *Gateway) poolStatus(now time.Time, e *pool, overdue map[string]batch.OverdueStatus) status.Pool {
 	e.mu.Lock()
-	servers := e.picker.Size()
+	servers, builds := e.picker.Size(), e.picker.Builds()
 	e.mu.Unlock()
 	x := g.index.Load()
 	waits, _ := g.waitsIn(now, e.name)
-	out := status.Pool{Pool: e.name, Servers: servers, Contended: x != nil && x.Contended(e.name), Wait: status.Ms(waits.All), NoPath: g.Paths.Table.Lost(e.name), Connections: g.connectionShare(e.name)}
+	out := status.Pool{Pool: e.name, Servers: servers, Builds: builds, Contended: x != nil && x.Contended(e.name), Wait: status.Ms(waits.All), NoPath: g.Paths.Table.Lost(e.name), Connections: g.connectionShare(e.name)}
 	if e.speeds.InForce() {
 		s := e.speeds.Status(now)
 		out.Speeds = &s
--- a/src/status/status.go
+++ b/src/status/status.go
@@ -36,10 +36,11 @@
 
 // Pool is the state of one pool as this box sees it.
 type Pool struct {
-	Pool      string       `json:"pool"`
-	Servers   int          `json:"servers"`   // that take new work
-	Contended bool         `json:"contended"` // a pipeline with little time for its calls uses it
-	Wait      Milliseconds `json:"wait_ms"`   // of a piece behind all others; 0 if no recent report is known
+	Pool      string         `json:"pool"`
+	Servers   int            `json:"servers"`          // that take new work
+	Builds    map[string]int `json:"builds,omitempty"` // the same by version of their software
+	Contended bool           `json:"contended"`        // a pipeline with little time for its calls uses it
+	Wait      Milliseconds   `json:"wait_ms"`          // of a piece behind all others; 0 if no recent report is known
 
 	NoPath      bool                 `json:"no_path,omitempty"` // this box reaches its servers through other boxes only
 	Connections connections.Share    `json:"connections"`       // of this box at each server
