A stream goes on only at the build that began it, at any box

Cause: the build of a server was read by nobody. A retry within a response chose among all servers of the pool, and a box at which a caller took a stream up knew the last event and neither the server nor the build that began it. Ruled out: another process at the address (calls name the id; three such exchanges in the lines, none in a stream that went on).

Change: an entry's build is part of a server; the first event binds the request to it. Origins of streams go to two other boxes in different failure domains, beside the first event (src/resume); a box at which a stream is taken up asks them. Where nobody knows, a stream goes on only if the pool has had one build for longer than the stream can have run, and is refused at once otherwise (CANNOT_RESUME, not run). A stream without a server of its build left ends at once, without a retry and without stages made again; a silent server is left only for another one of its build; shared prompt parts are copied within a build. Resumable streams spare the only server of a build. Lists of servers from boxes of earlier releases, which drop builds, are not taken: the box reads the store.

--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -23,6 +23,9 @@
 
 	Within *catalog.Confines // failure domains that it may run in; nil for any
 
+	Build     *string // build of the server that began its stream; nil for any
+	Resumable bool    // a stream that may go on at another server of the same build
+
 	Only         string // id of the only server to choose, where a permit is reserved for it; "" for any
 	AvoidLimited bool   // prefer servers without a request limit
 
@@ -33,7 +36,12 @@
 
 // excludes reports whether the request excludes a server, whatever the server's load.
 func (w *Request) excludes(v *server) bool {
-	return w.Exclude[v.ID] || !w.Within.Allow(v.Domain) || w.Only != "" && w.Only != v.ID
+	return w.Exclude[v.ID] || !w.allows(v) || w.Only != "" && w.Only != v.ID
+}
+
+// allows reports whether the request may ever run at a server.
+func (w *Request) allows(v *server) bool {
+	return w.Within.Allow(v.Domain) && (w.Build == nil || *w.Build == v.Build)
 }
 
 // Tokens returns the number of tokens in the prompt.
@@ -354,6 +362,16 @@
 	return v != nil && p.wantsRest(now, v)
 }
 
+// AnyLeft reports whether the request does not exclude some server of the pool.
+func (p *Pool) AnyLeft(w *Request) bool {
+	for _, v := range p.servers {
+		if !w.excludes(v) {
+			return true
+		}
+	}
+	return false
+}
+
 // EarliestRestEnd returns when the first resting server in the request's domains accepts requests again, or false if none
 // rests.
 func (p *Pool) EarliestRestEnd(now time.Time, w *Request) (time.Time, bool) {
@@ -370,7 +388,7 @@
 	}
 	for _, v := range p.servers {
 		until := p.RestsUntil(v.Server)
-		if !now.Before(until) || !w.Within.Allow(v.Domain) {
+		if !now.Before(until) || !w.allows(v) {
 			continue
 		}
 		if server == nil || until.Before(first) || until.Equal(first) && v.ID < server.ID {
@@ -418,6 +436,9 @@
 	if p.doubted(now, v, l) {
 		cost += doubtPenalty
 	}
+	if w.Resumable && w.Build == nil && p.builds[v.Build] == 1 && len(p.builds) > 1 {
+		cost += loneBuildPenalty
+	}
 	if w.AvoidLimited && p.limited(v) {
 		cost += limitedPenalty
 	}
--- a/src/balance/constants.go
+++ b/src/balance/constants.go
@@ -31,6 +31,7 @@
 	excessFailureRate        = 0.3                     // failure rate above the pool's at which a server is paused
 
 	leastLoadedPenalty = 30.0 // further ms for each running request if the least loaded server is wanted: the time to process 1,500 tokens
+	loneBuildPenalty   = 30.0 // ms for the only server of its build, where no stream could go on after its end: ten running requests
 	limitedPenalty     = 1e4  // ms for a rate-limited server for requests without a permit there: more than any other cost
 	maxSourceSpeed     = 2.5  // lasting speed above which a server is not copied from: a source that slow delays the copy by more than reading takes
 )
--- a/src/balance/source.go
+++ b/src/balance/source.go
@@ -19,7 +19,7 @@
 
 // CopySource returns a server from which server id should copy the shared parts of a prompt: the one that processed them
 // last, or their home. It returns false if copying isn't worth it because id has them cached, as far as this box knows, or
-// if no suitable server is known.
+// if no suitable server is known. What a server of another build holds may not fit.
 func (p *Pool) CopySource(now time.Time, id string, w *Request) (catalog.Server, bool) {
 	v := p.servers[id]
 	if v == nil || len(w.Parts) < 2 {
@@ -33,7 +33,7 @@
 	var best *server
 	for hash, at := range deepest {
 		s := p.byHash[hash]
-		if s == nil || s.ID == id || !w.Within.Allow(s.Domain) || !p.healthy(now, s) || p.wantsRest(now, s) || p.limited(s) || now.Sub(at) >= cacheLifetime {
+		if s == nil || s.ID == id || s.Build != v.Build || !w.Within.Allow(s.Domain) || !p.healthy(now, s) || p.wantsRest(now, s) || p.limited(s) || now.Sub(at) >= cacheLifetime {
 			continue
 		}
 		if best == nil || at.After(deepest[best.hash]) {
@@ -43,7 +43,7 @@
 	if best == nil {
 		best = p.servers[p.home(w)]
 	}
-	if best == nil || best.ID == id || !p.healthy(now, best) || p.wantsRest(now, best) || p.limited(best) {
+	if best == nil || best.ID == id || best.Build != v.Build || !p.healthy(now, best) || p.wantsRest(now, best) || p.limited(best) {
 		return catalog.Server{}, false
 	}
 	return *best.Server, true
--- a/src/code/code.go
+++ b/src/code/code.go
@@ -74,6 +74,7 @@
 	AnswerInterrupted Code = 5004
 	CrashesServers    Code = 5005
 	BackendsResting   Code = 5006
+	CannotResume      Code = 5007
 
 	OutcomeUnknown   Code = 6001
 	HomeUnreachable  Code = 6002
@@ -140,6 +141,7 @@
 	{AnswerInterrupted, "ANSWER_INTERRUPTED", RanYes, true, codes.Unavailable, "The answer stopped midway; attach again for the rest."},
 	{CrashesServers, "CRASHES_SERVERS", RanNo, false, codes.FailedPrecondition, "Several backend servers in a row crashed while running this content; it is not sent to another one before retry_after."},
 	{BackendsResting, "BACKENDS_RESTING", RanNo, false, codes.Unavailable, "Every available backend server is in its Retry-After period or at its rate limit for longer than the request can wait."},
+	{CannotResume, "CANNOT_RESUME", RanNo, false, codes.FailedPrecondition, "The stream can't go on: no backend server of the build that began it is left, or no box knows which that was. Begin it anew."},
 	{OutcomeUnknown, "OUTCOME_UNKNOWN", RanUnknown, false, codes.Aborted, "A call that must not be repeated was sent and its outcome is unknown."},
 	{HomeUnreachable, "HOME_UNREACHABLE", RanUnknown, true, codes.Unavailable, "The key's home could not be reached from this box; another copy may have reached it."},
 	{HomeUnsettled, "HOME_UNSETTLED", RanUnknown, true, codes.Unavailable, "No box can prove that it is the only home of the key; use a ticket for new requests."},
--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -56,6 +56,9 @@
 			}
 			continue
 		}
+		if v.begun && what == stepRetry && !v.canGoOn() {
+			what, err = stepFail, v.noBuildLeft()
+		}
 		if what == stepFail || ctx.Err() != nil || v.attempts >= max(1, v.pipeline.Attempts) || !v.takeRetry() {
 			v.fail(ctx, err)
 			return
@@ -186,7 +189,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := v.silenceTimer(cancel)
+	watch := v.silenceTimer(cancel, e, s.Build)
 	defer watch.Stop()
 	c.Start = v.startInBoundary(s, g.startCheck(ctx, s, "request "+v.request.ID, v.request.ID, now))
 	began := g.now()
@@ -301,7 +304,7 @@
 }
 
 // silenceTimer starts a timer that ends an attempt whose server stays silent, if another server may be tried.
-func (v *requestRun) silenceTimer(cancel context.CancelCauseFunc) *time.Timer {
+func (v *requestRun) silenceTimer(cancel context.CancelCauseFunc, e *pool, build string) *time.Timer {
 	limit := v.deadline.Sub(v.gateway.now()) + time.Hour
 	p := v.pipeline
 	if v.attempts+1 < p.Attempts {
@@ -313,7 +316,7 @@
 		}
 	}
 	return time.AfterFunc(limit, func() {
-		if v.retryLeft() {
+		if v.retryLeft() && (!v.bound.Load() || e.servesBuild(build, 2)) {
 			cancel(errSilent)
 		}
 	})
--- a/src/gateway/builds_test.go
+++ b/src/gateway/builds_test.go
@@ -19,6 +19,7 @@
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/events"
 	"github.com/stilemast/stilemast/src/exchange"
+	"github.com/stilemast/stilemast/src/port"
 )
 
 var buildsTable = flag.Bool("builds.table", false, "play streams over two builds at 295 and 985 boxes too")
@@ -173,10 +174,19 @@
 
 // callerStream is what a caller has of its stream, over its attempts.
 type callerStream struct {
-	first  string // id of the attempt that brought the first event
-	last   string // id of the last event
+	first string // id of the attempt that brought the first event
+	last  string // id of the last event
+	ended bool
+
+	mu     sync.Mutex
 	builds map[string]bool
-	ended  bool
+}
+
+// has reports whether the stream holds events of a build.
+func (c *callerStream) has(build string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.builds[build]
 }
 
 // attempt makes one attempt at a box, which takes up the stream if it has begun. It returns the refusal, nil for none, and
@@ -206,6 +216,8 @@
 			}
 			n += events.Count(b)
 			c.last = events.LastID(b)
+			c.mu.Lock()
+			defer c.mu.Unlock()
 			for line := range strings.Lines(string(b)) {
 				if build, ok := strings.CutPrefix(line, "data: "); ok {
 					c.builds[strings.TrimSpace(build)] = true
@@ -346,6 +358,13 @@
 			s.hangUp(b)
 		}
 	}},
+	{"the boxes freeze", func(s *buildSite, boxes []string) {
+		s.f.refusesConns = false
+		for _, b := range boxes {
+			s.f.setLost(b, true)
+			s.hangUp(b)
+		}
+	}},
 	{"the boxes are killed and start again", func(s *buildSite, boxes []string) {
 		for _, b := range boxes {
 			s.killBox(b)
@@ -446,15 +465,19 @@
 // Guards against callers who wait for a server of their stream's build though none is left.
 func TestStreamOfABuildWithoutServersIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newBuildSite(t, 6, 8, 1)
+		s := newBuildSite(t, 6, 8, 2)
 		c := &callerStream{}
-		for !c.builds["v1"] { // until a stream begins at the server of the old build
+		for range 100 { // until a stream begins at a server of the old build
+			if c.has("v1") {
+				break
+			}
 			c = &callerStream{builds: map[string]bool{}}
 			done := make(chan struct{})
 			go func() { s.attempt("box0", fmt.Sprint("s", s.rand.Int()), c); close(done) }()
 			time.Sleep(300 * time.Millisecond)
-			if c.builds["v1"] {
+			if c.has("v1") {
 				s.crash("model0")
+				s.crash("model1")
 			} else {
 				s.hangUp("box0")
 			}
@@ -487,3 +510,63 @@
 		}
 	})
 }
+
+// Guards against a stream that leaves a silent server though no other server of its build is left to go on at.
+func TestSilentServerOfALoneBuildKeepsItsStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newBuildSite(t, 1, 1, 1)
+		send := s.f.send
+		s.f.send = func(ctx context.Context, box string, c *Call) (*Reply, error) {
+			r, err := send(ctx, box, c)
+			if err != nil {
+				return nil, err
+			}
+			read, n := r.Read, 0
+			r.Read = func(b []byte) (int, error) {
+				if n++; n == 5 && !wait(ctx, 2500*time.Millisecond) {
+					return 0, ctx.Err()
+				}
+				return read(b)
+			}
+			return r, nil
+		}
+		c := &callerStream{builds: map[string]bool{}}
+		if refused, n := s.attempt("box0", "s", c); !c.ended || n != streamEvents {
+			t.Errorf("%d events, refused with %v", n, refused)
+		}
+	})
+}
+
+// Guards against a box that takes the list of servers from boxes of an earlier release, which drops their builds.
+func TestBoxAmongBoxesOfAnEarlierReleaseKnowsBuilds(t *testing.T) {
+	for _, boxes := range buildSizes() {
+		t.Run(fmt.Sprint(boxes, " boxes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newBuildSite(t, boxes, 24, 12)
+				last := s.name(boxes - 1)
+				s.f.kill(last)
+				s.f.intercept(last, func(_ string, _ port.Question, a *port.Answer) error {
+					if a.Streams = nil; a.Publish != nil {
+						a.Publish.Built = false
+						a.Publish.EachServer(func(v *catalog.Server) { v.Build = "" })
+					}
+					return nil
+				})
+				s.start(boxes - 1)
+				time.Sleep(5 * time.Second)
+				s.f.rewrite(func(list []catalog.Server, _ catalog.Revision) []catalog.Server {
+					return append(slices.Clone(list), catalog.Server{ID: "late", Address: "late", Pool: "model", Domain: "d0", Slots: 64, Incarnation: 1, Build: "v3"})
+				})
+				time.Sleep(2 * time.Second)
+				e := s.f.box(last).pools.get("model")
+				if got := e.picker.Builds(); got["v1"] != 12 || got["v2"] != 12 || got["v3"] != 1 {
+					t.Errorf("knows servers of the builds %v", got)
+				}
+				c := &callerStream{first: "s0", last: "3", builds: map[string]bool{}}
+				if refused, n := s.attempt(last, "s-again", c); n > 0 || refused == nil || refused.Code != code.CannotResume {
+					t.Errorf("a stream that began nobody knows where went on with %d events, refused with %v", n, refused)
+				}
+			})
+		})
+	}
+}
--- a/src/gateway/catalog_source.go
+++ b/src/gateway/catalog_source.go
@@ -155,6 +155,7 @@
 // answerPull answers another box's pull of a document.
 func (g *Gateway) answerPull(q *port.PullPublished) *port.Published {
 	d := g.documentFor(q)
+	d.Built = true
 	g.published.encodeRevisions(q.Document, d)
 	return d
 }
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/duties"
 	"github.com/stilemast/stilemast/src/port"
+	"github.com/stilemast/stilemast/src/resume"
 )
 
 // fleet holds the membership and the load notes that boxes exchange.
@@ -26,8 +27,9 @@
 	seen      map[string]time.Time // time of the last message, by box
 	waits     map[uint64]waitNote  // by the hash of a pool
 	usableNow []string
-	logged    []string  // the usable boxes when they were last logged
-	loggedAt  time.Time // time of that log line
+	others    []resume.Box // usable boxes without this one
+	logged    []string     // the usable boxes when they were last logged
+	loggedAt  time.Time    // time of that log line
 	roster    duties.Roster
 }
 
@@ -306,6 +308,7 @@
 	f.mu.Lock()
 	before := f.usableNow
 	f.usableNow = f.core.Usable()
+	f.others = f.otherBoxes()
 	f.roster.Invalidate()
 	after := f.usableNow
 	f.mu.Unlock()
@@ -359,6 +362,17 @@
 	return f.usableNow
 }
 
+// otherBoxes lists the usable boxes without this one. f.mu is held.
+func (f *fleet) otherBoxes() []resume.Box {
+	out := make([]resume.Box, 0, len(f.usableNow))
+	for _, name := range f.usableNow {
+		if m := f.core.Find(name); m != nil && name != f.gateway.ID.Name {
+			out = append(out, resume.Box{Name: name, Domain: m.FailureDomain(), Incarnation: m.ID().Incarnation})
+		}
+	}
+	return out
+}
+
 // boxes counts the boxes that may be alive, including those heard of within possiblyAliveFor.
 func (f *fleet) boxes(now time.Time) int {
 	f.mu.Lock()
@@ -458,6 +472,9 @@
 		return port.Answer{Place: g.brittle.Answer(ctx, *q.Place)}
 	case q.Refusal != nil, q.Returning != nil:
 		return g.returning.Answer(q)
+	case q.Streams != nil:
+		a := g.streams.Answer(*q.Streams)
+		return port.Answer{Streams: &a}
 	}
 	return port.Answer{}
 }
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"github.com/stilemast/stilemast/src/policy"
 	"github.com/stilemast/stilemast/src/port"
 	"github.com/stilemast/stilemast/src/registrar"
+	"github.com/stilemast/stilemast/src/resume"
 	"github.com/stilemast/stilemast/src/suspects"
 )
 
@@ -77,6 +78,7 @@
 	holdings    holdings.Table[*results]
 	suspects    suspects.Tracker
 	returning   registrar.Tracker
+	streams     resume.Tracker // that callers may take up at any box
 	signals     serverSignals
 	permits     permits
 	brittle     brittle.Tracker
@@ -140,6 +142,7 @@
 	g.initBrittle()
 	g.aliveBoxes.Store(int64(g.fleet.boxes(g.now())))
 	g.initReturning()
+	g.initStreams()
 }
 
 func (g *Gateway) now() time.Time { return g.Clock() }
@@ -180,6 +183,10 @@
 	g.permits.sweep(now)
 	g.announcePaths()
 	g.brittle.Tick()
+	if g.published.listAge(now) > resume.ListTrust {
+		g.streams.ListUnknown()
+	}
+	g.streams.Tick()
 	g.aliveBoxes.Store(int64(g.fleet.boxes(now)))
 	g.writes.Enforce(time.Now())
 }
--- a/src/gateway/pools.go
+++ b/src/gateway/pools.go
@@ -64,6 +64,13 @@
 	return p.picker.Size()
 }
 
+// servesBuild reports whether at least n servers of a build take new work.
+func (p *pool) servesBuild(build string, n int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.picker.Builds()[build] >= n
+}
+
 func (p *pools) list() []*pool {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
@@ -82,7 +89,9 @@
 	for _, e := range p.list() {
 		e.mu.Lock()
 		e.picker.Configure(servers[e.name])
+		builds := e.picker.Builds()
 		e.mu.Unlock()
+		p.gateway.streams.SetBuilds(e.name, builds)
 		e.speeds.Configure(paceServers(servers[e.name]))
 	}
 }
@@ -94,4 +103,5 @@
 	defer e.mu.Unlock()
 	e.picker.UpdateServers(c.put, c.gone)
 	e.speeds.Update(paceServers(c.put), c.gone)
+	p.gateway.streams.SetBuilds(pool, e.picker.Builds())
 }
--- a/src/gateway/pull.go
+++ b/src/gateway/pull.go
@@ -100,6 +100,8 @@
 		}
 		g.logPull(port.DocumentConfig, from, began, d, nil)
 		g.applyCatalog(c, raw, catalog.State(d.AsOf), time.Time{}, from)
+	case !d.Built:
+		return false, errNoBuilds
 	case d.Since != nil:
 		g.applyDifference(d, from)
 	default:
@@ -115,6 +117,8 @@
 	// errNoBoundaries rejects a configuration from a release that drops boundaries, which would look as if there were
 	// none: this box reads the store itself.
 	errNoBoundaries = errors.New("the configuration comes from a release without support for boundaries")
+	// errNoBuilds rejects a list of servers from a release that drops their builds: this box reads the store itself.
+	errNoBuilds = errors.New("the list of servers comes from a release without support for builds")
 )
 
 // askDocument requests one part of a document from a box.
--- a/src/gateway/relay.go
+++ b/src/gateway/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/stilemast/stilemast/src/balance"
@@ -11,6 +12,8 @@
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/events"
 	"github.com/stilemast/stilemast/src/pace"
+	"github.com/stilemast/stilemast/src/port"
+	"github.com/stilemast/stilemast/src/resume"
 )
 
 // relay passes a stream on to the caller, event by event.
@@ -46,6 +49,7 @@
 			v.recordOutcome(e, s, balance.Good, began, "stream ended", why)
 			e.speeds.RecordStream(g.now(), paceServer(&s), pace.Response{Told: reply.Told, Gap: gaps.Median()})
 			v.recordSuccess(reply)
+			g.streams.Ended(v.stream())
 			v.ended("answered", "status", reply.Status, "server", s.ID, "last_event", v.lastEvent)
 			v.caller.End()
 			return stepDone, nil, true
@@ -77,6 +81,7 @@
 	if !v.begun {
 		v.begun = true
 		v.firstOut = g.now()
+		v.pinBuild(s)
 		v.compareForecast(v.firstOut, false)
 		v.caller.Begin(reply.Status, reply.Header)
 		took := v.firstOut.Sub(began)
@@ -97,3 +102,91 @@
 	}
 	return v.caller.Event(whole)
 }
+
+// initStreams connects the tracker of streams' origins to this box.
+func (g *Gateway) initStreams() {
+	t := &g.streams
+	t.Self, t.Now, t.Log = g.ID.Name, g.now, g.Log
+	t.Boxes = func() []resume.Box {
+		g.fleet.mu.Lock()
+		defer g.fleet.mu.Unlock()
+		return g.fleet.others
+	}
+	t.Ask = func(ctx context.Context, box string, q resume.Question) (resume.Answer, error) {
+		a, err := g.Peers.Ask(ctx, g.fleet.addressOf(box), port.Question{Streams: &q})
+		if err == nil && a.Streams == nil {
+			err = resume.ErrUnsupported
+		}
+		if err != nil {
+			return resume.Answer{}, err
+		}
+		return *a.Streams, nil
+	}
+}
+
+// stream identifies the stream by the attempt that brought its first event.
+func (v *requestRun) stream() resume.Stream {
+	attempt := v.request.ID
+	if v.request.LastEvent != "" {
+		attempt = v.request.Resumes
+	}
+	return resume.StreamOf(v.workspace, attempt)
+}
+
+// takeUp finds out where a stream began that the caller takes up, and refuses it at once if it can't go on.
+func (v *requestRun) takeUp(ctx context.Context) *code.Error {
+	p, g := v.pipeline, v.gateway
+	if p.Kind != catalog.Stream || v.request.LastEvent == "" {
+		return nil
+	}
+	taken := resume.Taken{Stream: v.stream(), Window: p.Timeout, Request: v.request.ID}
+	if len(p.Targets) == 1 {
+		taken.Pool = p.Targets[0].Pool
+	}
+	origin, evidence := g.streams.Find(ctx, taken)
+	if g.Observer.TakenUp != nil {
+		g.Observer.TakenUp(p.Name, string(evidence))
+	}
+	if !evidence.Known() {
+		err := refusal(code.CannotResume, "resumes", 0, "no box knows the build that began the stream")
+		if evidence == resume.Silent {
+			err.RetryAfter = otherBoxRetryAfter
+		}
+		return err
+	}
+	at := slices.IndexFunc(p.Targets, func(t catalog.Target) bool { return catalog.Hash(t.Pool) == origin.Pool })
+	if at < 0 {
+		return refusal(code.CannotResume, "resumes", 0, "the pipeline no longer uses the pool that began the stream")
+	}
+	v.pool, v.build = p.Targets[at].Pool, &origin.Build
+	v.bound.Store(true)
+	if !v.canGoOn() {
+		return v.noBuildLeft()
+	}
+	return nil
+}
+
+// pinBuild binds a stream to the build of the server that sent its first event, and reports its origin to other boxes.
+func (v *requestRun) pinBuild(s catalog.Server) {
+	if v.build == nil {
+		v.build = &s.Build
+		v.wish.Build = v.build
+		v.bound.Store(true)
+	}
+	if v.pipeline.Resumable {
+		v.gateway.streams.Began(v.stream(), resume.OriginAt(v.pool, *v.build), v.deadline.Sub(v.gateway.now()))
+	}
+}
+
+// canGoOn reports whether a stream that has begun has a server left to go on at.
+func (v *requestRun) canGoOn() bool {
+	e := v.gateway.pools.get(v.pool)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.picker.AnyLeft(&balance.Request{Build: v.build, Within: v.confines, Exclude: v.wish.Exclude})
+}
+
+// noBuildLeft returns the refusal of a stream without a server of its build.
+func (v *requestRun) noBuildLeft() *code.Error {
+	return refusal(code.CannotResume, "pool", 0, "no server of %s is left of the build that began the stream", v.pool)
+}
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/stilemast/stilemast/src/admission"
@@ -48,6 +49,8 @@
 
 	// State of a stream that has begun.
 	begun     bool
+	build     *string     // of the server that began it, perhaps in an earlier attempt of the caller; nil if it has not begun
+	bound     atomic.Bool // build is set
 	lastEvent string
 	events    int
 	firstOut  time.Time
@@ -176,6 +179,10 @@
 		v.refuse(err)
 		return
 	}
+	if err := v.takeUp(ctx); err != nil {
+		v.refuse(err)
+		return
+	}
 	e := g.pools.get(v.pool)
 	e.mu.Lock()
 	e.budget.Request(g.now())
@@ -190,7 +197,7 @@
 		v.refuse(err)
 		return
 	}
-	v.wish = balance.Request{Parts: v.request.Parts, Exclude: map[string]bool{}, Producers: g.producersOf(p), Within: v.confines, Events: g.lengths.Expected(p.Name)}
+	v.wish = balance.Request{Parts: v.request.Parts, Exclude: map[string]bool{}, Producers: g.producersOf(p), Within: v.confines, Build: v.build, Resumable: p.Resumable, Events: g.lengths.Expected(p.Name)}
 	if g.Settings.Policy.StreamGaps.Enabled(p.Gap > 0) {
 		v.wish.Gap = p.Gap
 	}
--- a/src/metrics/gateway.go
+++ b/src/metrics/gateway.go
@@ -50,6 +50,7 @@
 	poolRates          *prometheus.GaugeVec
 	yielded            *prometheus.CounterVec
 	tunnels            *prometheus.CounterVec
+	takenUp            *prometheus.CounterVec
 }
 
 // NewGateway returns an empty set.
@@ -91,11 +92,12 @@
 		speedChanges:      newCounterVec("gateway_speed_changes_total", "Material changes of the lasting speed of a server.", "pool"),
 		yielded:           newCounterVec("gateway_yielded_total", "Queued jobs that made room for more urgent ones, ended or overtaken each time that calls were formed.", "pool", "how"),
 		tunnels:           newCounterVec("gateway_tunnels_total", "Connections to servers through another box, and those carried for another box, by result.", "pool", "result"),
+		takenUp:           newCounterVec("gateway_streams_taken_up_total", "Streams that callers took up at this box, by the evidence of the build that began them.", "pipeline", "evidence"),
 		poolRates:         newGaugeVec("gateway_pool_rates", "Learned rates of a pool, 0 until they are known.", "pool", "rate"),
 	}
 	s.registry.MustRegister(s.serversBySpeed, s.speedChanges, s.poolRates)
 	s.registry.MustRegister(s.requestsEnded, s.requestSeconds, s.firstOutputSeconds, s.exchanges, s.exchangeSeconds, s.batches, s.batchPieces, s.batchSeconds, s.storeReads, s.pulls, s.pullSeconds, s.retries, s.withheld, s.serverNotices, s.permits, s.unusableDocuments, s.suspects, s.storeRestores,
-		s.cutOff, s.forecastRatio, s.overdueCalls, s.secondRuns, s.secondRunsCounted, s.refusedCallers, s.returnedCallers, s.promises, s.yielded, s.tunnels,
+		s.cutOff, s.forecastRatio, s.overdueCalls, s.secondRuns, s.secondRunsCounted, s.refusedCallers, s.returnedCallers, s.promises, s.yielded, s.tunnels, s.takenUp,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -120,6 +122,7 @@
 			s.batchSeconds.WithLabelValues(pool).Observe(took.Seconds())
 		},
 		Tunnelled: func(pool, result string) { s.tunnels.WithLabelValues(pool, result).Inc() },
+		TakenUp:   func(pipeline, evidence string) { s.takenUp.WithLabelValues(pipeline, evidence).Inc() },
 		Restored:  s.storeRestores.Inc,
 		StoreRead: func(document string, ok bool) { s.storeReads.WithLabelValues(document, strconv.FormatBool(ok)).Inc() },
 		Pulled: func(document string, ok bool, took time.Duration) {
--- a/src/observe/gateway.go
+++ b/src/observe/gateway.go
@@ -29,6 +29,8 @@
 	CallerRefused func(pipeline string, promised bool)
 	// CallerReturned: a request of a caller who was refused before ended.
 	CallerReturned func(pipeline, result string, promised, inTime bool)
+	// TakenUp: a caller took up a stream, with evidence of its origin (package resume).
+	TakenUp func(pipeline, evidence string)
 	// Tunnelled: a connection to a server was opened through another box or for one, or that failed.
 	Tunnelled func(pool, result string)
 	Yielded   func(pool, how string, jobs int) // queued jobs were ended or overtaken for a more urgent one
--- a/src/port/port.go
+++ b/src/port/port.go
@@ -14,6 +14,7 @@
 	"github.com/stilemast/stilemast/src/config"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/crasher"
+	"github.com/stilemast/stilemast/src/resume"
 	"github.com/stilemast/stilemast/src/returning"
 )
 
@@ -178,6 +179,7 @@
 	Refusal   *returning.Refusal `msgpack:"rf,omitempty"`
 	Returning *returning.Query   `msgpack:"rq,omitempty"`
 	Place     *AskPlace          `msgpack:"pl,omitempty"`
+	Streams   *resume.Question   `msgpack:"st,omitempty"`
 }
 
 // Answer is the response to a Question: the field that belongs to the question's is set, or Err.
@@ -195,6 +197,7 @@
 	Refusal   *Receipt          `msgpack:"rf,omitempty"`
 	Returning *returning.Record `msgpack:"rq,omitempty"`
 	Place     *Place            `msgpack:"pl,omitempty"`
+	Streams   *resume.Answer    `msgpack:"st,omitempty"`
 }
 
 // Receipt is a registrar's answer to the report of a refusal.
@@ -307,6 +310,7 @@
 	Part  *Part               `msgpack:"p,omitempty"`
 	Busy  *Busy               `msgpack:"y,omitempty"`
 	Era   uint64              `msgpack:"e,omitempty"` // era of the store that AsOf and the servers' revisions belong to, 0 if unknown to the sender
+	Built bool                `msgpack:"w,omitempty"` // the sender's release knows servers' builds; older releases omit them
 }
 
 // EachServer calls do for each server entry of the document.
--- /dev/null
+++ b/src/resume/find.go
@@ -0,0 +1,108 @@
+package resume
+
+import (
+	"context"
+	"time"
+)
+
+// Evidence is what is known of the origin of a stream that a caller takes up.
+type Evidence string
+
+// Kinds of evidence.
+const (
+	Reported Evidence = "reported" // by the box that began it
+	Single   Evidence = "single"   // its pool has had one build only
+	Unknown  Evidence = "unknown"  // all boxes asked know nothing
+	Silent   Evidence = "silent"   // a box that may know did not answer
+)
+
+// Known reports whether the origin is known.
+func (e Evidence) Known() bool { return e == Reported || e == Single }
+
+// Taken is a stream that a caller takes up.
+type Taken struct {
+	Stream  Stream
+	Pool    string        // the only pool that it can have begun at, "" if there are several
+	Window  time.Duration // longest time that it can have run
+	Request string        // id of the request, for logs
+}
+
+// Find returns the origin of a stream that a caller takes up, and the evidence for it.
+func (t *Tracker) Find(ctx context.Context, taken Taken) (Origin, Evidence) {
+	began := t.Now()
+	o, e := t.find(ctx, taken)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.status.TakenUp++
+	switch e {
+	case Reported:
+		t.status.Known++
+	case Single:
+		t.status.Single++
+	case Silent:
+		t.status.Silent++
+	}
+	t.Log.Info("stream taken up", "request", taken.Request, "stream", taken.Stream.String(), "evidence", string(e), "build", o.Build, "took_ms", t.Now().Sub(began).Milliseconds(), "live", len(t.live), "held", len(t.register.entries))
+	return o, e
+}
+
+func (t *Tracker) find(ctx context.Context, taken Taken) (Origin, Evidence) {
+	now := t.Now()
+	t.mu.Lock()
+	o, ok := t.known(now, taken.Stream)
+	t.ranking.update(t.Boxes())
+	boxes := t.ranking.choose(taken.Stream, asked, t.skips(now))
+	t.mu.Unlock()
+	if ok {
+		return o, Reported
+	}
+	o, e := t.ask(ctx, taken.Stream, boxes)
+	if e.Known() || taken.Pool == "" {
+		return o, e
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.histories[taken.Pool]; h != nil {
+		if build, ok := h.sole(t.Now(), taken.Window); ok {
+			return OriginAt(taken.Pool, build), Single
+		}
+	}
+	return Origin{}, e
+}
+
+// ask asks boxes at once and returns the first origin that one of them knows.
+func (t *Tracker) ask(ctx context.Context, s Stream, boxes []Box) (Origin, Evidence) {
+	type result struct {
+		answer Answer
+		err    error
+	}
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	results := make(chan result, len(boxes))
+	for _, b := range boxes {
+		go func() {
+			a, err := t.Ask(ctx, b.Name, Question{Stream: &s})
+			if err != nil && ctx.Err() == nil {
+				t.mu.Lock()
+				t.exclude(b.Name, err)
+				t.mu.Unlock()
+			}
+			results <- result{a, err}
+		}()
+	}
+	evidence := Unknown
+	for range boxes {
+		select {
+		case r := <-results:
+			switch {
+			case r.err != nil:
+				evidence = Silent
+			case r.answer.Origin != nil && len(r.answer.Origin.Build) <= maxBuildBytes:
+				return *r.answer.Origin, Reported
+			}
+		case <-ctx.Done():
+			return Origin{}, Silent
+		}
+	}
+	return Origin{}, evidence
+}
--- /dev/null
+++ b/src/resume/message.go
@@ -0,0 +1,69 @@
+// Package resume decides where a stream that was broken off may go on.
+//
+// A stream may go on only at servers of the build that began it, and servers don't check that. Each box therefore reports the
+// origin of a stream, as its first event is passed on, to two other boxes in different failure domains, chosen by rendezvous
+// hashing. The box at which a caller takes the stream up asks them. Where nobody knows the origin, a stream may go on only if
+// its pool has had a single build for longer than the stream can have run.
+//
+// Tracker is one box's part of it.
+package resume
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"io"
+	"time"
+
+	"github.com/stilemast/stilemast/src/catalog"
+)
+
+// Stream identifies a stream by the caller's attempt that brought its first event. It includes the workspace, so that no
+// caller can take up another's stream.
+type Stream [16]byte
+
+// StreamOf returns the identifier of a stream.
+func StreamOf(workspace, attempt string) Stream {
+	h := sha256.New()
+	var size [4]byte
+	binary.BigEndian.PutUint32(size[:], uint32(len(workspace)))
+	h.Write(size[:])
+	_, _ = io.WriteString(h, workspace+attempt)
+	return Stream(h.Sum(nil))
+}
+
+// String returns a prefix for logs.
+func (s Stream) String() string { return hex.EncodeToString(s[:4]) }
+
+// Origin is where a stream began.
+type Origin struct {
+	Pool  uint64 `msgpack:"p"` // hash of its name
+	Build string `msgpack:"b"` // version of the server's software
+}
+
+// OriginAt returns the origin of a stream that began at a server of a pool.
+func OriginAt(pool, build string) Origin { return Origin{Pool: catalog.Hash(pool), Build: build} }
+
+// Began reports the origin of a stream.
+type Began struct {
+	Stream Stream        `msgpack:"s"`
+	Origin Origin        `msgpack:"o"`
+	Left   time.Duration `msgpack:"l"` // for which the caller may still take it up
+}
+
+// valid reports whether a report makes sense; messages may be malformed or forged.
+func (b Began) valid() bool {
+	return b.Left > 0 && b.Left <= maxLeft && len(b.Origin.Build) <= maxBuildBytes
+}
+
+// Question is a report of origins, or asks for one.
+type Question struct {
+	Began  []Began `msgpack:"b,omitempty"`
+	Stream *Stream `msgpack:"s,omitempty"`
+}
+
+// Answer is the answer to a Question: whether the report was recorded, or the origin, nil if unknown.
+type Answer struct {
+	Recorded bool    `msgpack:"r,omitempty"`
+	Origin   *Origin `msgpack:"o,omitempty"`
+}
--- a/src/status/status.go
+++ b/src/status/status.go
@@ -9,6 +9,7 @@
 	"github.com/stilemast/stilemast/src/connections"
 	"github.com/stilemast/stilemast/src/pace"
 	"github.com/stilemast/stilemast/src/registrar"
+	"github.com/stilemast/stilemast/src/resume"
 )
 
 // Gateway is what an operator sees of a gateway.
@@ -26,6 +27,7 @@
 
 	Forecasts []Forecast       `json:"forecasts"` // of admission, against what was observed
 	Returning registrar.Status `json:"returning"` // callers that were refused and return
+	Streams   resume.Status    `json:"streams"`   // that may be taken up at another box
 }
 
 // Forecast is how the forecasts of admission for one class of requests compared with what was observed.
