Lines of broken exchanges name the shared prompt parts of the request

The logs of the BUDGET incident show which servers ended under which requests, and not what the requests have in common.

--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -434,7 +434,7 @@
 	rests := e.picker.Current(s) && e.picker.Ended(now, s.ID, &v.wish, o)
 	e.mu.Unlock()
 	took := now.Sub(began)
-	g.Log.Info("exchange", "request", v.request.ID, "pool", e.name, "content", v.content.String(), "server", s.ID, "incarnation", s.Incarnation, "build", s.Build, "domain", s.Domain, "outcome", o.String(), "took_ms", took.Milliseconds(), "detail", detail, "chosen", why, "rests", rests, "says_leaving", v.signals.Leaving, "asks_rest_ms", v.signals.Rest.Milliseconds(), "names_limit", v.signals.Limit, "says_brittle", v.signals.Brittle)
+	g.Log.Info("exchange", "request", v.request.ID, "pool", e.name, "content", v.content.String(), "parts", v.partNames(o), "server", s.ID, "incarnation", s.Incarnation, "build", s.Build, "domain", s.Domain, "outcome", o.String(), "took_ms", took.Milliseconds(), "detail", detail, "chosen", why, "rests", rests, "says_leaving", v.signals.Leaving, "asks_rest_ms", v.signals.Rest.Milliseconds(), "names_limit", v.signals.Limit, "says_brittle", v.signals.Brittle)
 	v.signals = pushback.Signals{}
 	g.brittle.Release(&s, v.request.ID, placeEnd(o))
 	if g.Observer.Exchanged != nil {
--- a/src/gateway/suspects.go
+++ b/src/gateway/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/stilemast/stilemast/src/balance"
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/crasher"
@@ -100,3 +101,17 @@
 	}
 	return refusal(code.CrashesServers, "body", d.Left, "%d servers of %s ended while they ran this content", d.Ends, pool)
 }
+
+// partNames returns the shared prompt parts of a request whose exchange broke, for logs; nil for other outcomes.
+func (v *requestRun) partNames(o balance.Outcome) []string {
+	if o != balance.Broken {
+		return nil
+	}
+	var out []string
+	for i, p := range v.request.Parts {
+		if i < len(v.request.Parts)-1 && i < maxLoggedParts {
+			out = append(out, p.ID)
+		}
+	}
+	return out
+}
