--- a/src/gateway/crashing_test.go
+++ b/src/gateway/crashing_test.go
@@ -45,6 +45,8 @@
 	late       int       // sends of the crashing content later than knownWithin after that
 	sends      int
 	restarts   int
+	crashTimes []time.Time // of all servers
+	sendTimes  []time.Time // of the crashing requests
 }
 
 // Bounds that users ask for: knownWithin is how long after the third crash the content may still be sent, and
@@ -89,6 +91,7 @@
 	}
 	close(proc)
 	delete(s.processes, id)
+	s.crashTimes = append(s.crashTimes, time.Now())
 	if s.crashed++; s.crashed == 3 {
 		s.thirdCrash = time.Now()
 	}
@@ -126,6 +129,7 @@
 	}
 	s.mu.Lock()
 	s.sends++
+	s.sendTimes = append(s.sendTimes, time.Now())
 	if !s.thirdCrash.IsZero() && time.Since(s.thirdCrash) > knownWithin {
 		s.late++
 	}
