Prompt parts under which servers crash are counted and refused

Cause: the register of contents that crash servers counts digests of whole requests; requests that share one part of their prompts and nothing else have digests of their own, each with one crash, so none was ever refused. Evidence: 24 lines "server crashed", each of another key with one end, all requests of one workspace. Ruled out: crashes that are not proven (proof within 4 ms, a refused connection), and good responses that clear the suspects (4 lines beside 24 crashes).

Change: each shared part of a prompt, all but the last, is a content of its own within its workspace and pool. A crash counts against the parts that ran there, a good response clears them, the third crash refuses them at all boxes before any work. One part takes one place among the exchanges kept for a server, however many requests share it. The status shows what is suspected and refused.

Why it works: the guilty part is the one that is at each crash and in no good response; the first part, which sound requests share, has good responses at all times.

--- a/src/crasher/constants.go
+++ b/src/crasher/constants.go
@@ -31,7 +31,7 @@
 	maxEnds            = 16                   // latest crashes kept for one content
 	maxEntries         = 4096                 // contents kept: those running in two full failure domains of the largest fleet seen; 0.8 MB
 	maxBroken          = 1024                 // incarnations kept with broken exchanges but without proof of a crash
-	keysPerIncarnation = 256                  // broken exchanges kept for one incarnation
+	keysPerIncarnation = 512                  // contents and prompt parts with broken exchanges kept for one incarnation: 64 requests with eight keys
 	maxGood            = 8192                 // contents with recent good responses in each of two generations; 0.5 MB each
 	generationTime     = suspectRetention / 2 // duration of a generation: a good response between two crashes is still known at the second
 
--- a/src/crasher/content.go
+++ b/src/crasher/content.go
@@ -4,25 +4,38 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 	"io"
 )
 
-// Content identifies the content of a request independently of the attempt: it is equal for requests of one workspace with
-// the same method, host, target and body. It includes the workspace so that no caller can get another's requests refused;
+// Content identifies the content of a request, or a prompt part that requests share, independently of the attempt. The
+// content is equal for requests of one workspace with the same method, host, target and body. It includes the workspace so that no caller can get another's requests refused;
 // all callers of a pipeline that needs no token share one.
 type Content [16]byte
 
 // ContentOf returns the identifier of a request's content. The target is the path with its query.
 func ContentOf(workspace, method, host, target string, body []byte) Content {
+	h := newHash(workspace, method, host, target)
+	h.Write(body)
+	return Content(h.Sum(nil))
+}
+
+// PartOf returns the identifier of a prompt part that requests of one workspace share. It includes the workspace as
+// ContentOf does.
+func PartOf(workspace, part string) Content {
+	return Content(newHash(workspace, part).Sum(nil))
+}
+
+// newHash returns a hash of some texts, each with its length, so that texts that are split differently don't collide.
+func newHash(texts ...string) hash.Hash {
 	h := sha256.New()
-	for _, part := range []string{workspace, method, host, target} {
-		var size [4]byte // length prefix: parts that are split differently must not collide
-		binary.BigEndian.PutUint32(size[:], uint32(len(part)))
+	for _, text := range texts {
+		var size [4]byte
+		binary.BigEndian.PutUint32(size[:], uint32(len(text)))
 		h.Write(size[:])
-		_, _ = io.WriteString(h, part)
+		_, _ = io.WriteString(h, text)
 	}
-	h.Write(body)
-	return Content(h.Sum(nil))
+	return h
 }
 
 // String returns a prefix for logs, long enough to find the attempts of one content.
--- a/src/crasher/register.go
+++ b/src/crasher/register.go
@@ -5,7 +5,8 @@
 // content only if it is proven, by a refused connection or by the list of servers, and each incarnation counts once, however
 // many boxes report it. The guilty content is the one that is present at every crash and never gets a good response; a good
 // response clears a content at all boxes. From the second crash on a content is run separately from others, and after the
-// third it is refused for a time.
+// third it is refused for a time. Requests of which no two are alike may have a prompt part in common under which servers
+// crash; so each shared part counts as a content of its own.
 //
 // Boxes exchange their changes. The state, crashed incarnations and the latest good response, only grows, so notes can be
 // merged in any order, late or repeatedly.
@@ -27,6 +28,14 @@
 	Left   time.Duration // time until it may be tried again, if barred
 }
 
+// Worse reports whether a verdict is worse than another.
+func (v Verdict) Worse(o Verdict) bool {
+	if v.Barred != o.Barred {
+		return v.Barred
+	}
+	return v.Ends > o.Ends || v.Ends == o.Ends && v.Left > o.Left
+}
+
 // Register holds what one box knows about contents that may crash servers. The zero value is ready to use.
 type Register struct {
 	entries  map[Key]*entry
@@ -74,8 +83,16 @@
 	if !known && len(r.broken) >= maxBroken {
 		return nil
 	}
-	list = append(list, brokenExchangesAt(now, keys)...)
-	r.broken[incarnation] = list[:min(len(list), keysPerIncarnation)]
+	for _, b := range brokenExchangesAt(now, keys) {
+		at := slices.IndexFunc(list, func(o brokenExchange) bool { return o.key == b.key })
+		switch {
+		case at >= 0: // many requests share a prompt part
+			list[at] = b
+		case len(list) < keysPerIncarnation:
+			list = append(list, b)
+		}
+	}
+	r.broken[incarnation] = list
 	return nil
 }
 
@@ -207,6 +224,21 @@
 	return v
 }
 
+// Suspect is a content or prompt part with crashes that are not cleared.
+type Suspect struct {
+	Key     Key
+	Verdict Verdict
+}
+
+// Suspects returns what has crashes that are not cleared, the worst first, at most so many, and how many there are.
+func (r *Register) Suspects(now time.Time, most int) (list []Suspect, all int) {
+	keys := r.keys(func(e *entry) bool { return e.uncleared() > 0 })
+	for _, k := range keys[:min(len(keys), most)] {
+		list = append(list, Suspect{Key: k, Verdict: r.Check(now, k)})
+	}
+	return list, len(keys)
+}
+
 // Empty reports whether no content has a crash.
 func (r *Register) Empty() bool { return len(r.entries) == 0 }
 
@@ -251,7 +283,7 @@
 		}
 	}
 	for incarnation, list := range r.broken {
-		if now.Sub(list[len(list)-1].at) > proofWindow {
+		if !slices.ContainsFunc(list, func(b brokenExchange) bool { return now.Sub(b.at) <= proofWindow }) {
 			delete(r.broken, incarnation)
 		}
 	}
--- a/src/crasher/register_test.go
+++ b/src/crasher/register_test.go
@@ -234,3 +234,41 @@
 	r.Notes(now)
 	r.Sweep(now.Add(time.Hour))
 }
+
+// Guards against a shared part that hides behind requests of which no two are alike, and against innocent parts beside it.
+func TestPartPresentAtEveryCrashIsBarred(t *testing.T) {
+	var r Register
+	now := began
+	first, deadly := PartOf("w", "first").At("pool"), PartOf("w", "deadly").At("pool")
+	for i := range 3 {
+		now = now.Add(time.Second)
+		r.RecordGood(now, first)
+		crashWith(&r, now, Incarnation(i), keyOf(i), first, deadly, PartOf("w", fmt.Sprint("subject", i)).At("pool"))
+	}
+	if v := r.Check(now, deadly); !v.Barred {
+		t.Errorf("the part: %+v", v)
+	}
+	for name, k := range map[string]Key{"the first part": first, "another workspace's": PartOf("other", "deadly").At("pool"), "at another pool": PartOf("w", "deadly").At("other"), "a request": keyOf(1)} {
+		if v := r.Check(now, k); v.Barred {
+			t.Errorf("%s: %+v", name, v)
+		}
+	}
+	if list, all := r.Suspects(now, 2); all != 7 || len(list) != 2 || list[0].Key != deadly || !list[0].Verdict.Barred {
+		t.Errorf("%d suspects, the worst %+v", all, list)
+	}
+}
+
+// Guards against parts that many requests share and that push others out of the exchanges kept for one server.
+func TestSharedPartTakesOnePlace(t *testing.T) {
+	var r Register
+	shared, last := PartOf("w", "first").At("pool"), keyOf(keysPerIncarnation-2)
+	for i := range keysPerIncarnation - 1 {
+		r.RecordBroken(began, 1, keyOf(i), shared)
+	}
+	r.RecordCrash(began, 1)
+	for name, k := range map[string]Key{"shared": shared, "last": last} {
+		if v := r.Check(began, k); v.Ends != 1 {
+			t.Errorf("%s: %+v", name, v)
+		}
+	}
+}
--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -249,10 +249,10 @@
 // possible is lost with it, and is not retried from the second end on.
 func (v *requestRun) checkContent() *code.Error {
 	g := v.gateway
-	if err := g.contentRefusal(v.content, v.pool); err != nil {
+	if err := g.contentRefusal(v.pool, v.suspects...); err != nil {
 		return err
 	}
-	d := g.suspects.Check(v.content.At(v.pool))
+	d := g.suspects.Check(v.suspects...)
 	v.wish.LeastLoaded = d.Ends > 0
 	if d.Ends >= crasher.IsolationThreshold && v.attempts > 0 {
 		return code.New(code.CrashesServers, "body", "%d servers of %s ended while they ran this content", d.Ends, v.pool)
@@ -268,7 +268,7 @@
 		outcome = balance.Dropped
 	}
 	if outcome != balance.Dropped {
-		v.gateway.recordBrokenExchanges(s, v.content.At(v.pool))
+		v.gateway.recordBrokenExchanges(s, v.suspects...)
 	}
 	v.recordOutcome(e, s, outcome, began, detail+err.Error(), why)
 }
@@ -277,7 +277,7 @@
 // survived.
 func (v *requestRun) recordSuccess(reply *Reply) {
 	if reply.Signed && isSuccess(reply.Status) {
-		v.gateway.suspects.RecordGood(v.content.At(v.pool))
+		v.gateway.suspects.RecordGood(v.suspects...)
 	}
 }
 
--- a/src/gateway/relay.go
+++ b/src/gateway/relay.go
@@ -158,7 +158,8 @@
 	if at < 0 {
 		return refusal(code.CannotResume, "resumes", 0, "the pipeline no longer uses the pool that began the stream")
 	}
-	v.pool, v.build = p.Targets[at].Pool, &origin.Build
+	v.setPool(p.Targets[at].Pool)
+	v.build = &origin.Build
 	v.bound.Store(true)
 	if !v.canGoOn() {
 		return v.noBuildLeft()
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -9,6 +9,7 @@
 	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/crasher"
 	"github.com/stilemast/stilemast/src/exchange"
 	"github.com/stilemast/stilemast/src/pushback"
 	"github.com/stilemast/stilemast/src/quota"
@@ -62,7 +63,8 @@
 		return s
 	}
 	s = &scheduler{core: batch.NewScheduler(d.gateway.ID.Name, *p), pool: pool, scheduledElsewhere: true, probing: map[string]bool{}}
-	s.core.VerdictOf, s.core.RestsUntil, s.core.LimitOf = d.gateway.suspects.Check, d.gateway.restsUntil, d.gateway.limitRate
+	s.core.VerdictOf = func(k crasher.Key) crasher.Verdict { return d.gateway.suspects.Check(k) }
+	s.core.RestsUntil, s.core.LimitOf = d.gateway.restsUntil, d.gateway.limitRate
 	d.enableOverdue(s.core, pool)
 	s.core.MayYield = func() bool {
 		return d.gateway.Settings.Policy.Yielding.Enabled(d.gateway.index.Load().ServesContended(pool))
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -25,6 +25,7 @@
 	pool           string
 	workspace      string
 	content        crasher.Content
+	suspects       []crasher.Key // content and shared prompt parts, at the pool
 	confines       *catalog.Confines
 	priority       int
 	version        uint64
@@ -135,7 +136,7 @@
 		v.deadline, v.limitedBy = v.began.Add(r.Left), "caller"
 	}
 	v.objective = v.began.Add(p.Objective)
-	v.pool = p.PickPool(r.ID)
+	v.setPool(p.PickPool(r.ID))
 	return v.checkPieces()
 }
 
--- a/src/gateway/suspects.go
+++ b/src/gateway/suspects.go
@@ -34,6 +34,17 @@
 	}
 }
 
+// setPool sets the pool of a request, and what of the request may crash its servers: the content and the prompt parts that
+// it may share with other requests, all but the last.
+func (v *requestRun) setPool(pool string) {
+	v.pool = pool
+	v.suspects = []crasher.Key{v.content.At(pool)}
+	parts := v.request.Parts
+	for _, p := range parts[:max(0, min(len(parts)-1, maxSuspectParts))] {
+		v.suspects = append(v.suspects, crasher.PartOf(v.workspace, p.ID).At(pool))
+	}
+}
+
 // serverIncarnation returns a server's incarnation for the tracker.
 func serverIncarnation(s catalog.Server) suspects.Server {
 	return suspects.Server{ID: s.ID, Pool: s.Pool, Address: s.Address, Incarnation: crasher.NewIncarnation(s.ID, int64(s.Incarnation))}
@@ -79,12 +90,12 @@
 // sent or queued.
 func (v *requestRun) checkBarred() *code.Error {
 	g := v.gateway
-	if err := g.contentRefusal(v.content, v.pool); err != nil {
+	if err := g.contentRefusal(v.pool, v.suspects...); err != nil {
 		return err
 	}
 	for i, st := range v.pipeline.Stages {
 		if v.request.Pieces[i] > 0 {
-			if err := g.contentRefusal(v.content, st.Pool); err != nil {
+			if err := g.contentRefusal(st.Pool, v.content.At(st.Pool)); err != nil {
 				return err
 			}
 		}
@@ -92,14 +103,14 @@
 	return nil
 }
 
-// contentRefusal returns the refusal of a content at a pool, nil if it may run there. The retry-after is the
-// remaining time of the bar, after which a fixed server may be there.
-func (g *Gateway) contentRefusal(c crasher.Content, pool string) *code.Error {
-	d := g.suspects.Check(c.At(pool))
+// contentRefusal returns the refusal of a request by its content and prompt parts at a pool, nil if it may run there. The
+// retry-after is the remaining time of the bar, after which a fixed server may be there.
+func (g *Gateway) contentRefusal(pool string, keys ...crasher.Key) *code.Error {
+	d := g.suspects.Check(keys...)
 	if !d.Barred {
 		return nil
 	}
-	return refusal(code.CrashesServers, "body", d.Left, "%d servers of %s ended while they ran this content", d.Ends, pool)
+	return refusal(code.CrashesServers, "body", d.Left, "%d servers of %s ended while they ran this content or a part of its prompt", d.Ends, pool)
 }
 
 // partNames returns the shared prompt parts of a request whose exchange broke, for logs; nil for other outcomes.
--- a/src/status/status.go
+++ b/src/status/status.go
@@ -10,6 +10,7 @@
 	"github.com/stilemast/stilemast/src/pace"
 	"github.com/stilemast/stilemast/src/registrar"
 	"github.com/stilemast/stilemast/src/resume"
+	"github.com/stilemast/stilemast/src/suspects"
 )
 
 // Gateway is what an operator sees of a gateway.
@@ -28,6 +29,7 @@
 	Forecasts []Forecast       `json:"forecasts"` // of admission, against what was observed
 	Returning registrar.Status `json:"returning"` // callers that were refused and return
 	Streams   resume.Status    `json:"streams"`   // that may be taken up at another box
+	Suspects  suspects.Status  `json:"suspects"`  // contents and prompt parts that may crash servers
 }
 
 // Forecast is how the forecasts of admission for one class of requests compared with what was observed.
--- a/src/suspects/constants.go
+++ b/src/suspects/constants.go
@@ -9,6 +9,7 @@
 	reportTimeout      = 400 * time.Millisecond // timeout of a report to a counter box
 	maxSkippedCounters = 3                      // unresponsive counter boxes to skip: at worst 1.6 s of the 3 s in which all boxes must know
 	silentTogether     = time.Second            // servers that are unresponsive within this time of each other don't count as crashed
+	maxStatus          = 16                     // suspects shown in the status
 	maxLogLines        = 8                      // log lines for the suspects of one crash; each contains their number
 
 	// soundSilence is the longest silence of a server that is running.
--- a/src/suspects/tracker.go
+++ b/src/suspects/tracker.go
@@ -99,14 +99,46 @@
 	counted bool
 }
 
-// Check returns the crashes attributed to a content at a pool.
-func (u *Tracker) Check(k crasher.Key) crasher.Verdict {
+// Check returns the crashes attributed to a content at a pool or, of several, the worst verdict.
+func (u *Tracker) Check(keys ...crasher.Key) crasher.Verdict {
 	if !u.any.Load() {
 		return crasher.Verdict{}
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.register.Check(u.Now(), k)
+	var worst crasher.Verdict
+	for _, k := range keys {
+		if v := u.register.Check(u.Now(), k); v.Worse(worst) {
+			worst = v
+		}
+	}
+	return worst
+}
+
+// Status shows an operator which contents and prompt parts are suspected to crash servers.
+type Status struct {
+	Suspected int       `json:"suspected"` // all of them
+	Worst     []Suspect `json:"worst,omitempty"`
+}
+
+// Suspect is one of them. Key is as in log lines.
+type Suspect struct {
+	Key     string `json:"key"`
+	Ends    int    `json:"ends"`    // servers that crashed while they ran it
+	Refused bool   `json:"refused"` // it is not sent
+	Left    int64  `json:"left_ms"` // until it may be tried again
+}
+
+// Status returns the current suspects, the worst first.
+func (u *Tracker) Status() Status {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	list, all := u.register.Suspects(u.Now(), maxStatus)
+	out := Status{Suspected: all}
+	for _, x := range list {
+		out.Worst = append(out.Worst, Suspect{Key: x.Key.String(), Ends: x.Verdict.Ends, Refused: x.Verdict.Barred, Left: x.Verdict.Left.Milliseconds()})
+	}
+	return out
 }
 
 // RecordBroken records that exchanges of contents with a server broke, and probes whether the server has crashed.
