An entry's build is interned, and a server in the pool takes 16 bytes less

TestListMemoryIsIndependentOfHistory failed since servers have builds: 708 bytes a server, 700 allowed. The build is shared by all entries as pool and domain are (703), and the count of broken exchanges takes half a word beside the flag of a probe (685, 686).

--- a/src/balance/balance.go
+++ b/src/balance/balance.go
@@ -78,11 +78,11 @@
 	hash            uint64    // of the id
 	own             Load      // of this box
 	peers           Load      // sum of other boxes' current reports
-	broken          int       // consecutive broken exchanges
+	broken          int32     // consecutive broken exchanges
+	probing         bool      // a request has been sent to see whether it has recovered
 	failureRate     float64   // moving average of the failure rate
 	pauses          int       // pauses since the last success
 	pausedUntil     time.Time // end of the current pause
-	probing         bool      // a request has been sent to see whether it has recovered
 	seenAt          time.Time // end of this box's last exchange with it
 	told            told      // load that it reported last
 	speed           pace.Speed
--- a/src/balance/incarnation_test.go
+++ b/src/balance/incarnation_test.go
@@ -25,7 +25,7 @@
 
 	p.Configure(pointers(list(20)))
 	v := p.servers["a"]
-	if v.own.Requests+v.peers.Requests+v.pauses+v.broken > 0 || !v.usable(now) || len(p.PausedServers(now)) > 0 || len(p.OwnLoads()) > 0 {
+	if v.own.Requests+v.peers.Requests+v.pauses+int(v.broken) > 0 || !v.usable(now) || len(p.PausedServers(now)) > 0 || len(p.OwnLoads()) > 0 {
 		t.Errorf("the new incarnation begins with %+v", v)
 	}
 	if all, _ := p.uncachedTokens(now, v, w, p.cachedParts(w), ""); all != 910 || len(p.FreshReads(now)) > 0 {
--- a/src/catalog/list.go
+++ b/src/catalog/list.go
@@ -180,7 +180,7 @@
 	from, first := l.Digest(), len(l.servers) == 0
 	for i := range d.Put {
 		s := &d.Put[i]
-		s.Pool, s.Domain = l.intern(s.Pool), l.intern(s.Domain)
+		s.Pool, s.Domain, s.Build = l.intern(s.Pool), l.intern(s.Domain), l.intern(s.Build)
 		c.Before[s.ID] = l.servers[s.ID]
 		l.sum += s.digest() - l.digestOf(s.ID)
 		l.servers[s.ID] = s
