A box whose connections to a server are all in use borrows one out of another box's part

What callers saw: where most new connections come to one box, its callers were refused or late while the other boxes opened none of their parts. Cause: a server's connections are divided equally among boxes. Change: a request that finds all of them in use asks up to three other boxes to carry one out of their part, where it counts until it is closed; a box keeps a quarter for its own callers. Boxes of earlier releases don't know the message and close the connection. Ruled out: parts by need told with heartbeats (two boxes that raise theirs at once exceed the limit).

--- a/src/connections/share.go
+++ b/src/connections/share.go
@@ -11,6 +11,10 @@
 	Idle int `json:"idle"` // idle connections kept open, if Open is not 0
 }
 
+// Lendable returns how many connections a box may have open, of its own and lent to other boxes, when it lends one more. It
+// keeps a quarter of its share for callers of its own.
+func (s Share) Lendable() int { return s.Open - s.Open/4 }
+
 // ShareOf divides a limit among a number of boxes, without a message between them. A box may always open one connection:
 // where there are more boxes than connections, it closes it after each use, so that only requests that run at the same
 // moment count.
--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -98,6 +98,9 @@
 	Dials atomic.Int64 // connections opened so far
 	// Dial opens a connection to a server; nil uses the function Dial.
 	Dial Dialer
+	// Borrow opens a connection to a server where all connections that the share allows are open, out of another box's share;
+	// nil borrows none.
+	Borrow Dialer
 	// Reusable reports whether an idle connection may be used again; nil allows all.
 	Reusable func(to Target, c net.Conn) bool
 
@@ -114,6 +117,7 @@
 	address     string
 	to          Target
 	keepIdle    int // idle connections kept to the address; negative for no limit
+	borrowed    bool
 	reader      *bufio.Reader
 	idleUntil   time.Time // until when it may be reused; counts suspend time, in which the server may close it
 	freshUntil  time.Time // until when a request that can't be repeated may use it
@@ -263,13 +267,29 @@
 func (cn *conn) drop() {
 	cn.once.Do(func() {
 		_ = cn.Conn.Close()
-		cn.client.mu.Lock()
-		defer cn.client.mu.Unlock()
-		cn.client.open[cn.address]--
-		cn.client.wakeNext(cn.address)
+		if !cn.borrowed {
+			cn.client.release(cn.address)
+		}
 	})
 }
 
+// release counts a connection as closed.
+func (c *Client) release(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open[address]--
+	c.wakeNext(address)
+}
+
+// Reserve counts a connection to an address that is opened elsewhere, until release is called; false if the address has the
+// maximum.
+func (c *Client) Reserve(address string, most int) (release func(), ok bool) {
+	if !c.reserve(address, most) {
+		return nil, false
+	}
+	return func() { c.release(address) }, true
+}
+
 // release makes a connection available for reuse, for at most as long as the server announces to keep it open.
 func (cn *conn) release(h http.Header) {
 	idle := maxIdle
@@ -330,6 +350,9 @@
 			}
 			if timeout == nil {
 				timeout = time.After(shareWait)
+				if cn := c.borrow(ctx, address, r); cn != nil {
+					return cn, nil
+				}
 			}
 			if err := c.awaitConnection(ctx, address, timeout); err != nil {
 				return nil, err
@@ -347,6 +370,23 @@
 	}
 }
 
+// borrow opens a connection out of another box's share, nil if there is none. It is closed after the request unless another
+// one waits for it, since the other box may need its share.
+func (c *Client) borrow(ctx context.Context, address string, r *Request) *conn {
+	if c.Borrow == nil {
+		return nil
+	}
+	c.Dials.Add(1)
+	to := Target{Pool: r.Pool, Server: r.Server, Address: address}
+	raw, err := c.Borrow(ctx, to)
+	if err != nil {
+		return nil
+	}
+	cn := &conn{Conn: raw, client: c, address: address, to: to, borrowed: true}
+	cn.reader = bufio.NewReaderSize(cn, readBuffer)
+	return cn
+}
+
 // reserve counts a connection that is about to be opened; it returns false if the address has the maximum.
 func (c *Client) reserve(address string, most int) bool {
 	c.mu.Lock()
@@ -442,10 +482,7 @@
 	to := Target{Pool: r.Pool, Server: r.Server, Address: address}
 	raw, err := c.connect(ctx, to)
 	if err != nil {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.open[address]--
-		c.wakeNext(address)
+		c.release(address)
 		return nil, err
 	}
 	cn := &conn{Conn: raw, client: c, address: address, to: to, keepIdle: -1}
--- a/src/gateway/connections.go
+++ b/src/gateway/connections.go
@@ -56,9 +56,19 @@
 		return g.Settings.Regions[domain] == g.Settings.Regions[g.Settings.FailureDomain]
 	}
 	r.Usable = func(box string) bool { return g.fleet.stateOf(box) == core.MemberAlive }
+	r.Reserve = g.lendConnection
 	r.MayCarry = func(to paths.Target) bool { return !g.Draining() && g.lists(to) }
 }
 
+// lendConnection reserves one of this box's connections to a server for another box whose own are all open.
+func (g *Gateway) lendConnection(to paths.Target) (release func(), ok bool) {
+	share := g.connectionShare(to.Pool)
+	if share.Open == 0 || g.Backends.Reserve == nil {
+		return nil, false
+	}
+	return g.Backends.Reserve(to.Address, share.Lendable())
+}
+
 // announcePaths announces to which pools this box has no path, so that their duties move to boxes that have one.
 func (g *Gateway) announcePaths() {
 	pools := g.Paths.Tick()
--- a/src/gateway/ports.go
+++ b/src/gateway/ports.go
@@ -106,6 +106,9 @@
 	FreePieces func(ctx context.Context, s catalog.Server, handles []string) pushback.Signals
 	// Probe opens a connection to a server, closes it and returns the error of opening. nil disables probes.
 	Probe func(ctx context.Context, to exchange.Target) error
+	// Reserve counts a connection to an address that is lent to another box, until it is released; false if as many are open.
+	// nil: none is lent.
+	Reserve func(address string, most int) (release func(), ok bool)
 	// Forget closes the idle connections to an address whose server restarted; nil if none are kept.
 	Forget func(address string)
 }
--- a/src/paths/carrier.go
+++ b/src/paths/carrier.go
@@ -62,7 +62,7 @@
 // Carry opens a connection to a server for another box. The connection is nil unless the result is TunnelOpen.
 func (r *Router) Carry(ctx context.Context, t port.Tunnel) (net.Conn, port.TunnelResult) {
 	to := Target{Pool: t.Pool, Server: t.Server, Address: t.Address}
-	conn, result := r.carry(ctx, to)
+	conn, result := r.carryFor(ctx, to, t.Lent)
 	r.report(t.Pool, "carry "+result.String())
 	if result != port.TunnelOpen {
 		r.Log.Info("connection not carried for another box", "peer", t.From, "pool", t.Pool, "server", t.Server, "result", result.String(), "tunnels", r.tunnels.Load())
@@ -70,6 +70,26 @@
 	return conn, result
 }
 
+// carryFor opens a connection for another box; a lent one takes one of this box's own until it is closed.
+func (r *Router) carryFor(ctx context.Context, to Target, lent bool) (net.Conn, port.TunnelResult) {
+	if !lent {
+		return r.carry(ctx, to)
+	}
+	if r.Reserve == nil {
+		return nil, port.TunnelDeclined
+	}
+	release, ok := r.Reserve(to)
+	if !ok {
+		return nil, port.TunnelDeclined
+	}
+	conn, result := r.carry(ctx, to)
+	if result != port.TunnelOpen {
+		release()
+		return nil, result
+	}
+	return &counted{Conn: conn, end: sync.OnceFunc(release)}, result
+}
+
 func (r *Router) carry(ctx context.Context, to Target) (net.Conn, port.TunnelResult) {
 	if !r.MayCarry(to) || r.tunnels.Load() >= maxTunnels {
 		return nil, port.TunnelDeclined
--- a/src/paths/constants.go
+++ b/src/paths/constants.go
@@ -10,7 +10,10 @@
 	dialTimeout = 700 * time.Millisecond // of a server, over all ways
 	maxCarriers = 4                      // boxes asked for one connection
 	silentWays  = 2                      // carriers asked at once where the ways so far are silent
-	draws       = 8                      // random boxes looked at before all are
+	maxLenders  = 3                      // boxes asked for one connection of theirs
+	// borrowTimeout is how long boxes are asked for a connection of theirs; meanwhile one of this box's own may be released.
+	borrowTimeout = 60 * time.Millisecond
+	draws         = 8 // random boxes looked at before all are
 	// avoidCarrier is how long a box that could not carry a connection is not asked. Within it, the box announces that it has no
 	// path.
 	avoidCarrier = time.Second
--- a/src/paths/router.go
+++ b/src/paths/router.go
@@ -27,6 +27,9 @@
 // Target is a server to connect to.
 type Target = exchange.Target
 
+// errNoLender is returned if no box can be asked for a connection of its own.
+var errNoLender = errors.New("no other box lends a connection to the server")
+
 // errUnconfirmed is returned for a server that refuses connections from this box while no other box can tell whether it is
 // absent.
 var errUnconfirmed = errors.New("the connection was refused, and no other box has a path to the server")
@@ -50,8 +53,11 @@
 	Usable func(box string) bool
 	// MayCarry reports whether this box may connect to a server for another box.
 	MayCarry func(to Target) bool
-	Now      func() time.Time // must be monotonic
-	Log      *slog.Logger
+	// Reserve reserves one of this box's connections to a server that it can spare, to lend it to another box; false if there
+	// is none. nil: it lends none.
+	Reserve func(to Target) (release func(), ok bool)
+	Now     func() time.Time // must be monotonic
+	Log     *slog.Logger
 	// Tunnelled, if set, is called with the result of each connection through another box.
 	Tunnelled func(pool, result string)
 
@@ -75,11 +81,34 @@
 	return conn, err
 }
 
+// Borrow opens a connection to a server out of the part of another box, which carries it. The error is the last box's.
+func (r *Router) Borrow(ctx context.Context, to Target) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
+	began, tried, err := r.Now(), map[string]bool{}, errNoLender
+	for range maxLenders {
+		by, ok := r.carrier(to.Pool, tried, false)
+		if !ok {
+			break
+		}
+		tried[by.Name] = true
+		var c net.Conn
+		c, err = r.Through(ctx, by.Address, port.Tunnel{From: r.Self, Pool: to.Pool, Server: to.Server, Address: to.Address, Lent: true})
+		if err == nil {
+			r.report(to.Pool, "borrowed")
+			r.Log.Info("connection borrowed", "pool", to.Pool, "server", to.Server, "peer", by.Name, "asked", len(tried), "took_ms", r.Now().Sub(began).Milliseconds())
+			return &carried{Conn: c, by: by.Name, lent: true}, nil
+		}
+	}
+	r.report(to.Pool, "not lent")
+	return nil, err
+}
+
 // Reusable reports whether an idle connection to a server may be used again: not if it leads through a box that is no
 // longer needed or stops, nor if the path on which it was opened is dead.
 func (r *Router) Reusable(to Target, c net.Conn) bool {
 	if t, ok := c.(*carried); ok {
-		return !r.Table.HasPath(to) && r.Usable(t.by)
+		return (t.lent || !r.Table.HasPath(to)) && r.Usable(t.by)
 	}
 	return !r.Table.Silent(to.Pool)
 }
@@ -101,7 +130,8 @@
 // carried is a connection that another box carries.
 type carried struct {
 	net.Conn
-	by string // name of that box
+	by   string // name of that box
+	lent bool   // out of that box's part
 }
 
 // SyscallConn returns the connection to the carrier, so that its state can be checked.
--- a/src/peer/frame.go
+++ b/src/peer/frame.go
@@ -32,7 +32,8 @@
 	Forward  *port.Forward      `msgpack:"f,omitempty"` // caller's request forwarded to the peer
 	Event    *port.ForwardEvent `msgpack:"e,omitempty"` // part of the response to a Forward
 	Tunnel   *port.Tunnel       `msgpack:"t,omitempty"` // connection to a backend server that the peer is asked to carry
-	Opened   *port.TunnelOpened `msgpack:"o,omitempty"` // response to a Tunnel; its bytes follow if it is open
+	Lend     *port.Tunnel       `msgpack:"l,omitempty"` // the same out of the peer's part of the server's connections; not a field of Tunnel, which earlier releases would ignore
+	Opened   *port.TunnelOpened `msgpack:"o,omitempty"` // response to a Tunnel or Lend; its bytes follow if it is open
 }
 
 // WriteFrame encodes and writes one message and returns the number of bytes written.
@@ -94,7 +95,7 @@
 	if err := msgpack.Unmarshal(body, m); err != nil {
 		return nil, code.New(code.FrameInvalid, "frame", "%v", err)
 	}
-	if m.Beat == nil && m.Batch == nil && m.Question == nil && m.Answer == nil && m.Forward == nil && m.Event == nil && m.Tunnel == nil && m.Opened == nil {
+	if m.Beat == nil && m.Batch == nil && m.Question == nil && m.Answer == nil && m.Forward == nil && m.Event == nil && m.Tunnel == nil && m.Lend == nil && m.Opened == nil {
 		return nil, code.New(code.FrameInvalid, "frame", "holds no message")
 	}
 	return m, nil
--- a/src/peer/server.go
+++ b/src/peer/server.go
@@ -107,7 +107,11 @@
 	case m.Forward != nil:
 		s.forward(ctx, c, *m.Forward)
 	case m.Tunnel != nil && s.Handlers.Tunnel != nil:
+		m.Tunnel.Lent = false
 		s.tunnel(ctx, c, *m.Tunnel)
+	case m.Lend != nil && s.Handlers.Tunnel != nil:
+		m.Lend.Lent = true
+		s.tunnel(ctx, c, *m.Lend)
 	}
 }
 
--- a/src/peer/tunnel.go
+++ b/src/peer/tunnel.go
@@ -27,7 +27,11 @@
 
 // Tunnel asks the box at an address to carry a connection to a backend server.
 func (c *Client) Tunnel(ctx context.Context, address string, t port.Tunnel) (net.Conn, error) {
-	conn, stop, err := c.open(ctx, address, &Message{Tunnel: &t})
+	first := &Message{Tunnel: &t}
+	if t.Lent {
+		first = &Message{Lend: &t}
+	}
+	conn, stop, err := c.open(ctx, address, first)
 	if err != nil {
 		return nil, err
 	}
--- a/src/port/tunnel.go
+++ b/src/port/tunnel.go
@@ -8,6 +8,8 @@
 	Pool    string `msgpack:"p"`
 	Server  string `msgpack:"s"`
 	Address string `msgpack:"a"`
+	// Lent: the connection counts as one of the carrier's, which has connections to spare, and not of the asker's.
+	Lent bool `msgpack:"-"`
 }
 
 // TunnelResult answers a Tunnel. After TunnelOpen the connection between the boxes carries the bytes of the tunnel.
@@ -18,7 +20,7 @@
 	TunnelOpen     TunnelResult = iota + 1
 	TunnelRefused               // the server refused the connection
 	TunnelNoPath                // the box can't reach the server either
-	TunnelDeclined              // the box does not know the server, stops, or carries too many tunnels
+	TunnelDeclined              // the box does not know the server, stops, has no connection to lend, or carries too many tunnels
 )
 
 // String names the result for logs.
