Streams are also known by their content, for callers that state no attempt

Change: the digest of the request is a second name of a stream; where streams with one content began at different builds the name is ambiguous, so nothing is guessed.

Found beside it: the boxes that a caller's new box asks were ranked without that box, and the boxes that are told without the one that began the stream, so that now and then a holder was not asked (4 of 60 take-ups at most refused, 6 boxes). Now all rank alike, in different failure domains, and the first three are asked.

TestStreamsTakenUpWithoutTheirAttemptGoOn: 0 of 60 would go on, now 59 and 60.

--- a/src/gateway/builds_test.go
+++ b/src/gateway/builds_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -43,6 +44,7 @@
 	crashes  map[string]chan struct{} // of running servers, closed when they crash
 	requests map[string][]context.CancelFunc
 	number   int
+	unnamed  bool // callers don't state the attempt that began their stream
 }
 
 // streamEvents and streamGap shape a stream: 2.5 s, as long as the streams of the users' callers.
@@ -176,6 +178,7 @@
 type callerStream struct {
 	first string // id of the attempt that brought the first event
 	last  string // id of the last event
+	body  string // of all attempts
 	ended bool
 
 	mu     sync.Mutex
@@ -197,8 +200,9 @@
 	s.mu.Lock()
 	s.requests[box] = append(s.requests[box], cancel)
 	s.mu.Unlock()
-	r := &Request{ID: id, Method: http.MethodPost, Target: "/draft/x", Host: "h", Path: "/draft/x", Header: http.Header{}, Token: "token", Left: 10 * time.Second, Body: []byte(id), LastEvent: c.last}
-	if c.last != "" {
+	c.body = cmp.Or(c.body, id)
+	r := &Request{ID: id, Method: http.MethodPost, Target: "/draft/x", Host: "h", Path: "/draft/x", Header: http.Header{}, Token: "token", Left: 10 * time.Second, Body: []byte(c.body), LastEvent: c.last}
+	if c.last != "" && !s.unnamed {
 		r.Resumes = c.first
 	}
 	var refused *code.Error
@@ -384,48 +388,61 @@
 	for _, boxes := range buildSizes() {
 		for _, c := range takeUpCases {
 			t.Run(fmt.Sprint(boxes, " boxes, ", c.name), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					s := newBuildSite(t, boxes, 24, 12)
-					lost := []string{s.name(boxes - 1), s.name(boxes - 2)}
-					n := &streamCounts{}
-					var all sync.WaitGroup
-					box := s.draw()
-					for i := range 60 {
-						firsts := lost[i%2]
-						all.Go(func() {
-							s.play(n, i, func() string {
-								if firsts != "" {
-									out := firsts
-									firsts = ""
-									return out
-								}
-								for {
-									if b := box(); !slices.Contains(lost, b) {
-										return b
-									}
-								}
-							})
-						})
-						time.Sleep(20 * time.Millisecond)
-					}
-					time.Sleep(200 * time.Millisecond)
-					c.lose(s, lost)
-					all.Wait()
-					t.Log(n)
-					if n.mixed > 0 {
-						t.Errorf("%d streams hold events of two builds", n.mixed)
-					}
-					if n.takenUp != 60 || n.wentOn < 57 {
-						t.Errorf("%d of %d streams went on, want 57 of 60", n.wentOn, n.takenUp)
-					}
-					s.f.partition()
-					time.Sleep(time.Second)
-				})
+				synctest.Test(t, func(t *testing.T) { playTakeUp(t, boxes, false, c.lose) })
 			})
 		}
 	}
 }
 
+// Guards against refusals of callers that don't state the attempt that began their stream.
+func TestStreamsTakenUpWithoutTheirAttemptGoOn(t *testing.T) {
+	for _, boxes := range buildSizes() {
+		t.Run(fmt.Sprint(boxes, " boxes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playTakeUp(t, boxes, true, takeUpCases[1].lose) })
+		})
+	}
+}
+
+// playTakeUp plays 60 streams that begin at two boxes, which their callers lose.
+func playTakeUp(t *testing.T, boxes int, unnamed bool, lose func(*buildSite, []string)) {
+	s := newBuildSite(t, boxes, 24, 12)
+	s.unnamed = unnamed
+	lost := []string{s.name(boxes - 1), s.name(boxes - 2)}
+	n := &streamCounts{}
+	var all sync.WaitGroup
+	box := s.draw()
+	for i := range 60 {
+		firsts := lost[i%2]
+		all.Go(func() {
+			s.play(n, i, func() string {
+				if firsts != "" {
+					out := firsts
+					firsts = ""
+					return out
+				}
+				for {
+					if b := box(); !slices.Contains(lost, b) {
+						return b
+					}
+				}
+			})
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(200 * time.Millisecond)
+	lose(s, lost)
+	all.Wait()
+	t.Log(n)
+	if n.mixed > 0 {
+		t.Errorf("%d streams hold events of two builds", n.mixed)
+	}
+	if n.takenUp != 60 || n.wentOn < 57 {
+		t.Errorf("%d of %d streams went on, want 57 of 60", n.wentOn, n.takenUp)
+	}
+	s.f.partition()
+	time.Sleep(time.Second)
+}
+
 // Guards against streams that go on at a guessed build after all boxes that knew it were lost.
 func TestStreamsWhoseBuildNobodyKnowsAreRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -27,7 +27,7 @@
 	seen      map[string]time.Time // time of the last message, by box
 	waits     map[uint64]waitNote  // by the hash of a pool
 	usableNow []string
-	others    []resume.Box // usable boxes without this one
+	holders   []resume.Box // usable boxes, which may hold origins of streams
 	logged    []string     // the usable boxes when they were last logged
 	loggedAt  time.Time    // time of that log line
 	roster    duties.Roster
@@ -308,7 +308,7 @@
 	f.mu.Lock()
 	before := f.usableNow
 	f.usableNow = f.core.Usable()
-	f.others = f.otherBoxes()
+	f.holders = f.holderBoxes()
 	f.roster.Invalidate()
 	after := f.usableNow
 	f.mu.Unlock()
@@ -362,11 +362,14 @@
 	return f.usableNow
 }
 
-// otherBoxes lists the usable boxes without this one. f.mu is held.
-func (f *fleet) otherBoxes() []resume.Box {
+// holderBoxes lists the usable boxes. f.mu is held.
+func (f *fleet) holderBoxes() []resume.Box {
+	g := f.gateway
 	out := make([]resume.Box, 0, len(f.usableNow))
 	for _, name := range f.usableNow {
-		if m := f.core.Find(name); m != nil && name != f.gateway.ID.Name {
+		if name == g.ID.Name {
+			out = append(out, resume.Box{Name: name, Domain: g.Settings.FailureDomain, Incarnation: g.ID.Incarnation})
+		} else if m := f.core.Find(name); m != nil {
 			out = append(out, resume.Box{Name: name, Domain: m.FailureDomain(), Incarnation: m.ID().Incarnation})
 		}
 	}
--- a/src/gateway/relay.go
+++ b/src/gateway/relay.go
@@ -49,7 +49,7 @@
 			v.recordOutcome(e, s, balance.Good, began, "stream ended", why)
 			e.speeds.RecordStream(g.now(), paceServer(&s), pace.Response{Told: reply.Told, Gap: gaps.Median()})
 			v.recordSuccess(reply)
-			g.streams.Ended(v.stream())
+			g.streams.Ended(v.streamNames()...)
 			v.ended("answered", "status", reply.Status, "server", s.ID, "last_event", v.lastEvent)
 			v.caller.End()
 			return stepDone, nil, true
@@ -110,7 +110,7 @@
 	t.Boxes = func() []resume.Box {
 		g.fleet.mu.Lock()
 		defer g.fleet.mu.Unlock()
-		return g.fleet.others
+		return g.fleet.holders
 	}
 	t.Ask = func(ctx context.Context, box string, q resume.Question) (resume.Answer, error) {
 		a, err := g.Peers.Ask(ctx, g.fleet.addressOf(box), port.Question{Streams: &q})
@@ -124,13 +124,17 @@
 	}
 }
 
-// stream identifies the stream by the attempt that brought its first event.
-func (v *requestRun) stream() resume.Stream {
-	attempt := v.request.ID
-	if v.request.LastEvent != "" {
-		attempt = v.request.Resumes
+// streamNames returns the names of the stream: the content, and first the attempt that brought its first event, unless the
+// caller takes the stream up without stating it.
+func (v *requestRun) streamNames() []resume.Stream {
+	r, content := v.request, resume.StreamOfContent(v.content)
+	switch {
+	case r.LastEvent == "":
+		return []resume.Stream{resume.StreamOf(v.workspace, r.ID), content}
+	case r.Resumes != "":
+		return []resume.Stream{resume.StreamOf(v.workspace, r.Resumes), content}
 	}
-	return resume.StreamOf(v.workspace, attempt)
+	return []resume.Stream{content}
 }
 
 // takeUp finds out where a stream began that the caller takes up, and refuses it at once if it can't go on.
@@ -139,7 +143,7 @@
 	if p.Kind != catalog.Stream || v.request.LastEvent == "" {
 		return nil
 	}
-	taken := resume.Taken{Stream: v.stream(), Window: p.Timeout, Request: v.request.ID}
+	taken := resume.Taken{Stream: v.streamNames()[0], Window: p.Timeout, Request: v.request.ID}
 	if len(p.Targets) == 1 {
 		taken.Pool = p.Targets[0].Pool
 	}
@@ -175,7 +179,7 @@
 		v.bound.Store(true)
 	}
 	if v.pipeline.Resumable {
-		v.gateway.streams.Began(v.stream(), resume.OriginAt(v.pool, *v.build), v.deadline.Sub(v.gateway.now()))
+		v.gateway.streams.Began(resume.OriginAt(v.pool, *v.build), v.deadline.Sub(v.gateway.now()), v.streamNames()...)
 	}
 }
 
--- a/src/resume/constants.go
+++ b/src/resume/constants.go
@@ -13,8 +13,8 @@
 
 // Parameters of reports and queries.
 const (
-	holders        = 2                      // boxes that are told of a stream
-	asked          = 3                      // boxes that are asked: the holders, and the next if a box came or went meanwhile
+	holders        = 2                      // boxes that are told of a stream, besides the one that carries it
+	asked          = 3                      // boxes that are asked, one of which may have carried the stream
 	reportDelay    = 5 * time.Millisecond   // in which the streams that begin are collected into one report
 	reportTimeout  = 400 * time.Millisecond // of one report
 	queryTimeout   = 300 * time.Millisecond // of a query; the caller waits for it
--- a/src/resume/find.go
+++ b/src/resume/find.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -51,12 +52,13 @@
 	t.mu.Lock()
 	o, ok := t.known(now, taken.Stream)
 	t.ranking.update(t.Boxes())
-	boxes := t.ranking.choose(taken.Stream, asked, t.skips(now))
+	boxes := t.ranking.choose(taken.Stream, asked, t.isExcluded(now))
 	t.mu.Unlock()
-	if ok {
-		return o, Reported
+	if ok && !taken.Stream.shared() {
+		return known(o)
 	}
-	o, e := t.ask(ctx, taken.Stream, boxes)
+	boxes = slices.DeleteFunc(boxes, func(b Box) bool { return b.Name == t.Self })
+	o, e := t.ask(ctx, taken.Stream, boxes, o, ok)
 	if e.Known() || taken.Pool == "" {
 		return o, e
 	}
@@ -70,8 +72,17 @@
 	return Origin{}, e
 }
 
-// ask asks boxes at once and returns the first origin that one of them knows.
-func (t *Tracker) ask(ctx context.Context, s Stream, boxes []Box) (Origin, Evidence) {
+// known returns an origin that a box holds, and the evidence for it.
+func known(o Origin) (Origin, Evidence) {
+	if o == ambiguous {
+		return o, Unknown
+	}
+	return o, Reported
+}
+
+// ask asks boxes at once and returns the first origin that one of them knows or, for a name that streams may share, the one
+// on which all that know one agree, with what this box knows.
+func (t *Tracker) ask(ctx context.Context, s Stream, boxes []Box, own Origin, found bool) (Origin, Evidence) {
 	type result struct {
 		answer Answer
 		err    error
@@ -92,17 +103,21 @@
 	}
 	evidence := Unknown
 	for range boxes {
-		select {
-		case r := <-results:
-			switch {
-			case r.err != nil:
-				evidence = Silent
-			case r.answer.Origin != nil && len(r.answer.Origin.Build) <= maxBuildBytes:
-				return *r.answer.Origin, Reported
-			}
-		case <-ctx.Done():
-			return Origin{}, Silent
+		r := <-results
+		switch o := r.answer.Origin; {
+		case r.err != nil:
+			evidence = Silent
+		case o == nil || len(o.Build) > maxBuildBytes:
+		case !s.shared():
+			return known(*o)
+		case found:
+			own = own.merge(*o)
+		default:
+			own, found = *o, true
 		}
 	}
+	if found {
+		return known(own)
+	}
 	return Origin{}, evidence
 }
--- a/src/resume/message.go
+++ b/src/resume/message.go
@@ -18,20 +18,35 @@
 	"github.com/stilemast/stilemast/src/catalog"
 )
 
-// Stream identifies a stream by the caller's attempt that brought its first event. It includes the workspace, so that no
-// caller can take up another's stream.
+// Stream names a stream by the caller's attempt that brought its first event or, for callers that don't state it, by the
+// content of the request. It includes the workspace, so that no caller can take up another's stream.
 type Stream [16]byte
 
-// StreamOf returns the identifier of a stream.
+// StreamOf returns the name of a stream by the attempt that began it.
 func StreamOf(workspace, attempt string) Stream {
 	h := sha256.New()
 	var size [4]byte
 	binary.BigEndian.PutUint32(size[:], uint32(len(workspace)))
 	h.Write(size[:])
 	_, _ = io.WriteString(h, workspace+attempt)
-	return Stream(h.Sum(nil))
+	s := Stream(h.Sum(nil))
+	s[0] &^= sharedBit
+	return s
 }
 
+// StreamOfContent returns the name of a stream by the digest of its request, which other streams may share.
+func StreamOfContent(digest [16]byte) Stream {
+	s := Stream(digest)
+	s[0] |= sharedBit
+	return s
+}
+
+// sharedBit tells names by content from names by attempt.
+const sharedBit = 0x80
+
+// shared reports whether other streams may have the name too.
+func (s Stream) shared() bool { return s[0]&sharedBit != 0 }
+
 // String returns a prefix for logs.
 func (s Stream) String() string { return hex.EncodeToString(s[:4]) }
 
@@ -41,6 +56,17 @@
 	Build string `msgpack:"b"` // version of the server's software
 }
 
+// ambiguous is the origin of streams that share a name and began at different ones.
+var ambiguous = Origin{}
+
+// merge returns the origin under a name that another stream has too.
+func (o Origin) merge(other Origin) Origin {
+	if o != other {
+		return ambiguous
+	}
+	return o
+}
+
 // OriginAt returns the origin of a stream that began at a server of a pool.
 func OriginAt(pool, build string) Origin { return Origin{Pool: catalog.Hash(pool), Build: build} }
 
--- a/src/resume/ranking.go
+++ b/src/resume/ranking.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/stilemast/stilemast/src/catalog"
 )
@@ -31,17 +32,23 @@
 	return true
 }
 
-// choose returns the first boxes for a stream that are not skipped. The second is in another failure domain than the first
-// if there is one.
+// choose returns the first boxes for a stream that are not skipped, in different failure domains as long as there are
+// further ones. All boxes choose alike.
 func (r *ranking) choose(s Stream, n int, skip func(string) bool) []Box {
 	key := binary.BigEndian.Uint64(s[:])
 	var out []Box
 	for len(out) < n {
+		taken := func(b Box) bool {
+			return skip(b.Name) || slices.ContainsFunc(out, func(o Box) bool { return o.Name == b.Name })
+		}
 		i := r.first(key, func(b Box) bool {
-			return skip(b.Name) || contains(out, b) || len(out) == 1 && b.Domain == out[0].Domain
+			return taken(b) || slices.ContainsFunc(out, func(o Box) bool { return o.Domain == b.Domain })
 		})
-		if i < 0 && len(out) == 1 {
-			i = r.first(key, func(b Box) bool { return skip(b.Name) || contains(out, b) })
+		if i < 0 {
+			i = r.first(key, func(b Box) bool { return taken(b) || len(out) > 0 && b.Domain == out[len(out)-1].Domain })
+		}
+		if i < 0 {
+			i = r.first(key, taken)
 		}
 		if i < 0 {
 			break
@@ -64,12 +71,3 @@
 	}
 	return best
 }
-
-func contains(list []Box, b Box) bool {
-	for _, o := range list {
-		if o.Name == b.Name {
-			return true
-		}
-	}
-	return false
-}
--- a/src/resume/register.go
+++ b/src/resume/register.go
@@ -26,10 +26,15 @@
 		r.entries = map[Stream]entry{}
 	}
 	r.sweep(now)
-	if _, known := r.entries[b.Stream]; !known && len(r.entries) >= maxEntries {
+	before, known := r.entries[b.Stream]
+	if !known && len(r.entries) >= maxEntries {
 		return false
 	}
-	r.entries[b.Stream] = entry{origin: b.Origin, until: now.Add(b.Left)}
+	e := entry{origin: b.Origin, until: now.Add(b.Left)}
+	if known && now.Before(before.until) {
+		e.origin = before.origin.merge(b.Origin)
+	}
+	r.entries[b.Stream] = e
 	return true
 }
 
--- a/src/resume/tracker.go
+++ b/src/resume/tracker.go
@@ -66,9 +66,9 @@
 	return s
 }
 
-// Began records where a stream began and for how long its caller may take it up, and reports that to other boxes. It does
-// not wait.
-func (t *Tracker) Began(s Stream, o Origin, left time.Duration) {
+// Began records where a stream began and for how long its caller may take it up, and reports that to other boxes under the
+// stream's names. It does not wait.
+func (t *Tracker) Began(o Origin, left time.Duration, names ...Stream) {
 	if left <= 0 {
 		return
 	}
@@ -78,19 +78,27 @@
 	if t.live == nil {
 		t.live = map[Stream]*liveStream{}
 	}
-	if len(t.live) >= maxLive {
-		return
+	for _, s := range names {
+		if len(t.live) >= maxLive {
+			break
+		}
+		origin := o
+		if l := t.live[s]; l != nil && now.Before(l.until) {
+			origin = l.origin.merge(o)
+		}
+		t.live[s] = &liveStream{origin: origin, until: now.Add(min(left, maxLeft))}
+		t.due = append(t.due, s)
 	}
-	t.live[s] = &liveStream{origin: o, until: now.Add(min(left, maxLeft))}
-	t.due = append(t.due, s)
 	t.schedule()
 }
 
 // Ended records that a stream ended whole, so that nobody takes it up.
-func (t *Tracker) Ended(s Stream) {
+func (t *Tracker) Ended(names ...Stream) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.live, s)
+	for _, s := range names {
+		delete(t.live, s)
+	}
 }
 
 // schedule schedules a report. t.mu is held.
@@ -115,7 +123,7 @@
 		if l == nil || !now.Before(l.until) {
 			continue
 		}
-		for _, b := range t.ranking.choose(s, holders, t.skips(now)) {
+		for _, b := range t.holders(now, s) {
 			if !slices.Contains(l.told, b) {
 				reports[b] = append(reports[b], Began{Stream: s, Origin: l.origin, Left: l.until.Sub(now)})
 			}
@@ -129,9 +137,21 @@
 	}
 }
 
-// skips returns a function that reports whether a box is not chosen now.
-func (t *Tracker) skips(now time.Time) func(string) bool {
-	return func(box string) bool { return box == t.Self || t.excluded.Has(now, box) }
+// holders returns the other boxes that hold the origin of a stream that this box carries. For a name that streams may share,
+// this box may be one of the holders, which are the same for all boxes; otherwise another one takes its place. t.mu is held.
+func (t *Tracker) holders(now time.Time, s Stream) []Box {
+	self := func(b Box) bool { return b.Name == t.Self }
+	boxes := t.ranking.choose(s, asked, t.isExcluded(now))
+	if s.shared() {
+		boxes = boxes[:min(len(boxes), holders)]
+	}
+	boxes = slices.DeleteFunc(boxes, self)
+	return boxes[:min(len(boxes), holders)]
+}
+
+// isExcluded returns a function that reports whether a box is not chosen now.
+func (t *Tracker) isExcluded(now time.Time) func(string) bool {
+	return func(box string) bool { return t.excluded.Has(now, box) }
 }
 
 // reportTo reports streams to one box. A box that does not record them is replaced by the next one for a while.
@@ -215,10 +235,14 @@
 
 // known returns the origin of a stream if this box knows it. t.mu is held.
 func (t *Tracker) known(now time.Time, s Stream) (Origin, bool) {
+	held, ok := t.register.find(now, s)
 	if l := t.live[s]; l != nil && now.Before(l.until) {
+		if ok {
+			return l.origin.merge(held), true
+		}
 		return l.origin, true
 	}
-	return t.register.find(now, s)
+	return held, ok
 }
 
 // SetBuilds records the numbers of servers of a pool by build.
--- a/src/resume/tracker_test.go
+++ b/src/resume/tracker_test.go
@@ -90,7 +90,7 @@
 		for n := range 40 {
 			x := newBoxes(6)
 			s := StreamOf("w", fmt.Sprint(n))
-			x.all[0].Began(s, origin, 20*time.Second)
+			x.all[0].Began(origin, 20*time.Second, s)
 			x.tick(100 * time.Millisecond)
 			held := x.holding(s)
 			if len(held) != 2 || x.list[held[0]].Domain == x.list[held[1]].Domain || slices.Contains(held, 0) {
@@ -117,9 +117,9 @@
 		s := StreamOf("w", "a")
 		first := x.all[0].ranking
 		first.update(x.list)
-		chosen := first.choose(s, holders, func(b string) bool { return b == "b0" })
+		chosen := slices.DeleteFunc(first.choose(s, asked, func(string) bool { return false }), func(b Box) bool { return b.Name == "b0" })
 		x.down[chosen[0].Name], x.old[chosen[1].Name] = true, true
-		x.all[0].Began(s, origin, 20*time.Second)
+		x.all[0].Began(origin, 20*time.Second, s)
 		x.tick(time.Second)
 		if held := x.holding(s); len(held) != 2 {
 			t.Fatalf("held by %v", held)
@@ -154,7 +154,7 @@
 func TestOriginIsOfOneWorkspaceAndForATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := newBoxes(3)
-		x.all[0].Began(StreamOf("w", "a"), origin, 2*time.Second)
+		x.all[0].Began(origin, 2*time.Second, StreamOf("w", "a"))
 		x.tick(100 * time.Millisecond)
 		if _, e := x.all[1].Find(t.Context(), Taken{Stream: StreamOf("wa", "")}); e != Unknown {
 			t.Errorf("another workspace: %s", e)
@@ -177,7 +177,7 @@
 		for _, n := range []int{6, 61, 295, 985} {
 			x := newBoxes(n)
 			for i := range 200 {
-				x.all[0].Began(StreamOf("w", fmt.Sprint(i)), origin, 20*time.Second)
+				x.all[0].Began(origin, 20*time.Second, StreamOf("w", fmt.Sprint(i)))
 			}
 			x.tick(300 * time.Millisecond)
 			if x.sent.Load() != 400 || x.calls.Load() > int64(min(400, n)) {
@@ -268,3 +268,28 @@
 	}
 	t.Logf("%d bytes", len(raw))
 }
+
+// Guards against a stream that goes on where another one with the same content began.
+func TestNameOfStreamsThatBeganApartIsAmbiguous(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newBoxes(6)
+		same, apart := StreamOfContent([16]byte{1}), StreamOfContent([16]byte{2})
+		x.all[0].Began(origin, 20*time.Second, same, apart)
+		x.all[1].Began(origin, 20*time.Second, same)
+		x.all[1].Began(OriginAt("pool", "v2"), 20*time.Second, apart)
+		x.tick(300 * time.Millisecond)
+		x.down["b0"], x.down["b1"] = true, true
+		for i := 2; i < 6; i++ {
+			if o, e := x.all[i].Find(t.Context(), Taken{Stream: same}); e != Reported || o != origin {
+				t.Errorf("box %d, one origin: %v %s", i, o, e)
+			}
+			if o, e := x.all[i].Find(t.Context(), Taken{Stream: apart}); e.Known() {
+				t.Errorf("box %d, two origins: %v %s", i, o, e)
+			}
+		}
+		x.all[1].Began(OriginAt("pool", "v2"), 20*time.Second, same)
+		if o, e := x.all[1].Find(t.Context(), Taken{Stream: same}); e.Known() {
+			t.Errorf("two origins at one box: %v %s", o, e)
+		}
+	})
+}
