--- a/src/balance/prompt.go
+++ b/src/balance/prompt.go
@@ -14,6 +14,15 @@
 	Tokens int
 }
 
+// PartIDs returns the ids of prompt parts.
+func PartIDs(parts []Part) []string {
+	out := make([]string, len(parts))
+	for i, p := range parts {
+		out[i] = p.ID
+	}
+	return out
+}
+
 // cachedParts holds, for each part of one prompt, the servers that processed it (by hash of their ids) and when.
 type cachedParts []map[uint64]time.Time
 
--- a/src/crasher/content.go
+++ b/src/crasher/content.go
@@ -26,6 +26,19 @@
 	return Content(newHash(workspace, part).Sum(nil))
 }
 
+// maxParts is the number of prompt parts of a request that may count as crashing servers.
+const maxParts = 16
+
+// KeysAt returns what of a request may crash the servers of a pool: its content and the parts of its prompt that it may share
+// with other requests, all but the last.
+func (c Content) KeysAt(pool, workspace string, parts []string) []Key {
+	out := []Key{c.At(pool)}
+	for _, p := range parts[:max(0, min(len(parts)-1, maxParts))] {
+		out = append(out, PartOf(workspace, p).At(pool))
+	}
+	return out
+}
+
 // newHash returns a hash of some texts, each with its length, so that texts that are split differently don't collide.
 func newHash(texts ...string) hash.Hash {
 	h := sha256.New()
--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -62,8 +62,6 @@
 	notesPerBeat     = 64                      // load notes in one heartbeat
 	readsPerBeat     = 48                      // notes on reads of prompt parts in one heartbeat, 18 bytes each
 	namesPerLine     = 8                       // names in one log line
-	maxSuspectParts  = 16                      // prompt parts of a request that may count as crashing servers
-	maxLoggedParts   = 8                       // prompt parts in one log line
 	serverLines      = 32                      // changed servers logged one by one: the largest failure domain, but not a first list
 
 	membersLogEvery  = time.Second     // minimum interval between logs of membership changes
--- a/src/gateway/suspects.go
+++ b/src/gateway/suspects.go
@@ -34,15 +34,9 @@
 	}
 }
 
-// setPool sets the pool of a request, and what of the request may crash its servers: the content and the prompt parts that
-// it may share with other requests, all but the last.
+// setPool sets the pool of a request, and what of the request may crash its servers.
 func (v *requestRun) setPool(pool string) {
-	v.pool = pool
-	v.suspects = []crasher.Key{v.content.At(pool)}
-	parts := v.request.Parts
-	for _, p := range parts[:max(0, min(len(parts)-1, maxSuspectParts))] {
-		v.suspects = append(v.suspects, crasher.PartOf(v.workspace, p.ID).At(pool))
-	}
+	v.pool, v.suspects = pool, v.content.KeysAt(pool, v.workspace, balance.PartIDs(v.request.Parts))
 }
 
 // serverIncarnation returns a server's incarnation for the tracker.
@@ -115,14 +109,9 @@
 
 // partNames returns the shared prompt parts of a request whose exchange broke, for logs; nil for other outcomes.
 func (v *requestRun) partNames(o balance.Outcome) []string {
-	if o != balance.Broken {
+	parts := balance.PartIDs(v.request.Parts)
+	if o != balance.Broken || len(parts) == 0 {
 		return nil
 	}
-	var out []string
-	for i, p := range v.request.Parts {
-		if i < len(v.request.Parts)-1 && i < maxLoggedParts {
-			out = append(out, p.ID)
-		}
-	}
-	return out
+	return firstNames(parts[:len(parts)-1])
 }
