--- a/src/catalog/catalog.go
+++ b/src/catalog/catalog.go
@@ -253,6 +253,15 @@
 	return p.Targets[len(p.Targets)-1].Pool
 }
 
+// Pools lists the pools of the targets.
+func (p *Pipeline) Pools() []string {
+	out := make([]string, len(p.Targets))
+	for i, t := range p.Targets {
+		out[i] = t.Pool
+	}
+	return out
+}
+
 // FinalStages lists the indexes of the stages whose results the request itself needs: those that no other stage
 // follows.
 func (p *Pipeline) FinalStages() []int {
--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/stilemast/stilemast/src/clock"
+	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/connections"
 )
 
@@ -253,6 +254,24 @@
 	}
 }
 
+// ReadWhole reads a body to its end. The error is a code.MessageTooLarge if it is longer than most.
+func ReadWhole(read func([]byte) (int, error), most int) ([]byte, error) {
+	var body []byte
+	buf := make([]byte, 8<<10)
+	for {
+		n, err := read(buf)
+		body = append(body, buf[:n]...)
+		switch {
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, err
+		case len(body) > most:
+			return nil, code.New(code.MessageTooLarge, "answer", "over %d bytes", most)
+		}
+	}
+}
+
 // Close ends the exchange. Set whole if the body was read to its end without an error; otherwise the
 // connection is not reused.
 func (a *Response) Close(whole bool) {
--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -201,7 +200,7 @@
 	reply, err := g.Backends.Send(ctx, c)
 	var notSent *exchange.NotSent
 	if errors.As(err, &notSent) {
-		g.signals.returnPermit(s.ID, v.request.ID)
+		g.signals.ReleasePermit(s.ID, v.request.ID)
 		outcome := balance.Broken
 		switch {
 		case exchange.ConnectionRefused(err):
@@ -370,7 +369,7 @@
 	if reply.Events && isSuccess(reply.Status) {
 		return v.relay(ctx, e, s, reply, began, watch, why)
 	}
-	body, err := readWhole(reply)
+	body, err := exchange.ReadWhole(reply.Read, maxAnswer)
 	if err != nil {
 		reply.Close(false)
 		v.recordBreak(ctx, e, s, began, err, "answer interrupted: ", why)
@@ -407,25 +406,6 @@
 	return stepDone, nil, true
 }
 
-// readWhole reads the body of a non-streaming answer.
-func readWhole(r *Reply) ([]byte, error) {
-	var body []byte
-	buf := make([]byte, 8<<10)
-	for {
-		n, err := r.Read(buf)
-		body = append(body, buf[:n]...)
-		if err == io.EOF {
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		if len(body) > maxAnswer {
-			return nil, code.New(code.MessageTooLarge, "answer", "over %d bytes", maxAnswer)
-		}
-	}
-}
-
 // recordOutcome records in the pool how an exchange ended.
 func (v *requestRun) recordOutcome(e *pool, s catalog.Server, o balance.Outcome, began time.Time, detail, why string) {
 	g := v.gateway
--- a/src/gateway/eras.go
+++ b/src/gateway/eras.go
@@ -175,7 +175,7 @@
 func (g *Gateway) reannounceLeaving(servers []catalog.Server) {
 	now := g.now()
 	var updated []catalog.Server
-	g.signals.with(func(r *pushback.Register) {
+	g.signals.With(func(r *pushback.Register) {
 		for _, s := range servers {
 			if r.RecordLeaving(now, signalServer(s)) {
 				updated = append(updated, s)
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/stilemast/stilemast/src/paths"
 	"github.com/stilemast/stilemast/src/policy"
 	"github.com/stilemast/stilemast/src/port"
+	"github.com/stilemast/stilemast/src/pushback"
 	"github.com/stilemast/stilemast/src/registrar"
 	"github.com/stilemast/stilemast/src/resume"
 	"github.com/stilemast/stilemast/src/suspects"
@@ -79,7 +80,7 @@
 	suspects    suspects.Tracker
 	returning   registrar.Tracker
 	streams     resume.Tracker // that callers may take up at any box
-	signals     serverSignals
+	signals     pushback.Shared
 	permits     permits
 	brittle     brittle.Tracker
 	limitsDue   atomic.Bool // a message on servers' limits is scheduled
--- a/src/gateway/limits.go
+++ b/src/gateway/limits.go
@@ -28,7 +28,7 @@
 	now := g.now()
 	updated := false
 	var l pushback.ActiveLimit
-	g.signals.with(func(r *pushback.Register) {
+	g.signals.With(func(r *pushback.Register) {
 		if updated = r.RecordLimit(now, sent, signalServer(s), perSecond); updated {
 			l, _ = r.LimitOf(now, signalServer(s))
 		}
@@ -46,11 +46,11 @@
 
 // limitNotes returns the servers' limits for the next heartbeat, a few in each.
 func (g *Gateway) limitNotes() []core.LimitNote {
-	if !g.signals.any.Load() {
+	if !g.signals.Any() {
 		return nil
 	}
 	var out []core.LimitNote
-	g.signals.with(func(r *pushback.Register) {
+	g.signals.With(func(r *pushback.Register) {
 		for _, n := range r.LimitNotes() {
 			out = append(out, noteOf(n))
 		}
@@ -65,7 +65,7 @@
 	}
 	now := g.now()
 	var updated []core.LimitNote
-	g.signals.with(func(r *pushback.Register) {
+	g.signals.With(func(r *pushback.Register) {
 		for _, n := range notes[:min(len(notes), pushback.MaxNotes)] {
 			if r.MergeNote(now, noteFrom(n)) {
 				updated = append(updated, n)
@@ -95,12 +95,12 @@
 
 // limitedLoadNotes replaces the load notes of servers with a limit: boxes without limit support see them as full.
 func (g *Gateway) limitedLoadNotes(plain []core.BackendNote) []core.BackendNote {
-	if !g.signals.any.Load() {
+	if !g.signals.Any() {
 		return plain
 	}
 	var limited []pushback.ActiveLimit
 	now := g.now()
-	g.signals.with(func(r *pushback.Register) { limited = r.ActiveLimits(now) })
+	g.signals.With(func(r *pushback.Register) { limited = r.ActiveLimits(now) })
 	for i, l := range limited {
 		if i == notesPerBeat/2 {
 			break
--- a/src/gateway/permits.go
+++ b/src/gateway/permits.go
@@ -50,13 +50,10 @@
 
 // limitAt returns the limit in force at a server; false for none.
 func (g *Gateway) limitAt(s catalog.Server) (pushback.ActiveLimit, bool) {
-	if !g.signals.any.Load() {
+	if !g.signals.Any() {
 		return pushback.ActiveLimit{}, false
 	}
-	w := &g.signals
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.register.LimitOf(g.now(), signalServer(s))
+	return g.signals.LimitOf(g.now(), signalServer(s))
 }
 
 // limitRate returns the requests per second that all boxes together may send to a server, 0 for no limit.
@@ -92,7 +89,7 @@
 func (g *Gateway) takePermit(ctx context.Context, s catalog.Server, owner string, priority int, patience time.Duration) (time.Time, bool) {
 	begin, ok := g.takeRatePermit(ctx, s, owner, patience)
 	if ok && !g.brittle.Acquire(ctx, &s, owner, priority, patience) {
-		g.signals.returnPermit(s.ID, owner)
+		g.signals.ReleasePermit(s.ID, owner)
 		return begin, false
 	}
 	return begin, ok
@@ -106,7 +103,7 @@
 		return now, true
 	}
 	has := false
-	g.signals.with(func(r *pushback.Register) { has = r.HasPermit(now, signalServer(s), owner) })
+	g.signals.With(func(r *pushback.Register) { has = r.HasPermit(now, signalServer(s), owner) })
 	if has {
 		return now, true
 	}
@@ -118,7 +115,7 @@
 		a = port.Permits{Next: coordinatorPause}
 	}
 	updated := false
-	g.signals.with(func(r *pushback.Register) {
+	g.signals.With(func(r *pushback.Register) {
 		updated = r.MergeNote(now, noteFrom(a.Limit))
 		r.AddPermits(now, s.ID, owner, a.N, a.Begin, a.Next)
 	})
@@ -200,7 +197,7 @@
 	}
 	updated, limited := false, false
 	var l pushback.ActiveLimit
-	g.signals.with(func(r *pushback.Register) {
+	g.signals.With(func(r *pushback.Register) {
 		updated = r.MergeNote(now, note)
 		l, limited = r.LimitOf(now, note.Server)
 	})
--- a/src/gateway/relay.go
+++ b/src/gateway/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"slices"
 	"time"
 
 	"github.com/stilemast/stilemast/src/balance"
@@ -124,17 +123,10 @@
 	}
 }
 
-// streamNames returns the names of the stream: the content, and first the attempt that brought its first event, unless the
-// caller takes the stream up without stating it.
+// streamNames returns the names under which boxes know the stream.
 func (v *requestRun) streamNames() []resume.Stream {
-	r, content := v.request, resume.StreamOfContent(v.content)
-	switch {
-	case r.LastEvent == "":
-		return []resume.Stream{resume.StreamOf(v.workspace, r.ID), content}
-	case r.Resumes != "":
-		return []resume.Stream{resume.StreamOf(v.workspace, r.Resumes), content}
-	}
-	return []resume.Stream{content}
+	r := v.request
+	return resume.Names(v.workspace, r.ID, r.Resumes, r.LastEvent != "", v.content)
 }
 
 // takeUp finds out where a stream began that the caller takes up, and refuses it at once if it can't go on.
@@ -143,27 +135,15 @@
 	if p.Kind != catalog.Stream || v.request.LastEvent == "" {
 		return nil
 	}
-	taken := resume.Taken{Stream: v.streamNames()[0], Window: p.Timeout, Request: v.request.ID}
-	if len(p.Targets) == 1 {
-		taken.Pool = p.Targets[0].Pool
-	}
-	origin, evidence := g.streams.Find(ctx, taken)
+	pool, build, evidence, err := g.streams.TakeUp(ctx, resume.Taken{Stream: v.streamNames()[0], Pools: p.Pools(), Window: p.Timeout, Request: v.request.ID})
 	if g.Observer.TakenUp != nil {
 		g.Observer.TakenUp(p.Name, string(evidence))
 	}
-	if !evidence.Known() {
-		err := refusal(code.CannotResume, "resumes", 0, "no box knows the build that began the stream")
-		if evidence == resume.Silent {
-			err.RetryAfter = otherBoxRetryAfter
-		}
+	if err != nil {
 		return err
 	}
-	at := slices.IndexFunc(p.Targets, func(t catalog.Target) bool { return catalog.Hash(t.Pool) == origin.Pool })
-	if at < 0 {
-		return refusal(code.CannotResume, "resumes", 0, "the pipeline no longer uses the pool that began the stream")
-	}
-	v.setPool(p.Targets[at].Pool)
-	v.build = &origin.Build
+	v.setPool(pool)
+	v.build = &build
 	v.bound.Store(true)
 	if !v.canGoOn() {
 		return v.noBuildLeft()
--- a/src/gateway/rest.go
+++ b/src/gateway/rest.go
@@ -73,7 +73,7 @@
 	if !ok {
 		return s, false
 	}
-	return s, v.gateway.signals.check(now, s).State == pushback.Full || !v.gateway.brittle.FullUntil(s.ID).IsZero()
+	return s, v.gateway.signals.Check(now, signalServer(s)).State == pushback.Full || !v.gateway.brittle.FullUntil(s.ID).IsZero()
 }
 
 // serverExpected reports whether a server is or will be available although the choice found none: since then another
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -321,7 +321,7 @@
 	g := d.gateway
 	owner, v := "results of "+handles[0], pushback.Verdict{State: pushback.Full}
 	if _, ok := g.takePermit(ctx, s, owner, 0, 0); ok {
-		v = g.signals.begin(g.now(), s, owner)
+		v = g.signals.Begin(g.now(), signalServer(s), owner)
 	}
 	if !v.Open() {
 		g.Log.Info("results not freed, server accepts no requests now", "server", s.ID, "state", v.State.String(), "results", len(handles))
--- a/src/gateway/signals.go
+++ b/src/gateway/signals.go
@@ -4,8 +4,6 @@
 	"errors"
 	"maps"
 	"slices"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/stilemast/stilemast/src/catalog"
@@ -16,46 +14,6 @@
 // ErrServerRests means that nothing was sent because the server asked for rest or takes no more requests now.
 var ErrServerRests = errors.New("the server asked for rest")
 
-// serverSignals holds what servers signalled about themselves. Its lock is taken only while there is anything.
-type serverSignals struct {
-	any atomic.Bool
-
-	mu       sync.Mutex
-	register pushback.Register
-}
-
-// with runs a function on the register and then updates whether the register is empty.
-func (w *serverSignals) with(do func(r *pushback.Register)) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	do(&w.register)
-	w.any.Store(!w.register.Empty())
-}
-
-// check returns what a server's signals allow now.
-func (w *serverSignals) check(now time.Time, s catalog.Server) pushback.Verdict {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.register.Check(now, signalServer(s))
-}
-
-// begin checks a server's signals just before the first byte of a request is sent to it.
-func (w *serverSignals) begin(now time.Time, s catalog.Server, owner string) pushback.Verdict {
-	if !w.any.Load() {
-		return pushback.Verdict{}
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.register.Begin(now, signalServer(s), owner)
-}
-
-// returnPermit returns the permit of a request that was not sent.
-func (w *serverSignals) returnPermit(id, owner string) {
-	if w.any.Load() {
-		w.with(func(r *pushback.Register) { r.ReleasePermit(id, owner) })
-	}
-}
-
 // signalServer returns the id and incarnation of a listed server.
 func signalServer(s catalog.Server) pushback.Server {
 	return pushback.Server{ID: s.ID, Incarnation: int64(s.Incarnation)}
@@ -66,21 +24,21 @@
 // 600 servers then takes 151 us instead of 224.
 func (g *Gateway) restsUntil(s *catalog.Server) time.Time {
 	full := g.brittle.FullUntil(s.ID)
-	if !g.signals.any.Load() {
+	if !g.signals.Any() {
 		return full
 	}
-	if until := g.signals.check(g.now(), *s).Until; until.After(full) {
+	if until := g.signals.Check(g.now(), signalServer(*s)).Until; until.After(full) {
 		return until
 	}
 	return full
 }
 
 // anyHeldBack reports whether some server may take no request now because of what it said.
-func (g *Gateway) anyHeldBack() bool { return g.signals.any.Load() || g.brittle.Any() }
+func (g *Gateway) anyHeldBack() bool { return g.signals.Any() || g.brittle.Any() }
 
 // isLeaving reports whether a listed server signalled that it leaves.
 func (g *Gateway) isLeaving(s catalog.Server) bool {
-	return g.signals.any.Load() && g.signals.check(g.now(), s).State == pushback.Leaving
+	return g.signals.Any() && g.signals.Check(g.now(), signalServer(s)).State == pushback.Leaving
 }
 
 // recordSignals records the signals in a server's answer. what names the exchange in logs; sent is when it began, zero
@@ -89,7 +47,7 @@
 	if w.Brittle > 0 || !sent.IsZero() {
 		g.brittle.Record(&s, w.Brittle, sent)
 	}
-	if w == (pushback.Signals{}) && !g.signals.any.Load() {
+	if w == (pushback.Signals{}) && !g.signals.Any() {
 		return
 	}
 	if w.Limit != 0 || !sent.IsZero() {
@@ -98,7 +56,7 @@
 	now := g.now()
 	var until time.Time
 	leaves, rests := false, false
-	g.signals.with(func(r *pushback.Register) {
+	g.signals.With(func(r *pushback.Register) {
 		if w.Leaving {
 			leaves = r.RecordLeaving(now, signalServer(s))
 		}
@@ -147,14 +105,14 @@
 // leavingNotes returns notes on the servers that signalled that they leave, as long as this box's list names
 // them as working.
 func (g *Gateway) leavingNotes() []core.LeavingNote {
-	if !g.signals.any.Load() {
+	if !g.signals.Any() {
 		return nil
 	}
 	p := &g.published
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []core.LeavingNote
-	g.signals.with(func(r *pushback.Register) {
+	g.signals.With(func(r *pushback.Register) {
 		for _, s := range r.LeavingServers(p.listedOrInUse) {
 			out = append(out, core.LeavingNote{Server: s.ID, Incarnation: uint64(s.Incarnation)})
 		}
@@ -178,7 +136,7 @@
 	}
 	now := g.now()
 	updated := map[string]catalog.Server{}
-	g.signals.with(func(r *pushback.Register) {
+	g.signals.With(func(r *pushback.Register) {
 		for _, n := range notes[:min(len(notes), pushback.MaxNotes)] {
 			s := pushback.Server{ID: n.Server, Incarnation: int64(n.Incarnation)}
 			if r.RecordLeaving(now, s) {
@@ -202,13 +160,13 @@
 
 // sweepSignals drops outdated signals.
 func (g *Gateway) sweepSignals(now time.Time) {
-	if !g.signals.any.Load() {
+	if !g.signals.Any() {
 		return
 	}
 	p := &g.published
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	g.signals.with(func(r *pushback.Register) {
+	g.signals.With(func(r *pushback.Register) {
 		r.Sweep(now, func(id string) bool { return p.list.Get(id) != nil })
 	})
 }
--- a/src/gateway/start_check.go
+++ b/src/gateway/start_check.go
@@ -34,7 +34,7 @@
 // no more after the first.
 func (g *Gateway) checkSignals(s catalog.Server, what, owner string, chosen time.Time) error {
 	now := g.now()
-	v := g.signals.begin(now, s, owner)
+	v := g.signals.Begin(now, signalServer(s), owner)
 	if v.Open() {
 		return nil
 	}
--- a/src/resume/find.go
+++ b/src/resume/find.go
@@ -4,6 +4,9 @@
 	"context"
 	"slices"
 	"time"
+
+	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/code"
 )
 
 // Evidence is what is known of the origin of a stream that a caller takes up.
@@ -23,11 +26,37 @@
 // Taken is a stream that a caller takes up.
 type Taken struct {
 	Stream  Stream
-	Pool    string        // the only pool that it can have begun at, "" if there are several
+	Pools   []string      // that its pipeline uses
 	Window  time.Duration // longest time that it can have run
 	Request string        // id of the request, for logs
 }
 
+// pool returns the pool of an origin, "" if the pipeline no longer uses it.
+func (t Taken) pool(o Origin) string {
+	at := slices.IndexFunc(t.Pools, func(p string) bool { return catalog.Hash(p) == o.Pool })
+	if at < 0 {
+		return ""
+	}
+	return t.Pools[at]
+}
+
+// TakeUp returns the pool and the build at which a stream goes on that a caller takes up, and the evidence for them. If the
+// origin is not known, or no longer of the pipeline, the error refuses the stream.
+func (t *Tracker) TakeUp(ctx context.Context, taken Taken) (pool, build string, e Evidence, err *code.Error) {
+	o, e := t.Find(ctx, taken)
+	if !e.Known() {
+		err = code.New(code.CannotResume, "resumes", "no box knows the build that began the stream").WithRan(code.RanNo)
+		if e == Silent {
+			err.RetryAfter = silentRetryAfter
+		}
+		return "", "", e, err
+	}
+	if pool = taken.pool(o); pool == "" {
+		return "", "", e, code.New(code.CannotResume, "resumes", "the pipeline no longer uses the pool that began the stream").WithRan(code.RanNo)
+	}
+	return pool, o.Build, e, nil
+}
+
 // Find returns the origin of a stream that a caller takes up, and the evidence for it.
 func (t *Tracker) Find(ctx context.Context, taken Taken) (Origin, Evidence) {
 	began := t.Now()
@@ -59,14 +88,15 @@
 	}
 	boxes = slices.DeleteFunc(boxes, func(b Box) bool { return b.Name == t.Self })
 	o, e := t.ask(ctx, taken.Stream, boxes, o, ok)
-	if e.Known() || taken.Pool == "" {
+	if e.Known() || len(taken.Pools) != 1 {
 		return o, e
 	}
+	only := taken.Pools[0]
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if h := t.histories[taken.Pool]; h != nil {
+	if h := t.histories[only]; h != nil {
 		if build, ok := h.sole(t.Now(), taken.Window); ok {
-			return OriginAt(taken.Pool, build), Single
+			return OriginAt(only, build), Single
 		}
 	}
 	return Origin{}, e
--- a/src/resume/message.go
+++ b/src/resume/message.go
@@ -41,6 +41,18 @@
 	return s
 }
 
+// Names returns the names of the stream of an attempt: the attempt that brought its first event, which the caller states if
+// it takes the stream up, and the digest of the request. The first is left out if the caller takes a stream up without stating it.
+func Names(workspace, attempt, resumes string, takenUp bool, digest [16]byte) []Stream {
+	if takenUp {
+		attempt = resumes
+	}
+	if attempt == "" {
+		return []Stream{StreamOfContent(digest)}
+	}
+	return []Stream{StreamOf(workspace, attempt), StreamOfContent(digest)}
+}
+
 // sharedBit tells names by content from names by attempt.
 const sharedBit = 0x80
 
--- a/src/resume/tracker_test.go
+++ b/src/resume/tracker_test.go
@@ -230,7 +230,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			x := newBoxes(2).all[0]
 			c.play(x)
-			o, e := x.Find(t.Context(), Taken{Stream: StreamOf("w", "a"), Pool: "p", Window: window})
+			o, e := x.Find(t.Context(), Taken{Stream: StreamOf("w", "a"), Pools: []string{"p"}, Window: window})
 			if (e == Single) != c.want || c.want && o != OriginAt("p", "v1") {
 				t.Errorf("%s: %v %s", c.name, o, e)
 			}
