--- a/src/crasher/content.go
+++ b/src/crasher/content.go
@@ -9,8 +9,8 @@
 )
 
 // Content identifies the content of a request, or a prompt part that requests share, independently of the attempt. The
-// content is equal for requests of one workspace with the same method, host, target and body. It includes the workspace so that no caller can get another's requests refused;
-// all callers of a pipeline that needs no token share one.
+// content is equal for requests of one workspace with the same method, host, target and body. It includes the workspace so
+// that no caller can get another's requests refused; all callers of a pipeline that needs no token share one.
 type Content [16]byte
 
 // ContentOf returns the identifier of a request's content. The target is the path with its query.
