--- a/src/resume/constants.go
+++ b/src/resume/constants.go
@@ -19,9 +19,9 @@
 	reportTimeout = 400 * time.Millisecond // of one report
 	queryTimeout  = 300 * time.Millisecond // of a query; the caller waits for it
 	silentFor     = time.Second            // for which a box that did not answer is not chosen
-	// silentRetryAfter is when a caller may ask another box, where a box that may know did not answer.
-	silentRetryAfter = 30 * time.Millisecond
-	unsupportedFor   = 30 * time.Second // for which a box of an earlier release is not chosen
+
+	unsupportedFor   = 30 * time.Second      // for which a box of an earlier release is not chosen
+	silentRetryAfter = 30 * time.Millisecond // for callers refused since a box that may know did not answer
 
 	// historyMargin is for how much longer than a stream can run a pool must have had a single build: until all boxes
 	// have learned of a server that started or left.
