Streams are told anew also if a report or a query noticed the change of boxes first

The tick compares the boxes with those seen last, and a report or a query updated them too, so that after it the live streams were not told to the boxes that came in place of others: an origin was lost with a holder that started again while other streams began. Found by reading; TestOriginOutlivesTheBoxesThatHoldIt with another stream beginning in between failed (nobody held the origin) and passes. A build too long to be recorded is not reported, instead of being reported again and again.

--- a/src/resume/find.go
+++ b/src/resume/find.go
@@ -80,7 +80,7 @@
 	now := t.Now()
 	t.mu.Lock()
 	o, ok := t.known(now, taken.Stream)
-	t.ranking.update(t.Boxes())
+	t.updateBoxes()
 	boxes := t.ranking.choose(taken.Stream, asked, t.isExcluded(now))
 	t.mu.Unlock()
 	if ok && !taken.Stream.shared() {
--- a/src/resume/tracker.go
+++ b/src/resume/tracker.go
@@ -31,6 +31,7 @@
 	live      map[Stream]*liveStream // that began here, or were taken up here
 	due       []Stream               // live streams to report
 	scheduled bool                   // a report is scheduled
+	changed   bool                   // boxes came or went since the live streams were reported
 	recheckAt time.Time              // when a box that was not chosen may be again; zero for none
 	register  register               // origins that other boxes reported
 	ranking   ranking
@@ -69,7 +70,7 @@
 // Began records where a stream began and for how long its caller may take it up, and reports that to other boxes under the
 // stream's names. It does not wait.
 func (t *Tracker) Began(o Origin, left time.Duration, names ...Stream) {
-	if left <= 0 {
+	if left <= 0 || len(o.Build) > maxBuildBytes {
 		return
 	}
 	now := t.Now()
@@ -117,7 +118,7 @@
 	t.mu.Lock()
 	due := t.due
 	t.due, t.scheduled = nil, false
-	t.ranking.update(t.Boxes())
+	t.updateBoxes()
 	for _, s := range due {
 		l := t.live[s]
 		if l == nil || !now.Before(l.until) {
@@ -137,6 +138,11 @@
 	}
 }
 
+// updateBoxes takes over the boxes that take work now. t.mu is held.
+func (t *Tracker) updateBoxes() {
+	t.changed = t.ranking.update(t.Boxes()) || t.changed
+}
+
 // holders returns the other boxes that hold the origin of a stream that this box carries. For a name that streams may share,
 // this box may be one of the holders, which are the same for all boxes; otherwise another one takes its place. t.mu is held.
 func (t *Tracker) holders(now time.Time, s Stream) []Box {
@@ -201,7 +207,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.register.sweep(now)
-	changed := t.ranking.update(t.Boxes())
+	t.updateBoxes()
+	changed := t.changed
+	t.changed = false
 	if !t.recheckAt.IsZero() && !now.Before(t.recheckAt) {
 		t.recheckAt, changed = time.Time{}, true
 	}
--- a/src/resume/tracker_test.go
+++ b/src/resume/tracker_test.go
@@ -98,6 +98,8 @@
 			}
 			for range 3 { // each holder starts again in turn, while the box that carries the stream lives
 				x.restart(x.holding(s)[0])
+				x.all[0].Began(origin, time.Second, StreamOf("w", "another"))
+				time.Sleep(2 * reportDelay)
 				x.tick(300 * time.Millisecond)
 			}
 			x.down["b0"] = true
