Callers whose first attempt took more than half of their time are found

Cause: the register of refused callers compares the age of an entry with the time that a returning caller states, and ignores older entries. A caller whose queued work yields after two seconds or more of its five has less time left than its entry is old: it counted as new, its objective began again, its work could yield a second time, and it was refused again.

Ruled out: yielding of recorded callers (their jobs are not Fresh), boxes that do not know yet that refusals happen (the query was sent).

Change: an entry older than the stated time is used if the deadlines of both agree within 100 ms. Record carries the time to the deadline, so that the box that asks checks it too; without the field nothing changes.

TestCallerRefusedLateIsFound failed before. TestReturningCallerIsFoundWithItsAge wants the new field too.

--- a/src/returning/constants.go
+++ b/src/returning/constants.go
@@ -29,6 +29,9 @@
 	// earlyTolerance is the time before the promised one from which a caller is on time: ages in messages leave out
 	// their time on the way, and callers round what they are told.
 	earlyTolerance = 25 * time.Millisecond
+	// deadlineTolerance is by how much the deadlines of two attempts of one caller differ at most: callers round what they
+	// state, and the time on the way to each box differs.
+	deadlineTolerance = 100 * time.Millisecond
 )
 
 // KnownFor is the time after a refusal for which boxes query registrars.
--- a/src/returning/message.go
+++ b/src/returning/message.go
@@ -33,6 +33,7 @@
 type Record struct {
 	Refusals int           `msgpack:"n,omitempty"` // 0 for a new caller
 	Age      time.Duration `msgpack:"a,omitempty"` // since the first attempt
+	Left     time.Duration `msgpack:"l,omitempty"` // until the deadline; 0 from boxes of earlier releases
 	Early    time.Duration `msgpack:"e,omitempty"` // time by which the caller returned before it was told to; 0 if on time or later
 	Promised bool          `msgpack:"k,omitempty"` // it was promised to be in time
 }
@@ -46,8 +47,13 @@
 // Bounded returns a record received from another box, or the zero value if it makes no sense for a query with this
 // remaining time.
 func (r Record) Bounded(left time.Duration) Record {
-	if r.Refusals < 1 || r.Refusals > MaxRefusals || r.Age < 0 || r.Age > min(maxTime, left) || r.Early < 0 || r.Early > maxTime {
+	if r.Refusals < 1 || r.Refusals > MaxRefusals || r.Age < 0 || r.Age > maxTime || !r.fits(left) || r.Early < 0 || r.Early > maxTime {
 		return Record{}
 	}
 	return r
 }
+
+// fits reports whether the record can be that of a caller that states a remaining time.
+func (r Record) fits(left time.Duration) bool {
+	return r.Age <= left || (r.Left-left).Abs() <= deadlineTolerance
+}
--- a/src/returning/register.go
+++ b/src/returning/register.go
@@ -27,7 +27,7 @@
 	pipeline uint64
 	first    time.Time // its first attempt
 	due      time.Time // when it was told to return
-	until    time.Time // its deadline, or the time until which the entry is kept
+	deadline time.Time
 	promised bool
 	refusals int
 }
@@ -54,7 +54,7 @@
 		r.order = r.order[1:]
 	}
 	r.next++
-	e := entry{number: r.next, pipeline: f.Pipeline, first: now.Add(-f.Age), due: now.Add(f.After), until: now.Add(min(f.Left, maxTime-f.Age)), promised: f.Promised, refusals: f.Refusals}
+	e := entry{number: r.next, pipeline: f.Pipeline, first: now.Add(-f.Age), due: now.Add(f.After), deadline: now.Add(f.Left), promised: f.Promised, refusals: f.Refusals}
 	same := r.entries[f.Content]
 	if len(same) == maxSame {
 		same = slices.Delete(same, 0, 1)
@@ -62,19 +62,19 @@
 	}
 	r.entries[f.Content] = append(same, e)
 	r.count++
-	r.order = append(r.order, arrival{f.Content, e.number, e.until})
+	r.order = append(r.order, arrival{f.Content, e.number, now.Add(min(f.Left, maxTime-f.Age))})
 	return true
 }
 
 // Take returns what is known of a caller and drops its entry: whoever of several callers with the same content returns
 // first uses the entry of the one whose first attempt is the oldest. An entry older than the time that the caller states
-// is not used, as it would make a new caller with the same content late by another one's clock.
+// is used only if their deadlines agree, as it would make a new caller with the same content late by another one's clock.
 func (r *Register) Take(now time.Time, q Query) Record {
 	r.Sweep(now)
 	same := r.entries[q.Content]
 	best := -1
 	for i, e := range same {
-		if e.pipeline == q.Pipeline && now.Sub(e.first) <= q.Left && (best < 0 || e.first.Before(same[best].first)) {
+		if e.pipeline == q.Pipeline && e.record(now).fits(q.Left) && (best < 0 || e.first.Before(same[best].first)) {
 			best = i
 		}
 	}
@@ -83,11 +83,16 @@
 	}
 	e := same[best]
 	r.remove(q.Content, best)
+	return e.record(now)
+}
+
+// record returns what is known of the caller now.
+func (e entry) record(now time.Time) Record {
 	early := e.due.Sub(now)
 	if early <= earlyTolerance {
 		early = 0
 	}
-	return Record{Refusals: e.refusals, Age: now.Sub(e.first), Early: early, Promised: e.promised}
+	return Record{Refusals: e.refusals, Age: now.Sub(e.first), Left: e.deadline.Sub(now), Early: early, Promised: e.promised}
 }
 
 // Sweep drops the entries whose time is over.
--- a/src/returning/register_test.go
+++ b/src/returning/register_test.go
@@ -32,7 +32,7 @@
 	f.Promised = true
 	r.Record(start, f)
 	got := r.Take(after(300*time.Millisecond), query(1))
-	if want := (Record{Refusals: 1, Age: 310 * time.Millisecond, Promised: true}); got != want || !got.OnTime() {
+	if want := (Record{Refusals: 1, Age: 310 * time.Millisecond, Left: 3700 * time.Millisecond, Promised: true}); got != want || !got.OnTime() {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 	if got := r.Take(after(300*time.Millisecond), query(1)); got.Known() || r.Len() != 0 {
@@ -53,6 +53,26 @@
 	}
 }
 
+// Guards against a caller that counts as new, and may be refused again, because its first attempt took more than half of
+// its time.
+func TestCallerRefusedLateIsFound(t *testing.T) {
+	var r Register
+	f := refusal(1)
+	f.Age, f.Left = 3*time.Second, 2*time.Second
+	r.Record(start, f)
+	q := query(1)
+	q.Left = f.Left - 250*time.Millisecond
+	got := r.Take(after(250*time.Millisecond), q)
+	if want := 3250 * time.Millisecond; got.Age != want || !got.OnTime() || got.Bounded(q.Left) != got {
+		t.Errorf("got %+v, as received %+v, want an age of %s", got, got.Bounded(q.Left), want)
+	}
+	r.Record(start, f)
+	q.Left = time.Second
+	if got := r.Take(after(250*time.Millisecond), q); got.Known() {
+		t.Errorf("the entry of a caller with another deadline was used: %+v", got)
+	}
+}
+
 // Two callers ask for the same. Guards against one entry for both, and against a newer caller that is judged by the
 // clock of one whose time is over.
 func TestCallersWithTheSameContent(t *testing.T) {
