A box that first hears of an era after a restore orders earlier numbers below it

Cause: the aware box learns of eras by its first read after the restore, era 2. It took that era for the base, so the higher numbers of the others, which send no era, became later revisions of the new era (2/42, where the store is at 2/1). Its own read was ignored, the lists of the two sides replaced each other, and only its next read set the base right. It also did not count as restored, so that it took what the others confirm for reads by others and read no more for 3.5 s.

Ruled out: the readers' ranking (the same in plays that pass).

Change: a first read at an era that shows less than was held before it began shows that the held numbers are of an earlier era: the base is set below the era, and the store counts as restored.

--- a/src/catalog/feed.go
+++ b/src/catalog/feed.go
@@ -118,7 +118,7 @@
 // Renumber lowers the state of the held content to that of a read, if a higher one was held since before the
 // read began. It reports whether it did.
 func (f *Feed) Renumber(began time.Time, asOf State) bool {
-	if asOf >= f.asOf || !f.asOfSince.Before(began) {
+	if asOf >= f.asOf || !f.HeldBefore(began) {
 		return false
 	}
 	f.asOf, f.newest, f.behind = asOf, stamp{}, time.Time{}
@@ -126,6 +126,9 @@
 	return true
 }
 
+// HeldBefore reports whether the state of the held content was learned before a time.
+func (f *Feed) HeldBefore(t time.Time) bool { return f.asOfSince.Before(t) }
+
 // ApplyPull applies a peer's state. It reports whether the content is newer and must be adopted.
 func (f *Feed) ApplyPull(now time.Time, asOf State, digest string, content uint64) bool {
 	f.pulling = ""
--- a/src/gateway/eras.go
+++ b/src/gateway/eras.go
@@ -86,7 +86,7 @@
 
 // correctEra compares the revision of a read that began at a time with the held one. Within an era the
 // store never goes back, so a held revision that is later belongs to an earlier era than assumed: boxes of
-// earlier releases send no era, and a box that learns of one after a restore assigns their revisions to it.
+// earlier releases send no era, and a box that learns of one after a restore would assign their revisions to it.
 func (g *Gateway) correctEra(document string, began time.Time, at catalog.Revision) {
 	p := &g.published
 	asOf := catalog.ConfigAt(at)
@@ -94,14 +94,22 @@
 		asOf = catalog.ListAt(at)
 	}
 	p.mu.Lock()
-	held := p.heldRevision(document)
-	mistaken := at.Era() > 0 && held.Era() == at.Era() && p.feed(document).Renumber(began, asOf)
+	held, feed := p.heldRevision(document), p.feed(document)
+	mistaken := at.Era() > 0 && held.Era() == at.Era() && feed.Renumber(began, asOf)
 	if mistaken && p.eras.base >= at.Era() && at.Era() > 1 {
 		p.eras.base = at.Era() - 1
 	}
+	unassigned := at.Era() > 1 && !p.eras.known && held.Number() > at.Number() && feed.HeldBefore(began)
+	if unassigned {
+		p.eras.base, p.eras.known = at.Era()-1, true
+		p.catalogs.Restored, p.lists.Restored = true, true
+	}
 	p.mu.Unlock()
-	if mistaken {
+	switch {
+	case mistaken:
 		g.Log.Warn("revisions from boxes that send no era were assigned to a later era", "document", document, "revision", at, "held_revision", held)
+	case unassigned:
+		g.Log.Info("revisions from boxes that send no era belong to an earlier era", "document", document, "revision", at, "held_revision", held)
 	}
 }
 
--- a/src/gateway/restore_mixed_test.go
+++ b/src/gateway/restore_mixed_test.go
@@ -129,3 +129,33 @@
 		}
 	}
 }
+
+// Guards against a box that first hears of an era after a restore and takes the higher numbers of boxes that send none for
+// newer ones.
+func TestEarlierNumbersAreNotAssignedToTheEraOfARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const aware = "box5"
+		f := newMixedFleet(t, 6, func(box string) bool { return box != aware })
+		c := f.snapshotStore()
+		f.skipRevisions(40)
+		f.publish(testCatalog(2))
+		time.Sleep(2 * time.Second)
+		f.restore(c, 500*time.Millisecond)
+		p := &f.box(aware).published
+		known := false
+		for began := time.Now(); time.Since(began) < 6*time.Second; time.Sleep(5 * time.Millisecond) {
+			for _, document := range []string{port.DocumentConfig, port.DocumentServers} {
+				p.mu.Lock()
+				held := p.heldRevision(document)
+				p.mu.Unlock()
+				known = known || held.Era() == f.era
+				if held.Era() == f.era && held.Number() > 40 {
+					t.Fatalf("%s at revision %s, which the store has not reached", document, held)
+				}
+			}
+		}
+		if !known {
+			t.Error("the box did not hear of the era")
+		}
+	})
+}
