Test: brittle servers at 295 and 985 boxes, by a flag

Cause: brittle servers were played at 1, 6 and 61 boxes only.

Change: with -paths.table TestBrittleServersDoNotFallOver plays 295 and 985 boxes too; loads and bounds are the same.

--- a/src/gateway/brittle_test.go
+++ b/src/gateway/brittle_test.go
@@ -188,13 +188,21 @@
 	time.Sleep(time.Second) // until the last messages have arrived
 }
 
+// brittleSizes returns the fleet sizes in which brittle servers are played.
+func brittleSizes() []int {
+	if *pathsTable {
+		return []int{1, 6, 61, 295, 985}
+	}
+	return []int{1, 6, 61}
+}
+
 func TestBrittleServersDoNotFallOver(t *testing.T) {
 	for _, c := range []struct {
 		servers int
 		load    float64
 		served  float64 // share of the callers, of whom the servers carry 1/load at most
 	}{{5, 0.7, 0.97}, {5, 1.5, 0.5}, {12, 2.5, 0.3}} {
-		for _, boxes := range []int{1, 6, 61} {
+		for _, boxes := range brittleSizes() {
 			t.Run(fmt.Sprintf("%d servers, load %.1f, %d boxes", c.servers, c.load, boxes), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					s := newBrittleSite(t, boxes, c.servers)
--- a/src/gateway/paths_test.go
+++ b/src/gateway/paths_test.go
@@ -19,7 +19,7 @@
 	"github.com/stilemast/stilemast/src/catalog"
 )
 
-var pathsTable = flag.Bool("paths.table", false, "play boxes without a path at 295 and 985 boxes too")
+var pathsTable = flag.Bool("paths.table", false, "play boxes without a path, and brittle servers, at 295 and 985 boxes too")
 
 // Boxes lose their path to all servers, while callers, the other boxes and the store reach them. From contactTime after
 // that, a caller must not be able to tell from the first attempts which boxes these are.
