Test: repeats that the budget of all boxes allows are refused at single boxes

What callers see: while servers crash, streams are cut that could go on at another server, more of them in larger fleets.

Cause: each box has its part of the budget of repeats to itself, in whole repeats: one of 61 boxes has 1.5 and may use 1, while others use none.

--- a/src/gateway/builds_test.go
+++ b/src/gateway/builds_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -340,6 +341,43 @@
 	}
 }
 
+// Guards against repeats that are refused at one box while the budget of all boxes allows them.
+func TestRepeatsWithinTheBudgetOfAllBoxesAreAllowed(t *testing.T) {
+	for _, boxes := range buildSizes() {
+		t.Run(fmt.Sprint(boxes, " boxes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newBuildSite(t, boxes, 24, 12)
+				var allowed, refused atomic.Int64
+				for i := range boxes {
+					s.f.box(s.name(i)).Observer.Retried = func(_ string, ok bool) {
+						if ok {
+							allowed.Add(1)
+						} else {
+							refused.Add(1)
+						}
+					}
+				}
+				n := s.run(18*time.Second, func() {
+					for range 24 {
+						time.Sleep(700 * time.Millisecond)
+						ids := s.running()
+						s.crash(ids[s.rand.IntN(len(ids))])
+					}
+				})
+				yes, no := allowed.Load(), refused.Load()
+				t.Logf("%s; %d repeats allowed, %d refused", n, yes, no)
+				if budget := 0.2*float64(n.streams) + 50; float64(yes+no) > budget {
+					t.Errorf("%d repeats are asked for, the budget of all boxes allows %.0f: the load is too heavy", yes+no, budget)
+				}
+				if no*20 > yes+no {
+					t.Errorf("%d of %d repeats refused, want 5 in 100 at most", no, yes+no)
+				}
+				time.Sleep(4 * time.Second)
+			})
+		})
+	}
+}
+
 // takeUpCases are the ways in which callers lose the box that began their streams.
 var takeUpCases = []struct {
 	name string
