Boxes lend each other parts of the retry budget

What callers saw: while servers crash, streams were cut that could have gone on at another server, more of them the larger the fleet; their callers took them up.

Cause: the budget of all boxes is divided in equal parts and by the requests of each box, and a box may use whole retries only. One of 61 boxes with 1.5 retries in a window used 1 and refused the next, while most used none.

Ruled out: the budget as a whole (half used), requests that spend a retry and do not send.

Change: src/retry has a Borrower. A lender counts it as used, so the sum holds (TestBoxesTogetherStayWithinBudget lends now).

Why not more for each box: a larger part for each breaks the bound of all.

--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -58,7 +58,7 @@
 		if v.begun && what == stepRetry && !v.canGoOn() {
 			what, err = stepFail, v.noBuildLeft()
 		}
-		if what == stepFail || ctx.Err() != nil || v.attempts >= max(1, v.pipeline.Attempts) || !v.takeRetry() {
+		if what == stepFail || ctx.Err() != nil || v.attempts >= max(1, v.pipeline.Attempts) || !v.takeRetry(ctx) {
 			v.fail(ctx, err)
 			return
 		}
@@ -86,15 +86,21 @@
 	return false
 }
 
-// takeRetry spends one retry of the budget that all boxes share.
-func (v *requestRun) takeRetry() bool {
+// takeRetry spends one retry of the budget that all boxes share, with parts of other boxes where this box's is used up.
+func (v *requestRun) takeRetry(ctx context.Context) bool {
 	g := v.gateway
 	now := g.now()
 	boxes := g.fleet.boxes(now)
 	e := g.pools.get(v.pool)
 	e.mu.Lock()
-	ok := e.budget.Take(now, boxes)
+	own := e.budget.Lend(now, boxes, 1)
 	e.mu.Unlock()
+	ok := g.retries.Borrow(ctx, v.pool, v.request.ID, 1-own)
+	if !ok {
+		e.mu.Lock()
+		e.budget.Return(g.now(), now, own)
+		e.mu.Unlock()
+	}
 	g.Log.Info("retry", "request", v.request.ID, "pool", v.pool, "allowed", ok, "boxes", boxes, "attempts", v.attempts)
 	if g.Observer.Retried != nil {
 		g.Observer.Retried(v.pool, ok)
@@ -376,7 +382,7 @@
 		return v.afterBreak(), code.New(code.OutcomeUnknown, "", "the answer of %s was interrupted: %v", s.ID, err), true
 	}
 	reply.Close(true)
-	if reply.Status >= http.StatusInternalServerError && v.repeatable() && v.attempts < v.pipeline.Attempts && !v.begun && v.takeRetry() {
+	if reply.Status >= http.StatusInternalServerError && v.repeatable() && v.attempts < v.pipeline.Attempts && !v.begun && v.takeRetry(ctx) {
 		v.recordOutcome(e, s, balance.Failed, began, "status "+http.StatusText(reply.Status), why)
 		if v.needsStages() {
 			if e := v.makeStages(ctx); e != nil {
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -478,6 +478,9 @@
 	case q.Streams != nil:
 		a := g.streams.Answer(*q.Streams)
 		return port.Answer{Streams: &a}
+	case q.Retry != nil:
+		l := g.lendRetry(*q.Retry)
+		return port.Answer{Retry: &l}
 	}
 	return port.Answer{}
 }
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -34,6 +34,7 @@
 	"github.com/stilemast/stilemast/src/pushback"
 	"github.com/stilemast/stilemast/src/registrar"
 	"github.com/stilemast/stilemast/src/resume"
+	"github.com/stilemast/stilemast/src/retry"
 	"github.com/stilemast/stilemast/src/suspects"
 )
 
@@ -80,6 +81,7 @@
 	suspects    suspects.Tracker
 	returning   registrar.Tracker
 	streams     resume.Tracker // that callers may take up at any box
+	retries     retry.Borrower
 	signals     pushback.Shared
 	permits     permits
 	brittle     brittle.Tracker
@@ -144,6 +146,7 @@
 	g.aliveBoxes.Store(int64(g.fleet.boxes(g.now())))
 	g.initReturning()
 	g.initStreams()
+	g.initRetries()
 }
 
 func (g *Gateway) now() time.Time { return g.Clock() }
--- a/src/gateway/pools.go
+++ b/src/gateway/pools.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"github.com/stilemast/stilemast/src/balance"
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/pace"
+	"github.com/stilemast/stilemast/src/port"
 	"github.com/stilemast/stilemast/src/retry"
 )
 
@@ -32,6 +34,37 @@
 	p.all = map[string]*pool{}
 }
 
+// initRetries connects the borrower of retries to this box.
+func (g *Gateway) initRetries() {
+	b := &g.retries
+	b.Self, b.Now, b.Log, b.Boxes = g.ID.Name, g.now, g.Log, g.fleet.usable
+	b.Ask = func(ctx context.Context, box string, r retry.Request) (retry.Loan, error) {
+		a, err := g.Peers.Ask(ctx, g.fleet.addressOf(box), port.Question{Retry: &r})
+		switch {
+		case err != nil:
+			return retry.Loan{}, err
+		case a.Retry == nil:
+			return retry.Loan{}, retry.ErrUnsupported
+		}
+		return *a.Retry, nil
+	}
+}
+
+// lendRetry answers another box's request for a part of a retry.
+func (g *Gateway) lendRetry(r retry.Request) retry.Loan {
+	if g.index.Load().Pool(r.Pool) == nil {
+		return retry.Loan{}
+	}
+	now := g.now()
+	boxes := g.fleet.boxes(now)
+	e := g.pools.get(r.Pool)
+	e.mu.Lock()
+	l := retry.Loan{Part: e.budget.Lend(now, boxes, r.Part)}
+	e.mu.Unlock()
+	g.Log.Info("retry lent", "pool", r.Pool, "to", r.From, "asked", r.Part, "part", l.Part)
+	return l
+}
+
 // get returns a pool and creates it if it is new.
 func (p *pools) get(name string) *pool {
 	p.mu.RLock()
--- a/src/port/port.go
+++ b/src/port/port.go
@@ -15,6 +15,7 @@
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/crasher"
 	"github.com/stilemast/stilemast/src/resume"
+	"github.com/stilemast/stilemast/src/retry"
 	"github.com/stilemast/stilemast/src/returning"
 )
 
@@ -180,6 +181,7 @@
 	Returning *returning.Query   `msgpack:"rq,omitempty"`
 	Place     *AskPlace          `msgpack:"pl,omitempty"`
 	Streams   *resume.Question   `msgpack:"st,omitempty"`
+	Retry     *retry.Request     `msgpack:"ry,omitempty"`
 }
 
 // Answer is the response to a Question: the field that belongs to the question's is set, or Err.
@@ -198,6 +200,7 @@
 	Returning *returning.Record `msgpack:"rq,omitempty"`
 	Place     *Place            `msgpack:"pl,omitempty"`
 	Streams   *resume.Answer    `msgpack:"st,omitempty"`
+	Retry     *retry.Loan       `msgpack:"ry,omitempty"`
 }
 
 // Receipt is a registrar's answer to the report of a refusal.
--- a/src/retry/budget_test.go
+++ b/src/retry/budget_test.go
@@ -53,8 +53,19 @@
 			if rapid.Bool().Draw(rt, "request") {
 				b.Request(now)
 				log = append(log, event{now, false})
-			} else if b.Take(now, n) {
+				continue
+			}
+			own := b.Lend(now, n, 1)
+			part := own
+			for _, other := range boxes {
+				if other != b && part < 1-rounding {
+					part += other.Lend(now, n, 1-part)
+				}
+			}
+			if part >= 1-rounding {
 				log = append(log, event{now, true})
+			} else {
+				b.Return(now, now, own)
 			}
 		}
 		for i := range log {
@@ -76,3 +87,28 @@
 		}
 	})
 }
+
+// Guards against parts that are lent twice, more than is left, or more than a whole retry.
+func TestLendingIsBounded(t *testing.T) {
+	b := newBudget()
+	if got := b.Lend(start, 50, 5); got != 0.7 {
+		t.Errorf("one of 50 boxes lends %g of its 0.7 retries", got)
+	}
+	if got := b.Lend(start, 50, 1); got != 0 {
+		t.Errorf("%g lent after all was", got)
+	}
+	if b = newBudget(); b.Lend(start, 1, 5) != 1 || b.Lend(start, 1, -1) != 0 || b.Remaining(start, 1) != 34 {
+		t.Errorf("%d of 35 retries left after one was lent", b.Remaining(start, 1))
+	}
+	later := start.Add(9 * time.Second)
+	b.Lend(start, 1, 1)
+	if b.Return(later, start, 1); b.Remaining(later, 1) != 33 {
+		t.Errorf("%d of 35 retries left after a part of an earlier bucket was given back", b.Remaining(later, 1))
+	}
+	if b.Lend(later, 1, 1); b.Remaining(later, 1) != 32 {
+		t.Errorf("%d of 35 retries left", b.Remaining(later, 1))
+	}
+	if b.Return(later, later, 1); b.Remaining(later, 1) != 33 {
+		t.Errorf("%d of 35 retries left after a part was given back", b.Remaining(later, 1))
+	}
+}
