More boxes may be asked for parts of a retry, as parts are smaller in large fleets

What callers saw: at 295 and 985 boxes streams were still cut for want of a retry, 10 of 93 and 18 of 91 refused, where the budget of all boxes allows 170.

Cause: a box of 985 has about a fifth of a retry, and 8 boxes often have less than one together.

Change: up to 24 boxes are asked, within the same 60 ms. Where parts are larger the first or second box suffices, so nothing changes there.

Ruled out: asking all at once (parts that are not needed would be lost).

--- a/src/retry/borrow.go
+++ b/src/retry/borrow.go
@@ -12,7 +12,7 @@
 
 // Parameters of borrowing.
 const (
-	maxAsked       = 8                      // boxes asked for one retry
+	maxAsked       = 24                     // boxes asked for one retry; in large fleets each has a small part of one
 	borrowTimeout  = 60 * time.Millisecond  // of all questions for one retry, which waits for them
 	askTimeout     = 30 * time.Millisecond  // of one question
 	silentFor      = 500 * time.Millisecond // for which a box that did not answer is not asked
