A caller who leaves does not stop others from borrowing retries

What callers saw: nothing yet; found by reading.

Cause: a round that ends without enough counts as a pool that is used up, also if it ended because its caller left.

Change: such a round says nothing of the pool. Remaining allows for the error of sums of parts, as the comparison of loans does.

Result: TestCallerWhoLeftDoesNotStopBorrowing failed before.

--- a/src/retry/borrow.go
+++ b/src/retry/borrow.go
@@ -55,6 +55,7 @@
 	if missing <= rounding || b.usedUp.Has(began, pool) {
 		return missing <= rounding
 	}
+	caller := ctx
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	boxes, asked, lent := b.Boxes(), 0, 0.0
@@ -68,7 +69,7 @@
 		lent += b.ask(ctx, box, Request{From: b.Self, Pool: pool, Part: missing - lent})
 	}
 	enough := lent >= missing-rounding
-	if !enough {
+	if !enough && caller.Err() == nil {
 		b.usedUp.Add(b.Now(), pool, usedUpFor)
 	}
 	b.Log.Info("retry borrowed", "request", request, "pool", pool, "missing", missing, "lent", lent, "enough", enough, "boxes_asked", asked, "took_ms", b.Now().Sub(began).Milliseconds())
--- a/src/retry/borrow_test.go
+++ b/src/retry/borrow_test.go
@@ -80,6 +80,20 @@
 	}
 }
 
+// Guards against a caller that leaves and takes the retries of others with it.
+func TestCallerWhoLeftDoesNotStopBorrowing(t *testing.T) {
+	l := newLenders(3)
+	l.parts["box1"], l.parts["box2"] = 1, 1
+	gone, leave := context.WithCancel(context.Background())
+	leave()
+	if l.Borrow(gone, "pool", "r", 1) || l.questions() > 0 {
+		t.Errorf("%d questions for a caller who left", l.questions())
+	}
+	if !l.Borrow(context.Background(), "pool", "r", 1) {
+		t.Error("nothing is borrowed for another caller")
+	}
+}
+
 // Guards against requests that wait for boxes that are gone or know nothing of lending.
 func TestBoxesThatDoNotLendAreSkipped(t *testing.T) {
 	for _, c := range []struct {
--- a/src/retry/budget.go
+++ b/src/retry/budget.go
@@ -42,7 +42,7 @@
 func (b *Budget) Request(now time.Time) { b.requests[b.advance(now)]++ }
 
 // Remaining returns how many retries this box may still send now if the given number of boxes may be alive.
-func (b *Budget) Remaining(now time.Time, boxes int) int { return int(b.spare(now, boxes)) }
+func (b *Budget) Remaining(now time.Time, boxes int) int { return int(b.spare(now, boxes) + rounding) }
 
 // spare returns the unused part of the budget, in retries; it may be negative, as requests leave the window.
 func (b *Budget) spare(now time.Time, boxes int) float64 {
