A box no longer stops for good when its servers change while origins are reported

What callers saw: a box stopped doing anything in the middle of its streams, kept their connections open, and answered nobody until it was killed.

Cause: a deadlock of three locks, since streams are kept at their build. The report of origins held the tracker's lock and asked for the boxes, which takes the fleet's; a heartbeat held the fleet's lock and took a pool's; a change of servers held the pool's lock and told the tracker its builds.

Change: the tracker asks for the boxes before it takes its lock, and a pool tells its builds after it has released its own. Either breaks the circle; with both no lock is held over a call to another part here.

TestBoxesAreAskedForWithoutTheTrackersLock failed before in report, tick and query.

--- a/src/gateway/pools.go
+++ b/src/gateway/pools.go
@@ -133,8 +133,9 @@
 func (p *pools) change(pool string, c *poolChange) {
 	e := p.get(pool)
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.picker.UpdateServers(c.put, c.gone)
 	e.speeds.Update(paceServers(c.put), c.gone)
-	p.gateway.streams.SetBuilds(pool, e.picker.Builds())
+	builds := e.picker.Builds()
+	e.mu.Unlock()
+	p.gateway.streams.SetBuilds(pool, builds)
 }
--- a/src/resume/find.go
+++ b/src/resume/find.go
@@ -77,10 +77,10 @@
 }
 
 func (t *Tracker) find(ctx context.Context, taken Taken) (Origin, Evidence) {
-	now := t.Now()
+	now, usable := t.Now(), t.Boxes()
 	t.mu.Lock()
 	o, ok := t.known(now, taken.Stream)
-	t.updateBoxes()
+	t.updateBoxes(usable)
 	boxes := t.ranking.choose(taken.Stream, asked, t.isExcluded(now))
 	t.mu.Unlock()
 	if ok && !taken.Stream.shared() {
--- a/src/resume/tracker.go
+++ b/src/resume/tracker.go
@@ -114,11 +114,11 @@
 // report reports the due streams to the boxes that don't know them yet.
 func (t *Tracker) report() {
 	now := t.Now()
-	reports := map[Box][]Began{}
+	reports, boxes := map[Box][]Began{}, t.Boxes()
 	t.mu.Lock()
 	due := t.due
 	t.due, t.scheduled = nil, false
-	t.updateBoxes()
+	t.updateBoxes(boxes)
 	for _, s := range due {
 		l := t.live[s]
 		if l == nil || !now.Before(l.until) {
@@ -138,9 +138,10 @@
 	}
 }
 
-// updateBoxes takes over the boxes that take work now. t.mu is held.
-func (t *Tracker) updateBoxes() {
-	t.changed = t.ranking.update(t.Boxes()) || t.changed
+// updateBoxes takes over the boxes that take work now. t.mu is held, but not while they are asked for: Boxes takes a lock of
+// its own.
+func (t *Tracker) updateBoxes(boxes []Box) {
+	t.changed = t.ranking.update(boxes) || t.changed
 }
 
 // holders returns the other boxes that hold the origin of a stream that this box carries. For a name that streams may share,
@@ -203,11 +204,11 @@
 
 // Tick drops what is over and reports the live streams anew to the boxes that come in place of others.
 func (t *Tracker) Tick() {
-	now := t.Now()
+	now, boxes := t.Now(), t.Boxes()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.register.sweep(now)
-	t.updateBoxes()
+	t.updateBoxes(boxes)
 	changed := t.changed
 	t.changed = false
 	if !t.recheckAt.IsZero() && !now.Before(t.recheckAt) {
--- a/src/resume/tracker_test.go
+++ b/src/resume/tracker_test.go
@@ -295,3 +295,28 @@
 		}
 	})
 }
+
+// Guards against a deadlock of a box: a change of its servers holds a lock that the list of boxes waits for, and needs the tracker.
+func TestBoxesAreAskedForWithoutTheTrackersLock(t *testing.T) {
+	for name, use := range map[string]func(*Tracker){
+		"report": (*Tracker).report, "tick": (*Tracker).Tick,
+		"query": func(t *Tracker) { t.find(context.Background(), Taken{}) },
+	} {
+		x := newBoxes(3)
+		tracker, changed := x.all[0], make(chan struct{})
+		tracker.Boxes = func() []Box {
+			go func() {
+				tracker.SetBuilds("pool", map[string]int{"v1": 1})
+				changed <- struct{}{}
+			}()
+			select {
+			case <-changed:
+			case <-time.After(2 * time.Second):
+				t.Errorf("%s: the tracker is locked while boxes are asked for", name)
+				go func() { <-changed }()
+			}
+			return x.list
+		}
+		use(tracker)
+	}
+}
