--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.."
 [ -x target/review-standin ] && [ -x target/stilemast ] || { echo "build first" >&2; exit 2; }
-exec target/review-standin case spoilt "$here"
+exec target/review-standin case garbage "$here"
