--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -6,7 +6,6 @@
 	"net"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -20,7 +19,7 @@
 
 func main() {
 	if len(os.Args) < 3 {
-		fmt.Fprintln(os.Stderr, "usage: standin engine ... | standin case NAME FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: standin engine ... | standin case NAME RECORD")
 		os.Exit(invalid)
 	}
 	if os.Args[1] == "engine" {
@@ -35,7 +34,7 @@
 	if err != nil {
 		cannotRun("temporary folder: %v", err)
 	}
-	record.open(filepath.Join(os.Args[3], "record.txt"))
+	record.open(os.Args[3])
 	time.AfterFunc(115*time.Second, func() { cannotRun("out of time") })
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
@@ -67,7 +66,7 @@
 	quit(invalid)
 }
 
-// log writes record.txt.
+// log writes the record of a run: what was sent, answered and run.
 type log struct {
 	mu    sync.Mutex
 	file  *os.File
@@ -93,7 +92,7 @@
 	}
 }
 
-// say writes a line to record.txt and to the terminal.
+// say writes a line to the record and to the terminal.
 func (r *log) say(format string, args ...any) {
 	r.line(format, args...)
 	fmt.Printf(format+"\n", args...)
