--- a/review/_standin/platform.go
+++ b/review/_standin/platform.go
@@ -201,8 +201,9 @@
 }
 
 type tenant struct {
-	Name string   `json:"name"`
-	Keys []string `json:"api_keys"`
+	Name     string   `json:"name"`
+	Keys     []string `json:"api_keys"`
+	Priority *int     `json:"priority,omitempty"`
 }
 
 type configuration struct {
@@ -215,9 +216,14 @@
 
 const apiKey = "9dnn2ctnfzs989anu6ws"
 
-// configure writes a configuration with the limits and the tenant that the pages show.
+// configure writes a configuration with the limits that the pages show and one tenant.
 func (s *store) configure(version int, routes []route, services []service) {
+	s.configureTenants(version, routes, services, []tenant{{Name: "bozi300", Keys: []string{apiKey}}})
+}
+
+// configureTenants writes a configuration with the limits that the pages show.
+func (s *store) configureTenants(version int, routes []route, services []service, tenants []tenant) {
 	s.put("op/config", configuration{Version: version, Routes: routes, Services: services,
 		Limits:  map[string]int{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		Tenants: []tenant{{Name: "bozi300", Keys: []string{apiKey}}}})
+		Tenants: tenants})
 }
