--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.."
 [ -x target/review-standin ] && [ -x target/stilemast ] || { echo "build first" >&2; exit 2; }
-exec target/review-standin case pieces "$here/record.txt"
+exec target/review-standin case silence "$here/record.txt"
--- a/review/_standin/case_pieces.go
+++ b/review/_standin/case_pieces.go
@@ -286,7 +286,7 @@
 			}
 		}()
 	}
-	for range 10 {
+	for range 15 {
 		w.garbled.Store(trouble)
 		record.line("disruption on: %v", trouble)
 		time.Sleep(5 * time.Second)
