Boxes measure the load of their own processor and link

Cause for it: the log of a box that most callers come to shows requests that miss their deadlines and connections that are not up in time, but neither how long its own goroutines wait for the processor nor how much of its link callers' bytes take, so a busy processor, a full link and slow servers can't be told apart.

Change: package overload; a probe goroutine for each new connection or request, one at a time, that goes to the end of the run queue, and a count of callers' bytes. A log line a second while the box is overloaded, gauges, status. Nothing is decided by it.

--- a/src/metrics/gateway.go
+++ b/src/metrics/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/gateway"
 	"github.com/stilemast/stilemast/src/observe"
+	"github.com/stilemast/stilemast/src/overload"
 	"github.com/stilemast/stilemast/src/pace"
 )
 
@@ -199,6 +200,15 @@
 	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
 }
 
+// WatchLoad adds gauges of the load of the box itself. It must be called only once.
+func (s *GatewaySet) WatchLoad(load func() overload.Load) {
+	gauge := func(name, help string, read func(overload.Load) float64) {
+		s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "stilemast_gateway_" + name, Help: help}, func() float64 { return read(load()) }))
+	}
+	gauge("scheduling_delay_seconds", "Time for which a goroutine waits for the processor.", func(l overload.Load) float64 { return l.Delay.Seconds() })
+	gauge("link_share", "Share of the link that callers' bytes take.", func(l overload.Load) float64 { return l.Link })
+}
+
 // overdueCalls returns the number of calls that are overdue now.
 func overdueCalls(g *gateway.Gateway) float64 {
 	n := 0
--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,8 +18,10 @@
 	"github.com/stilemast/stilemast/src/exchange"
 	"github.com/stilemast/stilemast/src/gateway"
 	"github.com/stilemast/stilemast/src/metrics"
+	"github.com/stilemast/stilemast/src/overload"
 	"github.com/stilemast/stilemast/src/paths"
 	"github.com/stilemast/stilemast/src/peer"
+	"github.com/stilemast/stilemast/src/status"
 )
 
 // Timeouts and limits of a gateway process.
@@ -72,6 +75,8 @@
 	cancel       context.CancelFunc
 	wg           sync.WaitGroup
 	callers      callerActivity
+	meter        overload.Meter
+	load         atomic.Pointer[overload.Load] // last measured
 	killOnce     sync.Once
 }
 
@@ -106,6 +111,14 @@
 	return time.Since(a.since)
 }
 
+// setCallerState is the ConnState hook of the callers' listener.
+func (n *GatewayNode) setCallerState(c net.Conn, state http.ConnState) {
+	n.callers.setState(c, state)
+	if state == http.StateActive {
+		n.meter.Probe()
+	}
+}
+
 // Gateway returns the gateway that this process runs. Call it after Start.
 func (n *GatewayNode) Gateway() *gateway.Gateway { return n.gateway }
 
@@ -164,11 +177,13 @@
 		return eris.Wrap(err, "listen.readiness")
 	}
 	n.callers.active = map[net.Conn]bool{}
-	if err := n.serve(s.Listen.Callers, n.Adapter.Callers(n.gateway), n.callers.setState); err != nil {
+	n.meter.LinkMbps = s.Machine.LinkMbps
+	if err := n.serve(s.Listen.Callers, n.Adapter.Callers(n.gateway), n.setCallerState); err != nil {
 		return eris.Wrap(err, "listen.callers")
 	}
 	if s.Listen.Metrics != "" {
-		if err := n.serve(s.Listen.Metrics, operatorHandler(n.gateway, set.Handler(n.gateway, n.ports.ConnectionsOpened, n.peers.BytesSent.Load)), nil); err != nil {
+		set.WatchLoad(n.currentLoad)
+		if err := n.serve(s.Listen.Metrics, operatorHandler(n.status, set.Handler(n.gateway, n.ports.ConnectionsOpened, n.peers.BytesSent.Load)), nil); err != nil {
 			return eris.Wrap(err, "listen.metrics")
 		}
 	}
@@ -188,6 +203,9 @@
 	if err != nil {
 		return err
 	}
+	if states != nil {
+		l = &overload.Listener{Listener: l, Meter: &n.meter}
+	}
 	srv := &http.Server{
 		Handler: h, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
 		ConnState: states,
@@ -208,10 +226,38 @@
 			return
 		case <-t.C:
 			n.ports.CloseExpired()
+			n.recordLoad()
 		}
 	}
 }
 
+// currentLoad returns the load of this box as last measured.
+func (n *GatewayNode) currentLoad() overload.Load {
+	if l := n.load.Load(); l != nil {
+		return *l
+	}
+	return overload.Load{}
+}
+
+// status returns the state of this box for operators.
+func (n *GatewayNode) status() status.Gateway {
+	s, l := n.gateway.Status(), n.currentLoad()
+	s.Load = status.Load{Delay: status.Ms(l.Delay), Link: l.Link}
+	return s
+}
+
+// recordLoad takes the load of this box and logs it if the box is overloaded.
+func (n *GatewayNode) recordLoad() {
+	l, ok := n.meter.Take()
+	if !ok {
+		return
+	}
+	n.load.Store(&l)
+	if l.Overloaded() {
+		n.Log.Warn("box overloaded", "delay_ms", l.Delay.Milliseconds(), "link_share", l.Link, "running", n.gateway.Running())
+	}
+}
+
 // Stop shuts the process down gracefully: it becomes not ready immediately, and running requests may finish within
 // the configured time. It returns the number of requests that were aborted. Idle connections of callers stay open
 // until the end, because net/http would abort a request that is just arriving on one.
--- a/src/status/status.go
+++ b/src/status/status.go
@@ -24,6 +24,7 @@
 	Tunnels      int          `json:"tunnels"` // connections to servers that this box carries for others
 	Pools        []Pool       `json:"pools"`
 
+	Load   Load               `json:"load"`   // of the box itself
 	Writes connections.Status `json:"writes"` // to callers
 
 	Forecasts []Forecast       `json:"forecasts"` // of admission, against what was observed
@@ -32,6 +33,12 @@
 	Suspects  suspects.Status  `json:"suspects"`  // contents and prompt parts that may crash servers
 }
 
+// Load is how busy a box is.
+type Load struct {
+	Delay Milliseconds `json:"delay_ms"`   // for which a goroutine waits for the processor
+	Link  float64      `json:"link_share"` // taken by callers' bytes, 0 if the link is unknown
+}
+
 // Forecast is how the forecasts of admission for one class of requests compared with what was observed.
 type Forecast struct {
 	Pipeline string `json:"pipeline"`
