--- a/src/overload/meter.go
+++ b/src/overload/meter.go
@@ -72,7 +72,7 @@
 	defer m.mu.Unlock()
 	now := m.now()
 	if m.began.IsZero() {
-		m.began = now
+		m.reset(now)
 	}
 	took := now.Sub(m.began)
 	if !m.probed.IsZero() && now.Sub(m.probed) > maxDelay {
@@ -89,10 +89,13 @@
 		// The bytes of callers pass the link a second time, on the connections to servers, in the other direction.
 		l.Link = float64(m.bytes) * bitsPerByte / (m.LinkMbps * bitsPerMegabit * took.Seconds())
 	}
-	m.began, m.bytes, m.samples, m.least = now, 0, 0, 0
+	m.reset(now)
 	return l, true
 }
 
+// reset begins an interval.
+func (m *Meter) reset(now time.Time) { m.began, m.bytes, m.samples, m.least = now, 0, 0, 0 }
+
 func (m *Meter) now() time.Time {
 	if m.Now == nil {
 		return time.Now()
--- a/src/overload/meter_test.go
+++ b/src/overload/meter_test.go
@@ -74,6 +74,18 @@
 	}
 }
 
+// Guards against an overload seen at the start, where bytes from before the first interval count in it.
+func TestFirstIntervalBeginsEmpty(t *testing.T) {
+	c := &clock{now: time.Unix(1000, 0)}
+	m := &Meter{LinkMbps: 10, Now: func() time.Time { return c.now }}
+	m.AddBytes(1_000_000)
+	m.Take()
+	c.now = c.now.Add(maxInterval)
+	if l, ok := m.Take(); !ok || l.Link > 0 {
+		t.Errorf("load %+v, %v", l, ok)
+	}
+}
+
 // Guards against probes that add up while the processor is busy.
 func TestOneProbeRunsAtATime(t *testing.T) {
 	m := &Meter{}
