A box that gets more than it can serve closes new connections before it reads them

What callers saw: while the load balancer sends most new connections to one box, most requests fail, and for seconds after.

Cause: a box reads whatever comes, whether or not its processor and its link can serve it. All that it has read shares them, so that nearly all of it is late, what could have been served too. Class: work is taken on without regard to what the box can do.

Evidence: the new line of load showed waits for the processor of 300 to 3,400 ms at the crowded box and nothing at the others, and 1.0 of the link where the link was the bound. Ruled out: parts divided by the number of boxes (nothing was refused for them). What the box said of servers (BACKENDS_DOWN, crashed, paths lost) came from its own lateness.

Change: package overload. A guard at the callers' listener measures the standing wait for the processor and the share of the link, and accepts a share of new connections that follows them; the others are closed unread, so their callers know that nothing ran and come to another box. While it does, the box carries no connections for others and lets go of callers that keep theirs.

Why it works: what is read fits the box, so it is in time; closing costs 33 us, a request 1 to 5 ms; a retry meets a box with room.

--- a/src/gateway/connections.go
+++ b/src/gateway/connections.go
@@ -57,7 +57,7 @@
 	}
 	r.Usable = func(box string) bool { return g.fleet.stateOf(box) == core.MemberAlive }
 	r.Reserve = g.lendConnection
-	r.MayCarry = func(to paths.Target) bool { return !g.Draining() && g.lists(to) }
+	r.MayCarry = func(to paths.Target) bool { return !g.Draining() && (g.Busy == nil || !g.Busy()) && g.lists(to) }
 }
 
 // lendConnection reserves one of this box's connections to a server for another box whose own are all open.
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -65,6 +65,7 @@
 	Log      *slog.Logger
 	Observer observe.Gateway
 	Clock    func() time.Time // monotonic
+	Busy     func() bool      // reports whether this box should take no work from others; nil for never
 	Rand     *rand.Rand
 
 	index       atomic.Pointer[catalog.Index]
--- a/src/metrics/gateway.go
+++ b/src/metrics/gateway.go
@@ -200,13 +200,16 @@
 	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
 }
 
-// WatchLoad adds gauges of the load of the box itself. It must be called only once.
-func (s *GatewaySet) WatchLoad(load func() overload.Load) {
-	gauge := func(name, help string, read func(overload.Load) float64) {
-		s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "stilemast_gateway_" + name, Help: help}, func() float64 { return read(load()) }))
+// WatchLoad adds metrics of the load of the box itself. It must be called only once.
+func (s *GatewaySet) WatchLoad(read func() overload.Status) {
+	gauge := func(name, help string, value func(overload.Status) float64) {
+		s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "stilemast_gateway_" + name, Help: help}, func() float64 { return value(read()) }))
 	}
-	gauge("scheduling_delay_seconds", "Time for which a goroutine waits for the processor.", func(l overload.Load) float64 { return l.Delay.Seconds() })
-	gauge("link_share", "Share of the link that callers' bytes take.", func(l overload.Load) float64 { return l.Link })
+	gauge("scheduling_delay_seconds", "Time for which a goroutine waits for the processor.", func(s overload.Status) float64 { return s.Load.Delay.Seconds() })
+	gauge("link_share", "Share of the link that callers' bytes take.", func(s overload.Status) float64 { return s.Load.Link })
+	gauge("accepted_share", "Share of callers' new connections that are accepted.", func(s overload.Status) float64 { return s.Share })
+	s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "stilemast_gateway_connections_closed_unread_total",
+		Help: "New connections of callers that were closed unread because the box was overloaded."}, func() float64 { return float64(read().Closed) }))
 }
 
 // overdueCalls returns the number of calls that are overdue now.
--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -75,8 +74,8 @@
 	cancel       context.CancelFunc
 	wg           sync.WaitGroup
 	callers      callerActivity
-	meter        overload.Meter
-	load         atomic.Pointer[overload.Load] // last measured
+	guard        overload.Guard
+	closed       int64 // connections that the guard had closed at the last log line
 	killOnce     sync.Once
 }
 
@@ -115,7 +114,7 @@
 func (n *GatewayNode) setCallerState(c net.Conn, state http.ConnState) {
 	n.callers.setState(c, state)
 	if state == http.StateActive {
-		n.meter.Probe()
+		n.guard.Meter.Probe()
 	}
 }
 
@@ -141,7 +140,9 @@
 	}
 	n.ports = n.Adapter.Open(s, router)
 	set := metrics.NewGateway()
+	n.guard.Meter.LinkMbps = s.Machine.LinkMbps
 	n.gateway = &gateway.Gateway{
+		Busy: n.guard.Busy,
 		Settings: gateway.Settings{
 			Address: beats.Addr().String(), FailureDomain: s.FailureDomain, Regions: s.Regions, Seeds: s.Fleet.Seeds,
 			Capacity:   core.Capacity{CPU: uint32(s.Machine.CPU * s.Machine.Speed * milliCoresPerCore), Link: uint32(s.Machine.LinkMbps)},
@@ -177,12 +178,11 @@
 		return eris.Wrap(err, "listen.readiness")
 	}
 	n.callers.active = map[net.Conn]bool{}
-	n.meter.LinkMbps = s.Machine.LinkMbps
-	if err := n.serve(s.Listen.Callers, n.Adapter.Callers(n.gateway), n.setCallerState); err != nil {
+	if err := n.serve(s.Listen.Callers, n.releaseWhenBusy(n.Adapter.Callers(n.gateway)), n.setCallerState); err != nil {
 		return eris.Wrap(err, "listen.callers")
 	}
 	if s.Listen.Metrics != "" {
-		set.WatchLoad(n.currentLoad)
+		set.WatchLoad(n.guard.Status)
 		if err := n.serve(s.Listen.Metrics, operatorHandler(n.status, set.Handler(n.gateway, n.ports.ConnectionsOpened, n.peers.BytesSent.Load)), nil); err != nil {
 			return eris.Wrap(err, "listen.metrics")
 		}
@@ -204,7 +204,7 @@
 		return err
 	}
 	if states != nil {
-		l = &overload.Listener{Listener: l, Meter: &n.meter}
+		l = &overload.Listener{Listener: l, Guard: &n.guard}
 	}
 	srv := &http.Server{
 		Handler: h, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
@@ -226,36 +226,36 @@
 			return
 		case <-t.C:
 			n.ports.CloseExpired()
-			n.recordLoad()
+			n.logLoad()
 		}
 	}
 }
 
-// currentLoad returns the load of this box as last measured.
-func (n *GatewayNode) currentLoad() overload.Load {
-	if l := n.load.Load(); l != nil {
-		return *l
-	}
-	return overload.Load{}
-}
-
 // status returns the state of this box for operators.
 func (n *GatewayNode) status() status.Gateway {
-	s, l := n.gateway.Status(), n.currentLoad()
-	s.Load = status.Load{Delay: status.Ms(l.Delay), Link: l.Link}
+	s, l := n.gateway.Status(), n.guard.Status()
+	s.Load = status.Load{Delay: status.Ms(l.Load.Delay), Link: l.Load.Link, Accepted: l.Share, Closed: l.Closed}
 	return s
 }
 
-// recordLoad takes the load of this box and logs it if the box is overloaded.
-func (n *GatewayNode) recordLoad() {
-	l, ok := n.meter.Take()
-	if !ok {
-		return
-	}
-	n.load.Store(&l)
-	if l.Overloaded() {
-		n.Log.Warn("box overloaded", "delay_ms", l.Delay.Milliseconds(), "link_share", l.Link, "running", n.gateway.Running())
+// logLoad logs that this box closes new connections unread, and that it accepts all again.
+func (n *GatewayNode) logLoad() {
+	s := n.guard.Status()
+	if s.Share < 1 || s.Closed != n.closed {
+		n.Log.Warn("box overloaded, new connections are closed unread", "accepted_share", s.Share, "closed", s.Closed-n.closed, "delay_ms", s.Load.Delay.Milliseconds(),
+			"link_share", s.Load.Link, "interval_ms", s.Load.Took.Milliseconds(), "running", n.gateway.Running())
 	}
+	n.closed = s.Closed
+}
+
+// releaseWhenBusy has callers that keep their connections open come to other boxes while this one is overloaded.
+func (n *GatewayNode) releaseWhenBusy(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.guard.Busy() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
 }
 
 // Stop shuts the process down gracefully: it becomes not ready immediately, and running requests may finish within
--- a/src/overload/constants.go
+++ b/src/overload/constants.go
@@ -4,9 +4,8 @@
 
 // Measurement of the load.
 const (
-	minInterval = 100 * time.Millisecond // of one measurement
-	maxInterval = 500 * time.Millisecond // of one measurement with few samples
-	minSamples  = 3                      // probes in one measurement; a pause of the process affects one of them
+	minInterval   = 100 * time.Millisecond // of one measurement
+	linkSmoothing = 400 * time.Millisecond // time constant of the link's share: a few large bodies may arrive together
 
 	bitsPerByte    = 8
 	bitsPerMegabit = 1e6
@@ -14,6 +13,20 @@
 
 // Loads beyond which a box is overloaded.
 const (
-	maxDelay = 40 * time.Millisecond // of a goroutine; a request needs several in turn
-	maxLink  = 0.75                  // of the link; the rest is for messages between boxes and repeated packets
+	maxDelay = 110 * time.Millisecond // of a goroutine; a process that has used up its machine's quota waits for a tenth of a second
+	minBusy  = 250 * time.Millisecond // of longer delays without a break
+	maxLink  = 0.75                   // of the link; the rest is for messages between boxes and repeated packets
 )
+
+// Changes of the share of new connections that are accepted, in each minInterval.
+const (
+	minDecrease = 0.9  // factor after little overload
+	maxDecrease = 0.5  // factor after much
+	increase    = 0.2  // of the share, without overload
+	maxIncrease = 0.05 // at most
+	minShare    = 0.01 // from which it rises again within seconds
+)
+
+// maxPause is the time after which a box accepts a connection however busy it is: one that accepts none does not see when it
+// can again, and is not ready.
+const maxPause = 250 * time.Millisecond
--- a/src/overload/listener.go
+++ b/src/overload/listener.go
@@ -2,20 +2,25 @@
 
 import "net"
 
-// Listener measures the load that callers' connections cause.
+// Listener accepts the connections that its guard accepts. It closes the others before it reads anything, so that their
+// callers know that nothing ran and can retry at another box.
 type Listener struct {
 	net.Listener
-	Meter *Meter
+	Guard *Guard
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.Guard.Accept() {
+			return &countedConn{Conn: c, meter: &l.Guard.Meter}, nil
+		}
+		_ = c.Close()
 	}
-	l.Meter.Probe()
-	return &countedConn{Conn: c, meter: l.Meter}, nil
 }
 
 // countedConn counts the bytes of a connection.
--- a/src/overload/meter.go
+++ b/src/overload/meter.go
@@ -3,6 +3,7 @@
 package overload
 
 import (
+	"math"
 	"runtime"
 	"sync"
 	"time"
@@ -10,52 +11,66 @@
 
 // Load is the load of a box during an interval.
 type Load struct {
-	Delay time.Duration // least time that a goroutine waited for the processor
-	Link  float64       // share of the link that callers' bytes take, 0 if the link's bandwidth is unknown
+	Delay time.Duration // for which goroutines wait for the processor; 0 unless it has been long without a break
+	Link  float64       // share of the link that callers' bytes take, smoothed; 0 if the link's bandwidth is unknown
+	Took  time.Duration // of the interval
 }
 
-// Overloaded reports whether the processor or the link is too busy for more work.
-func (l Load) Overloaded() bool { return l.Delay > maxDelay || l.Link > maxLink }
+// excess returns the load in proportion to its limit; beyond 1 the box is overloaded.
+func (l Load) excess() float64 { return max(float64(l.Delay)/float64(maxDelay), l.Link/maxLink) }
 
 // Meter measures the load of this box. Probes cost a goroutine each and no timer. Set the exported fields before use.
 type Meter struct {
 	LinkMbps float64          // bandwidth of the link in each direction, 0 if unknown
 	Now      func() time.Time // nil for time.Now
 
-	mu      sync.Mutex
-	began   time.Time // of the current interval
-	bytes   int64     // read from callers and written to them in it
-	samples int
-	least   time.Duration
-	probed  time.Time // start of the running probe, zero for none
+	mu    sync.Mutex
+	began time.Time // of the current interval
+	bytes int64     // read from callers and written to them in it
+	link  float64   // smoothed share, up to the last interval
+
+	probed time.Time     // start of the running probe, zero for none
+	ended  time.Time     // end of the last probe
+	delay  time.Duration // that the last probe measured
+	since  time.Time     // start of the first of the last probes that all took longer than maxDelay; zero if the last did not
 }
 
 // Probe starts a measurement of the wait for the processor unless one is running.
 func (m *Meter) Probe() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.beginProbe() {
+		go func() {
+			runtime.Gosched() // to the end of the run queue
+			m.endProbe()
+		}()
+	}
+}
+
+// beginProbe records the start of a probe. It returns false if one is running. The caller holds m.mu.
+func (m *Meter) beginProbe() bool {
 	if !m.probed.IsZero() {
-		return
+		return false
 	}
 	m.probed = m.now()
-	go func() {
-		runtime.Gosched() // to the end of the run queue
-		m.endProbe()
-	}()
+	if m.probed.Sub(m.ended) > minBusy {
+		m.since = time.Time{}
+	}
+	return true
 }
 
 func (m *Meter) endProbe() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.addSample(m.now().Sub(m.probed))
-	m.probed = time.Time{}
-}
-
-func (m *Meter) addSample(delay time.Duration) {
-	if m.samples == 0 || delay < m.least {
-		m.least = delay
+	m.ended = m.now()
+	m.delay = m.ended.Sub(m.probed)
+	switch {
+	case m.delay <= maxDelay:
+		m.since = time.Time{}
+	case m.since.IsZero():
+		m.since = m.probed
 	}
-	m.samples++
+	m.probed = time.Time{}
 }
 
 // AddBytes counts bytes read from callers or written to them.
@@ -65,36 +80,43 @@
 	m.bytes += int64(n)
 }
 
-// Take ends the current interval and returns its load, unless the interval is too short or has too few samples. An interval
-// without enough samples ends after maxInterval as one without load on the processor.
+// Take ends the current interval and returns its load, unless the interval is too short.
 func (m *Meter) Take() (Load, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
 	if m.began.IsZero() {
-		m.reset(now)
-	}
-	took := now.Sub(m.began)
-	if !m.probed.IsZero() && now.Sub(m.probed) > maxDelay {
-		m.addSample(now.Sub(m.probed))
+		m.began, m.bytes = now, 0
 	}
-	if took < minInterval || m.samples < minSamples && took < maxInterval {
+	l := Load{Took: now.Sub(m.began)}
+	if l.Took < minInterval {
 		return Load{}, false
 	}
-	var l Load
-	if m.samples >= minSamples {
-		l.Delay = m.least
-	}
+	l.Delay = m.standingDelay(now)
 	if m.LinkMbps > 0 {
 		// The bytes of callers pass the link a second time, on the connections to servers, in the other direction.
-		l.Link = float64(m.bytes) * bitsPerByte / (m.LinkMbps * bitsPerMegabit * took.Seconds())
+		share := float64(m.bytes) * bitsPerByte / (m.LinkMbps * bitsPerMegabit * l.Took.Seconds())
+		m.link += (share - m.link) * -math.Expm1(-l.Took.Seconds()/linkSmoothing.Seconds())
+		l.Link = m.link
 	}
-	m.reset(now)
+	m.began, m.bytes = now, 0
 	return l, true
 }
 
-// reset begins an interval.
-func (m *Meter) reset(now time.Time) { m.began, m.bytes, m.samples, m.least = now, 0, 0, 0 }
+// standingDelay returns the wait for the processor if it has exceeded maxDelay for minBusy, else 0. The caller holds m.mu.
+func (m *Meter) standingDelay(now time.Time) time.Duration {
+	since, delay := m.since, m.delay
+	if !m.probed.IsZero() && now.Sub(m.probed) > maxDelay {
+		delay = now.Sub(m.probed)
+		if since.IsZero() {
+			since = m.probed
+		}
+	}
+	if since.IsZero() || now.Sub(since) < minBusy {
+		return 0
+	}
+	return delay
+}
 
 func (m *Meter) now() time.Time {
 	if m.Now == nil {
