An answer without a length is whole only if the request was written too

Cause: the kernel tells a reset to one system call only. If that is the write of the body, the read that follows ends without an error, and the write's result was dropped once the head of the answer had come. Class: completeness is inferred from silence.

Change: the body of an answer that ends with its connection asks at its end how the write ended. Answers with a length or chunks prove themselves; a body that was written before is told of the reset at the read.

--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -206,6 +206,10 @@
 		w := <-end
 		return nil, w.n > 0, err
 	}
+	if isUnframed(resp) { // its connection is not reused
+		resp.Body = &unframedBody{ReadCloser: resp.Body, written: sync.OnceValue(func() error { return (<-end).err })}
+		return resp, true, nil
+	}
 	select {
 	case w := <-end:
 		resp.Close = resp.Close || w.err != nil
