A tunnelled connection that was reset during a write does not look ended

Cause: the carrier copies both directions apart; a reset told to the write of the request was dropped, and the read's clean end was passed on as the server's. Class: completeness is inferred from silence.

Change: the end of a server's bytes is passed on as one only if the last write to the server did not fail; a write under way is waited for.

--- a/src/peer/tunnel.go
+++ b/src/peer/tunnel.go
@@ -133,17 +133,42 @@
 	}
 	_ = c.SetDeadline(time.Time{})
 	var both sync.WaitGroup
+	to := &serverWriter{Writer: server}
 	both.Go(func() {
-		_, _ = io.CopyBuffer(struct{ io.Writer }{server}, struct{ io.Reader }{c}, make([]byte, chunkBytes))
+		_, _ = io.CopyBuffer(to, struct{ io.Reader }{c}, make([]byte, chunkBytes))
 		_ = server.Close()
 	})
-	copyChunks(c, server)
+	copyChunks(c, server, to.failed)
 	_ = c.Close()
 	both.Wait()
 }
 
-// copyChunks sends the bytes of a server in chunks until it ends.
-func copyChunks(c net.Conn, server io.Reader) {
+// serverWriter writes to a server and records whether that failed: a reset is told either to the read or to the write.
+type serverWriter struct {
+	io.Writer
+	mu  sync.Mutex // held during writes
+	err error
+}
+
+// Write implements io.Writer.
+func (w *serverWriter) Write(b []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, err := w.Writer.Write(b)
+	w.err = err
+	return n, err
+}
+
+// failed reports whether the last write failed, once it has ended.
+func (w *serverWriter) failed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.err != nil
+}
+
+// copyChunks sends the bytes of a server in chunks until it ends. An end without an error counts as one only if the writes to
+// the server have not failed.
+func copyChunks(c net.Conn, server io.Reader, writeFailed func() bool) {
 	buf := make([]byte, headerBytes+chunkBytes)
 	for {
 		n, err := server.Read(buf[headerBytes:])
@@ -158,7 +183,7 @@
 			continue
 		}
 		last := uint32(chunkBroken)
-		if err == io.EOF {
+		if err == io.EOF && !writeFailed() {
 			last = chunkEnd
 		}
 		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/src/peer/tunnel_test.go
+++ b/src/peer/tunnel_test.go
@@ -158,3 +158,25 @@
 		}
 	})
 }
+
+// Guards against a connection to a server that was reset and looks ended, since the reset was told to the write.
+func TestResetOfTunnelledConnectionIsNotAnEnd(t *testing.T) {
+	ended := 0
+	for range 20 {
+		asker, server, stop := tunnelTo(t)
+		go func() { _, _ = asker.Write(make([]byte, 32<<20)) }()
+		_, _ = io.ReadFull(server, make([]byte, 100))
+		_, _ = server.Write([]byte("part"))
+		time.Sleep(20 * time.Millisecond)
+		_ = server.SetLinger(0)
+		_ = server.Close()
+		if _, err := io.ReadAll(asker); err == nil {
+			ended++
+		}
+		_ = asker.Close()
+		stop()
+	}
+	if ended > 0 {
+		t.Errorf("%d of 20 connections that were reset look ended", ended)
+	}
+}
