A server that has begun its answer may read the request late

Cause: TCP_USER_TIMEOUT, which finds silent servers, also ends a connection whose peer confirms that it is there and keeps its window closed.

Change: once the answer has begun and the request is still being written, the option is lifted from the connection; the request's deadline and the timeout of reads remain.

Test, red before: broken off after 2.5 s ('write: connection timed out'), whole now with a server that reads on after 3.5 s. Connections through another box keep the option at the carrier: open.

--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -206,6 +206,12 @@
 		w := <-end
 		return nil, w.n > 0, err
 	}
+	select {
+	case w := <-end:
+		end <- w
+	default:
+		cn.allowLateReading()
+	}
 	if isUnframed(resp) { // its connection is not reused
 		resp.Body = &unframedBody{ReadCloser: resp.Body, written: sync.OnceValue(func() error { return (<-end).err })}
 		return resp, true, nil
@@ -219,6 +225,18 @@
 	return resp, true, nil
 }
 
+// allowLateReading keeps a connection open whose server has begun its response and does not read. TCP_USER_TIMEOUT would end it
+// also while the server confirms that it is there.
+func (cn *conn) allowLateReading() {
+	c, ok := cn.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := c.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, 0) })
+	}
+}
+
 // bytes returns the encoded request.
 func (r *Request) bytes() []byte {
 	var b strings.Builder
--- a/src/exchange/unframed_test.go
+++ b/src/exchange/unframed_test.go
@@ -85,3 +85,18 @@
 		t.Error("no end")
 	}
 }
+
+// Guards against a connection that the box ends itself, since a server that has answered reads the request late.
+func TestServerMayReadOnLateAfterItsAnswerBegan(t *testing.T) {
+	t.Parallel()
+	address := answerEarly(t, func(c *net.TCPConn) {
+		time.Sleep(userTimeout + time.Second)
+		_, _ = io.CopyN(io.Discard, c, 15<<20)
+		writeText(c, " whole")
+		_ = c.CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
+	})
+	if b, err := do(t, &Client{}, address, post()); b != "part of the whole" || err != nil {
+		t.Errorf("%q, %v", b, err)
+	}
+}
