The head of a response is bounded

Cause: the head of an answer was read without a bound. Class: a read without a bound. Elsewhere: chunk lengths, extensions and trailers are bounded by net/http, the heads of callers by maxCallerHeaderBytes, frames of boxes by their length; documents of the store and answers of stages have the bounds that they had, not looked at here.

Change: status lines and headers of a response, and those of responses before it, may take 64 KB together; beyond it the exchange fails as broken.

--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -40,6 +40,7 @@
 	tcpUserTimeout    = 0x12 // socket option TCP_USER_TIMEOUT of Linux
 	readBuffer        = 4 << 10
 	maxInlineWrite    = 4 << 10                // bytes that can be written to any idle connection without blocking
+	maxHead           = 64 << 10               // bytes of the head of a response, with those of responses before it
 	maxStaleBody      = 1 << 20                // bytes of a skipped response's body
 	maxStaleResponses = 2                      // responses of earlier requests that are skipped on one connection
 	shareWait         = 100 * time.Millisecond // maximum wait for a connection where all of the share are in use; another server is tried then
@@ -64,6 +65,9 @@
 // ErrForeignResponse is returned if the responses on a connection belong to other requests.
 var ErrForeignResponse = errors.New("the response belongs to another request")
 
+// ErrHeadTooLong is returned if the head of a response, with those before it, is longer than maxHead.
+var ErrHeadTooLong = errors.New("the head of the response is too long")
+
 // Request is one HTTP request. Header is written unchanged.
 type Request struct {
 	Method string
@@ -124,6 +128,8 @@
 	freshUntil  time.Time // until when a request that can't be repeated may use it
 	once        sync.Once
 	readTimeout time.Duration // timeout of each read, 0 for none
+	inHead      bool          // the head of a response is read
+	headLeft    int           // bytes that it may still take
 }
 
 // Read is net.Conn's Read with the read timeout of the current request.
@@ -133,7 +139,15 @@
 			return 0, err
 		}
 	}
-	return cn.Conn.Read(b)
+	if !cn.inHead {
+		return cn.Conn.Read(b)
+	}
+	if cn.headLeft <= 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := cn.Conn.Read(b[:min(len(b), cn.headLeft)])
+	cn.headLeft -= n
+	return n, err
 }
 
 // Response is an HTTP response whose body has not been read yet. Close must be called.
@@ -254,8 +268,11 @@
 // read returns the first response that belongs to the request. Responses to earlier requests are skipped; a
 // connection that carried one is not reused.
 func (cn *conn) read(r *Request) (*http.Response, error) {
+	cn.headLeft = maxHead
 	for skipped := 0; ; {
+		cn.inHead = true
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method})
+		cn.inHead = false
 		if err != nil {
 			return nil, err
 		}
