--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -220,21 +220,15 @@
 		w := <-end
 		return nil, w.n > 0, err
 	}
-	select {
-	case w := <-end:
-		end <- w
-	default:
+	written := sync.OnceValue(func() error { return (<-end).err })
+	if len(end) == 0 { // the request is still being written
 		cn.allowLateReading()
-	}
-	if isUnframed(resp) { // its connection is not reused
-		resp.Body = &unframedBody{ReadCloser: resp.Body, written: sync.OnceValue(func() error { return (<-end).err })}
-		return resp, true, nil
-	}
-	select {
-	case w := <-end:
-		resp.Close = resp.Close || w.err != nil
-	default:
 		resp.Close = true
+	} else {
+		resp.Close = resp.Close || written() != nil
+	}
+	if isUnframed(resp) {
+		resp.Body = &unframedBody{ReadCloser: resp.Body, written: written}
 	}
 	return resp, true, nil
 }
--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -174,16 +174,16 @@
 		(&peer.Server{Handlers: h}).Serve(ctx, beats)
 	}()
 	go n.sweep(ctx)
-	if err := n.serve(s.Listen.Readiness, n.Adapter.Ready(n.gateway), nil); err != nil {
+	if err := n.serve(s.Listen.Readiness, n.Adapter.Ready(n.gateway)); err != nil {
 		return eris.Wrap(err, "listen.readiness")
 	}
 	n.callers.active = map[net.Conn]bool{}
-	if err := n.serve(s.Listen.Callers, n.releaseWhenBusy(n.Adapter.Callers(n.gateway)), n.setCallerState); err != nil {
+	if err := n.serveCallers(s.Listen.Callers, n.Adapter.Callers(n.gateway)); err != nil {
 		return eris.Wrap(err, "listen.callers")
 	}
 	if s.Listen.Metrics != "" {
 		set.WatchLoad(n.guard.Status)
-		if err := n.serve(s.Listen.Metrics, operatorHandler(n.status, set.Handler(n.gateway, n.ports.ConnectionsOpened, n.peers.BytesSent.Load)), nil); err != nil {
+		if err := n.serve(s.Listen.Metrics, operatorHandler(n.status, set.Handler(n.gateway, n.ports.ConnectionsOpened, n.peers.BytesSent.Load))); err != nil {
 			return eris.Wrap(err, "listen.metrics")
 		}
 	}
@@ -196,16 +196,29 @@
 	return config.Listen(context.Background(), "tcp", address)
 }
 
-// serve listens on an address and serves h there; states may be nil. It uses net/http directly because go-zero's
-// router cannot pass every path and method on unchanged.
-func (n *GatewayNode) serve(address string, h http.Handler, states func(net.Conn, http.ConnState)) error {
+// serveCallers serves callers on an address, as far as this box can.
+func (n *GatewayNode) serveCallers(address string, h http.Handler) error {
 	l, err := listen(address)
 	if err != nil {
 		return err
 	}
-	if states != nil {
-		l = &overload.Listener{Listener: l, Guard: &n.guard}
+	n.serveOn(&overload.Listener{Listener: l, Guard: &n.guard}, n.releaseWhenBusy(h), n.setCallerState)
+	return nil
+}
+
+// serve serves h on an address.
+func (n *GatewayNode) serve(address string, h http.Handler) error {
+	l, err := listen(address)
+	if err != nil {
+		return err
 	}
+	n.serveOn(l, h, nil)
+	return nil
+}
+
+// serveOn serves h on a listener; states may be nil. It uses net/http directly because go-zero's router cannot pass every path
+// and method on unchanged.
+func (n *GatewayNode) serveOn(l net.Listener, h http.Handler, states func(net.Conn, http.ConnState)) {
 	srv := &http.Server{
 		Handler: h, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
 		ConnState: states,
@@ -213,7 +226,6 @@
 	}
 	n.servers = append(n.servers, srv)
 	go func() { _ = srv.Serve(l) }()
-	return nil
 }
 
 // sweep closes expired idle connections periodically.
