A full link lowers the share of accepted connections further

Cause: a link carries 1.0 of itself at most, whatever was to come, so the share fell by a quarter in each interval of a crowd of nearly three times the link, while bodies that had been accepted shared it.

Change: beyond its limit the link's load counts squared: the share falls by 0.44 in an interval with a full link.

--- a/src/overload/meter.go
+++ b/src/overload/meter.go
@@ -16,8 +16,12 @@
 	Took  time.Duration // of the interval
 }
 
-// excess returns the load in proportion to its limit; beyond 1 the box is overloaded.
-func (l Load) excess() float64 { return max(float64(l.Delay)/float64(maxDelay), l.Link/maxLink) }
+// excess returns the load in proportion to its limit; beyond 1 the box is overloaded. The link's counts squared: a full link does
+// not show how much more was to come.
+func (l Load) excess() float64 {
+	link := l.Link / maxLink
+	return max(float64(l.Delay)/float64(maxDelay), link*link)
+}
 
 // Meter measures the load of this box. Probes cost a goroutine each and no timer. Set the exported fields before use.
 type Meter struct {
