Accepted connections can be half closed again

What callers saw: nothing known; found by reading. A caller whose body is not read to its end gets its answer and then, half a second later, a reset without an end before it.

Cause: the guard's connections count bytes and hid CloseWrite, which net/http calls before it closes a connection with unread bytes.

Change: they pass it on. Test, red before: 'the connection can't be half closed'.

--- a/src/overload/guard_test.go
+++ b/src/overload/guard_test.go
@@ -101,3 +101,37 @@
 		t.Errorf("status %+v", s)
 	}
 }
+
+// Guards against an accepted connection that can't be half closed, so that a caller whose body is unread is reset instead of answered.
+func TestAcceptedConnectionsCanBeHalfClosed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	guarded := &Listener{Listener: l, Guard: &Guard{}}
+	defer func() { _ = guarded.Close() }()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	c, err := guarded.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	half, ok := c.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		t.Fatal("the connection can't be half closed")
+	}
+	_ = caller.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := caller.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the caller reads %v", err)
+	}
+	if _, err := caller.Write([]byte("b")); err != nil {
+		t.Error(err)
+	}
+	if n, err := c.Read(make([]byte, 1)); n != 1 || err != nil {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+}
--- a/src/overload/listener.go
+++ b/src/overload/listener.go
@@ -1,6 +1,9 @@
 package overload
 
-import "net"
+import (
+	"errors"
+	"net"
+)
 
 // Listener accepts the connections that its guard accepts. It closes the others before it reads anything, so that their
 // callers know that nothing ran and can retry at another box.
@@ -42,3 +45,12 @@
 	c.meter.AddBytes(n)
 	return n, err
 }
+
+// CloseWrite closes the writing side; net/http does so before it closes a connection with unread bytes, which resets it.
+func (c *countedConn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return half.CloseWrite()
+}
