--- a/src/overload/listener.go
+++ b/src/overload/listener.go
@@ -46,9 +46,12 @@
 	return n, err
 }
 
+// halfCloser is a connection whose writing side can be closed alone.
+type halfCloser interface{ CloseWrite() error }
+
 // CloseWrite closes the writing side; net/http does so before it closes a connection with unread bytes, which resets it.
 func (c *countedConn) CloseWrite() error {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
+	half, ok := c.Conn.(halfCloser)
 	if !ok {
 		return errors.ErrUnsupported
 	}
