No connection is accepted while unread bodies fill the link

The measured share of the link lags by its smoothing, and does not show what has been announced and is still to come.

The guard now counts the bytes that callers have announced and the box has not read. While they would take the link for more than 250 ms, and the link is busy, it accepts one connection in 250 ms only.

--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -202,7 +202,7 @@
 	if err != nil {
 		return err
 	}
-	n.serveOn(&overload.Listener{Listener: l, Guard: &n.guard}, n.releaseWhenBusy(h), n.setCallerState)
+	n.serveOn(&overload.Listener{Listener: l, Guard: &n.guard}, n.guardRequests(h), n.setCallerState)
 	return nil
 }
 
@@ -260,12 +260,16 @@
 	n.closed = s.Closed
 }
 
-// releaseWhenBusy has callers that keep their connections open come to other boxes while this one is overloaded.
-func (n *GatewayNode) releaseWhenBusy(h http.Handler) http.Handler {
+// guardRequests counts the bodies of requests, and has callers that keep their connections open come to other boxes while this
+// one is overloaded.
+func (n *GatewayNode) guardRequests(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n.guard.Busy() {
 			w.Header().Set("Connection", "close")
 		}
+		body := n.guard.Bodies.Add(r.Body, r.ContentLength)
+		defer body.Release()
+		r.Body = body
 		h.ServeHTTP(w, r)
 	})
 }
--- a/src/overload/constants.go
+++ b/src/overload/constants.go
@@ -13,9 +13,11 @@
 
 // Loads beyond which a box is overloaded.
 const (
-	maxDelay = 110 * time.Millisecond // of a goroutine; a process that has used up its machine's quota waits for a tenth of a second
-	minBusy  = 250 * time.Millisecond // of longer delays without a break
-	maxLink  = 0.75                   // of the link; the rest is for messages between boxes and repeated packets
+	maxDelay  = 110 * time.Millisecond // of a goroutine; a process that has used up its machine's quota waits for a tenth of a second
+	minBusy   = 250 * time.Millisecond // of longer delays without a break
+	maxBodies = 250 * time.Millisecond // of the link for bodies that callers have announced
+	minLink   = 0.4                    // of the link; below it, bodies are late because of their callers' own links
+	maxLink   = 0.75                   // of the link; the rest is for messages between boxes and repeated packets
 )
 
 // Changes of the share of new connections that are accepted, in each minInterval.
--- a/src/overload/controller.go
+++ b/src/overload/controller.go
@@ -26,11 +26,12 @@
 	c.closing = c.share < 1
 }
 
-// accept decides on one connection. Of consecutive connections the share is accepted at even distances, but one in each
-// maxPause at least.
-func (c *controller) accept(now time.Time) bool {
-	if c.closing && now.Sub(c.accepted) < maxPause {
-		if c.credit += c.share; c.credit < 1 {
+// accept decides on one connection. Of consecutive connections the share is accepted at even distances, none of them while the
+// box is full, but one in each maxPause at least.
+func (c *controller) accept(now time.Time, full bool) bool {
+	if (c.closing || full) && now.Sub(c.accepted) < maxPause {
+		if c.credit += c.accepting(); full || c.credit < 1 {
+			c.credit = min(c.credit, 1)
 			return false
 		}
 		c.credit--
--- a/src/overload/guard.go
+++ b/src/overload/guard.go
@@ -4,7 +4,8 @@
 
 // Guard decides which new connections of callers a box accepts, by its load. Set the exported fields before use.
 type Guard struct {
-	Meter Meter
+	Meter  Meter
+	Bodies Bodies
 
 	mu         sync.Mutex
 	controller controller
@@ -30,7 +31,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.update()
-	if g.controller.accept(g.Meter.now()) {
+	full := g.last.Link > minLink && g.Bodies.takes(g.Meter.LinkMbps) > maxBodies
+	if g.controller.accept(g.Meter.now(), full) {
 		return true
 	}
 	g.closed++
--- a/src/overload/guard_test.go
+++ b/src/overload/guard_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 )
@@ -42,12 +43,12 @@
 func TestConnectionsAreAcceptedEvenly(t *testing.T) {
 	c := controller{closing: true, share: 0.25}
 	now := time.Unix(1000, 0)
-	c.accept(now)
+	c.accept(now, false)
 	for range 25 {
 		accepted := 0
 		for range 4 {
 			now = now.Add(time.Millisecond)
-			if c.accept(now) {
+			if c.accept(now, false) {
 				accepted++
 			}
 		}
@@ -58,7 +59,7 @@
 	c.share = minShare
 	for range 3 {
 		now = now.Add(maxPause)
-		if !c.accept(now) {
+		if !c.accept(now, false) {
 			t.Error("no connection accepted after a pause")
 		}
 	}
@@ -135,3 +136,51 @@
 		t.Errorf("%d bytes, %v", n, err)
 	}
 }
+
+// Guards against bodies accepted together that share a link for so long that all are late.
+func TestNoConnectionIsAcceptedWhileBodiesFillTheLink(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := &Guard{Meter: Meter{LinkMbps: 10, Now: func() time.Time { return now }}}
+	body := g.Bodies.Add(io.NopCloser(strings.NewReader(strings.Repeat("b", 400_000))), 400_000)
+	g.accept()
+	for range 3 { // until the link is at 0.5 of its bandwidth
+		now = now.Add(minInterval)
+		g.Meter.AddBytes(125_000)
+		g.accept()
+	}
+	if g.accept() {
+		t.Error("a connection is accepted while bodies of 0.32 s are unread")
+	}
+	if now = now.Add(maxPause); !g.accept() {
+		t.Error("no connection is accepted after a pause")
+	}
+	g.Meter.AddBytes(300_000)
+	now = now.Add(minInterval)
+	g.accept()
+	if _, err := io.CopyN(io.Discard, body, 150_000); err != nil {
+		t.Fatal(err)
+	}
+	if g.controller.closing = false; !g.accept() {
+		t.Error("no connection is accepted while bodies of 0.2 s are unread")
+	}
+	g.Bodies.Add(nil, 400_000).Release()
+	body.Release()
+	g.Bodies.Add(nil, -1).Release()
+	if n := g.Bodies.unread.Load(); n != 0 {
+		t.Errorf("%d bytes are counted", n)
+	}
+}
+
+// Guards against callers with slow links of their own that keep a box from accepting others.
+func TestSlowCallersDoNotFillTheLink(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := &Guard{Meter: Meter{LinkMbps: 10, Now: func() time.Time { return now }}}
+	g.Bodies.Add(nil, 4_000_000)
+	for i := range 100 {
+		now = now.Add(10 * time.Millisecond)
+		g.Meter.AddBytes(1_000)
+		if !g.accept() {
+			t.Fatalf("connection %d is closed", i)
+		}
+	}
+}
