A box keeps descriptors for the connections to servers

Cause: callers' connections took all 400 descriptors (counted at the box), so that connections to servers could not be opened, and then accepting failed too: callers waited in the kernel's queue until their deadlines.

The guard counts the callers' connections it has accepted and not closed. While twice that number, one to a server for each, is more than three quarters of machine.descriptors, it accepts one connection in 250 ms only; the others are closed unread and retry at another box. Not used: the number of a new descriptor (says nothing where the runtime or the platform numbers them otherwise), the process's limit (the platform's need not be the kernel's).

--- a/src/config/gateway.go
+++ b/src/config/gateway.go
@@ -56,6 +56,8 @@
 	CPU      float64 `toml:"cpu"`       // cores available, may be fractional
 	Speed    float64 `toml:"speed"`     // speed of a core relative to a reference core
 	LinkMbps float64 `toml:"link_mbps"` // bandwidth of the network link
+
+	Descriptors int `toml:"descriptors"` // that a process may have open
 }
 
 // GatewayRetry is the retry budget shared by all boxes.
@@ -168,6 +170,9 @@
 	k.within("machine.cpu", s.Machine.CPU, maxCores)
 	k.within("machine.speed", s.Machine.Speed, maxSpeed)
 	k.within("machine.link_mbps", s.Machine.LinkMbps, maxLinkMbps)
+	if s.Machine.Descriptors < 0 || s.Machine.Descriptors > 0 && s.Machine.Descriptors < minDescriptors {
+		k.bad("machine.descriptors", "must be 0 or at least %d", minDescriptors)
+	}
 	k.logLevel(s.LogLevel)
 	return k.faults
 }
@@ -175,6 +180,9 @@
 // Limits of settings.
 const (
 	minMemoryMB = 64
+
+	minDescriptors = 100 // what a box that serves nobody has open, and some
+
 	maxCores    = 4096 // more than any machine has; a larger value is probably in another unit
 	maxSpeed    = 1000
 	maxLinkMbps = 1e6
--- a/src/config/gateway_test.go
+++ b/src/config/gateway_test.go
@@ -36,6 +36,7 @@
 		{"negative slack", `[platform]`, "[retry]\nslack = -1.0\n[platform]", "retry.slack"},
 		{"no window", `[platform]`, "[retry]\nwindow = \"0s\"\n[platform]", "retry.window"},
 		{"too little memory", `[listen]`, "memory_mb = 10\n[listen]", "memory_mb"},
+		{"too few descriptors", `[listen]`, "[machine]\ndescriptors = 10\n[listen]", "machine.descriptors"},
 		{"an unknown value of a switch", `[listen]`, "[policy]\nserver_speeds = \"maybe\"\n[listen]", "policy.server_speeds"},
 		{"an unknown level", `[listen]`, "log_level = \"loud\"\n[listen]", "log_level"},
 		{"an unknown key", `[listen]`, "colour = 1\n[listen]", "colour"},
--- a/src/metrics/gateway.go
+++ b/src/metrics/gateway.go
@@ -207,6 +207,7 @@
 	}
 	gauge("scheduling_delay_seconds", "Time for which a goroutine waits for the processor.", func(s overload.Status) float64 { return s.Load.Delay.Seconds() })
 	gauge("link_share", "Share of the link that callers' bytes take.", func(s overload.Status) float64 { return s.Load.Link })
+	gauge("caller_connections", "Open connections of callers.", func(s overload.Status) float64 { return float64(s.Open) })
 	gauge("accepted_share", "Share of callers' new connections that are accepted.", func(s overload.Status) float64 { return s.Share })
 	s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "stilemast_gateway_connections_closed_unread_total",
 		Help: "New connections of callers that were closed unread because the box was overloaded."}, func() float64 { return float64(read().Closed) }))
--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -140,7 +140,7 @@
 	}
 	n.ports = n.Adapter.Open(s, router)
 	set := metrics.NewGateway()
-	n.guard.Meter.LinkMbps = s.Machine.LinkMbps
+	n.guard.Meter.LinkMbps, n.guard.Descriptors = s.Machine.LinkMbps, s.Machine.Descriptors
 	n.gateway = &gateway.Gateway{
 		Busy: n.guard.Busy,
 		Settings: gateway.Settings{
@@ -246,15 +246,15 @@
 // status returns the state of this box for operators.
 func (n *GatewayNode) status() status.Gateway {
 	s, l := n.gateway.Status(), n.guard.Status()
-	s.Load = status.Load{Delay: status.Ms(l.Load.Delay), Link: l.Load.Link, Accepted: l.Share, Closed: l.Closed}
+	s.Load = status.Load{Delay: status.Ms(l.Load.Delay), Link: l.Load.Link, Accepted: l.Share, Full: l.Full, Connections: l.Open, Closed: l.Closed}
 	return s
 }
 
 // logLoad logs that this box closes new connections unread, and that it accepts all again.
 func (n *GatewayNode) logLoad() {
 	s := n.guard.Status()
-	if s.Share < 1 || s.Closed != n.closed {
-		n.Log.Warn("box overloaded, new connections are closed unread", "accepted_share", s.Share, "closed", s.Closed-n.closed, "delay_ms", s.Load.Delay.Milliseconds(),
+	if s.Share < 1 || s.Full || s.Closed != n.closed {
+		n.Log.Warn("box overloaded, new connections are closed unread", "accepted_share", s.Share, "full", s.Full, "closed", s.Closed-n.closed, "connections", s.Open, "delay_ms", s.Load.Delay.Milliseconds(),
 			"link_share", s.Load.Link, "interval_ms", s.Load.Took.Milliseconds(), "running", n.gateway.Running())
 	}
 	n.closed = s.Closed
--- a/src/overload/constants.go
+++ b/src/overload/constants.go
@@ -18,6 +18,9 @@
 	maxBodies = 250 * time.Millisecond // of the link for bodies that callers have announced
 	minLink   = 0.4                    // of the link; below it, bodies are late because of their callers' own links
 	maxLink   = 0.75                   // of the link; the rest is for messages between boxes and repeated packets
+
+	maxDescriptors       = 0.75 // of the descriptors; the rest is for other boxes, probes and idle connections to servers
+	descriptorsPerCaller = 2    // a caller's connection and one to a server
 )
 
 // Changes of the share of new connections that are accepted, in each minInterval.
--- a/src/overload/guard.go
+++ b/src/overload/guard.go
@@ -1,12 +1,17 @@
 package overload
 
-import "sync"
+import (
+	"sync"
+	"sync/atomic"
+)
 
 // Guard decides which new connections of callers a box accepts, by its load. Set the exported fields before use.
 type Guard struct {
-	Meter  Meter
-	Bodies Bodies
+	Meter       Meter
+	Bodies      Bodies
+	Descriptors int // that this process may have open, 0 if unknown
 
+	open       atomic.Int64 // accepted connections
 	mu         sync.Mutex
 	controller controller
 	last       Load
@@ -17,6 +22,8 @@
 type Status struct {
 	Load   Load
 	Share  float64 // of new connections that are accepted
+	Full   bool    // whether hardly any are accepted, until some of those accepted are served
+	Open   int64   // accepted connections
 	Closed int64   // connections closed unread since the start
 }
 
@@ -31,8 +38,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.update()
-	full := g.last.Link > minLink && g.Bodies.takes(g.Meter.LinkMbps) > maxBodies
-	if g.controller.accept(g.Meter.now(), full) {
+	if g.controller.accept(g.Meter.now(), g.full()) {
 		return true
 	}
 	g.closed++
@@ -40,14 +46,24 @@
 }
 
 // Busy reports whether this box closes new connections, so that it should take no other work either.
-func (g *Guard) Busy() bool { return g.Status().Share < 1 }
+func (g *Guard) Busy() bool {
+	s := g.Status()
+	return s.Share < 1 || s.Full
+}
 
 // Status returns the current state.
 func (g *Guard) Status() Status {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.update()
-	return Status{Load: g.last, Share: g.controller.accepting(), Closed: g.closed}
+	return Status{Load: g.last, Share: g.controller.accepting(), Full: g.full(), Open: g.open.Load(), Closed: g.closed}
+}
+
+// full reports whether accepted connections take the whole link with their bodies, or the descriptors. The caller holds g.mu.
+func (g *Guard) full() bool {
+	link := g.last.Link > minLink && g.Bodies.takes(g.Meter.LinkMbps) > maxBodies
+	descriptors := g.Descriptors > 0 && float64(descriptorsPerCaller*g.open.Load()) > maxDescriptors*float64(g.Descriptors)
+	return link || descriptors
 }
 
 // update takes the load of the last interval if it has ended. The caller holds g.mu.
--- a/src/overload/guard_test.go
+++ b/src/overload/guard_test.go
@@ -1,8 +1,10 @@
 package overload
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -184,3 +186,48 @@
 		}
 	}
 }
+
+// Guards against a box whose callers take all descriptors, so that it can't reach servers.
+func TestDescriptorsAreKeptForServers(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	now := time.Unix(1000, 0)
+	guard := &Guard{Descriptors: 40, Meter: Meter{Now: func() time.Time { return now }}}
+	accepted := make(chan net.Conn, 100)
+	go func() {
+		guarded := Listener{Listener: l, Guard: guard}
+		for {
+			c, err := guarded.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	connect := func() (open bool) {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		_ = c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		_, err = c.Read(make([]byte, 1))
+		return errors.Is(err, os.ErrDeadlineExceeded)
+	}
+	for i := range 16 { // twice as many descriptors are more than 30
+		if !connect() {
+			t.Fatalf("connection %d is closed", i)
+		}
+	}
+	if connect() || !guard.Busy() {
+		t.Error("a connection is accepted without a descriptor for a server")
+	}
+	c := <-accepted
+	_, _ = c.Close(), c.Close()
+	if !connect() || connect() {
+		t.Error("one connection that has ended, and not one is accepted")
+	}
+}
--- a/src/overload/listener.go
+++ b/src/overload/listener.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"sync"
 )
 
 // Listener accepts the connections that its guard accepts. It closes the others before it reads anything, so that their
@@ -20,29 +21,37 @@
 			return nil, err
 		}
 		if l.Guard.Accept() {
-			return &countedConn{Conn: c, meter: &l.Guard.Meter}, nil
+			l.Guard.open.Add(1)
+			return &countedConn{Conn: c, guard: l.Guard}, nil
 		}
 		_ = c.Close()
 	}
 }
 
-// countedConn counts the bytes of a connection.
+// countedConn counts an accepted connection and its bytes.
 type countedConn struct {
 	net.Conn
-	meter *Meter
+	guard *Guard
+	close sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.close.Do(func() { c.guard.open.Add(-1) })
+	return c.Conn.Close()
 }
 
 // Read implements net.Conn.
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.meter.AddBytes(n)
+	c.guard.Meter.AddBytes(n)
 	return n, err
 }
 
 // Write implements net.Conn.
 func (c *countedConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
-	c.meter.AddBytes(n)
+	c.guard.Meter.AddBytes(n)
 	return n, err
 }
 
--- a/src/status/status.go
+++ b/src/status/status.go
@@ -38,8 +38,10 @@
 	Delay Milliseconds `json:"delay_ms"`   // for which a goroutine waits for the processor
 	Link  float64      `json:"link_share"` // taken by callers' bytes, 0 if the link is unknown
 
-	Accepted float64 `json:"accepted_share"` // of callers' new connections
-	Closed   int64   `json:"closed_unread"`  // the others, since the start
+	Accepted    float64 `json:"accepted_share"` // of callers' new connections
+	Full        bool    `json:"full"`           // whether hardly any are accepted, until some of those accepted are served
+	Connections int64   `json:"connections"`    // of callers
+	Closed      int64   `json:"closed_unread"`  // new connections that were not accepted, since the start
 }
 
 // Forecast is how the forecasts of admission for one class of requests compared with what was observed.
