A server is told at once that its request was given up

Cause: an attempt that is given up (its caller left, its deadline passed, it was silent, another attempt won) closed its connection plainly. The end of a connection goes behind the bytes that are not sent yet; a server that does not read them does not see it.

The connection is reset now, which is told at once whatever is unsent. A request that is held up on the way is lost with it, which is wanted: it must not arrive after it has been given up.

Connections that another box carries are not reset yet.

--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -168,13 +168,13 @@
 		cn.releaseUnused()
 		return nil, &NotSent{Cause: err}
 	}
-	stop := context.AfterFunc(ctx, func() { cn.drop() })
+	stop := context.AfterFunc(ctx, cn.abort)
 	cn.readTimeout = max(r.ReadTimeout, r.HeaderTimeout)
 	resp, sent, err := cn.roundTrip(r)
 	cn.readTimeout = r.ReadTimeout
 	if err != nil {
 		stop()
-		cn.drop()
+		cn.abort()
 		if !sent {
 			return nil, &NotSent{Cause: err}
 		}
@@ -216,7 +216,7 @@
 	}()
 	resp, err = cn.read(r)
 	if err != nil {
-		cn.drop() // aborts the write
+		cn.abort() // ends the write
 		w := <-end
 		return nil, w.n > 0, err
 	}
@@ -305,16 +305,29 @@
 	}
 }
 
-// Close ends the exchange. Set whole if the body was read to its end without an error; otherwise the
-// connection is not reused.
+// Close ends the exchange. Set whole if the body was read to its end without an error; otherwise the request is given up.
 func (a *Response) Close(whole bool) {
-	if a.stop() && whole && !a.Response.Close && a.conn.reader.Buffered() == 0 {
+	switch stopped := a.stop(); {
+	case !whole:
+		a.conn.abort()
+	case stopped && !a.Response.Close && a.conn.reader.Buffered() == 0:
 		a.conn.release(a.Header)
-		return
+	default:
+		a.conn.drop()
+	}
+}
+
+// abort closes a connection whose request is given up. A plain close would reach the server behind all bytes that are not sent yet.
+func (cn *conn) abort() {
+	if c, ok := cn.Conn.(Resettable); ok {
+		_ = c.SetLinger(0)
 	}
-	a.conn.drop()
+	cn.drop()
 }
 
+// Resettable is a connection that can be reset, as *net.TCPConn: closed at once without the bytes that are not sent yet.
+type Resettable interface{ SetLinger(seconds int) error }
+
 // drop closes a connection and removes it from the count of open ones.
 func (cn *conn) drop() {
 	cn.once.Do(func() {
--- a/src/exchange/exchange_test.go
+++ b/src/exchange/exchange_test.go
@@ -412,3 +412,53 @@
 		t.Errorf("silence ends a connection that waits after %s, and one that sends after %s; want 1.5 to 3 s", end, limit)
 	}
 }
+
+// Guards against a server that isn't told that its request was given up, since the rest of a long body goes before the end.
+func TestServerIsToldAtOnceThatARequestIsGivenUp(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\nId: a\nContent-Length: 10\n\npart"
+	for name, c := range map[string]struct {
+		answer  string
+		timeout time.Duration                           // of the response, 0 for none
+		giveUp  func(cancel func(), response *Response) // after the response
+	}{
+		"cancelled":              {answer: answer, giveUp: func(cancel func(), _ *Response) { cancel() }},
+		"closed":                 {answer: answer, giveUp: func(_ func(), a *Response) { a.Close(false) }},
+		"silent":                 {timeout: 100 * time.Millisecond},
+		"belongs to another one": {answer: strings.ReplaceAll(answer, "Id: a", "Connection: close\nId: b")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			givenUp, end := make(chan struct{}), make(chan error, 1)
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				_, _ = io.ReadFull(conn, make([]byte, 100))
+				writeText(conn, c.answer)
+				<-givenUp
+				_, err = io.Copy(io.Discard, conn)
+				end <- err
+			}()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			r := get("a")
+			r.Method, r.Body, r.HeaderTimeout = http.MethodPost, make([]byte, 32<<20), c.timeout // exceeds the buffers of a connection
+			response, err := (&Client{}).Do(ctx, l.Addr().String(), r)
+			if err == nil {
+				_, _ = io.ReadFull(response.Body, make([]byte, 4))
+				c.giveUp(cancel, response)
+			}
+			time.Sleep(20 * time.Millisecond)
+			close(givenUp)
+			if err := <-end; !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("the server's connection ended with %v", err)
+			}
+		})
+	}
+}
