A server is told through tunnels too that its request was given up

The reset is passed on by each wrapper of a connection; the carrier resets the server's connection when the asker's was reset or takes no more bytes, and a write that blocks looks every 50 ms whether the asker is still there. Askers that close plainly are passed on as before.

--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -319,14 +319,21 @@
 
 // abort closes a connection whose request is given up. A plain close would reach the server behind all bytes that are not sent yet.
 func (cn *conn) abort() {
-	if c, ok := cn.Conn.(Resettable); ok {
-		_ = c.SetLinger(0)
-	}
+	_ = SetLinger(cn.Conn, 0)
 	cn.drop()
 }
 
-// Resettable is a connection that can be reset, as *net.TCPConn: closed at once without the bytes that are not sent yet.
-type Resettable interface{ SetLinger(seconds int) error }
+// SetLinger is *net.TCPConn's method for connections that wrap one. With 0 seconds, Close does not send the bytes that are not sent
+// yet.
+func SetLinger(c net.Conn, seconds int) error {
+	l, ok := c.(lingerer)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return l.SetLinger(seconds)
+}
+
+type lingerer interface{ SetLinger(seconds int) error }
 
 // drop closes a connection and removes it from the count of open ones.
 func (cn *conn) drop() {
--- a/src/paths/carrier.go
+++ b/src/paths/carrier.go
@@ -132,6 +132,9 @@
 	end func()
 }
 
+// SetLinger implements *net.TCPConn's method.
+func (c *counted) SetLinger(seconds int) error { return exchange.SetLinger(c.Conn, seconds) }
+
 // Close closes the connection.
 func (c *counted) Close() error {
 	c.end()
--- a/src/paths/router.go
+++ b/src/paths/router.go
@@ -134,6 +134,9 @@
 	lent bool   // out of that box's part
 }
 
+// SetLinger implements *net.TCPConn's method.
+func (c *carried) SetLinger(seconds int) error { return exchange.SetLinger(c.Conn, seconds) }
+
 // SyscallConn returns the connection to the carrier, so that its state can be checked.
 func (c *carried) SyscallConn() (syscall.RawConn, error) {
 	if s, ok := c.Conn.(syscall.Conn); ok {
--- a/src/peer/tunnel.go
+++ b/src/peer/tunnel.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/stilemast/stilemast/src/code"
+	"github.com/stilemast/stilemast/src/exchange"
 	"github.com/stilemast/stilemast/src/port"
 )
 
@@ -25,6 +28,9 @@
 	chunkBroken = 0xFFFFFFFF // length that stands for a connection that broke at the server
 )
 
+// askerCheck is how often a write to a server that does not read checks whether the asker is still there.
+const askerCheck = 50 * time.Millisecond
+
 // Tunnel asks the box at an address to carry a connection to a backend server.
 func (c *Client) Tunnel(ctx context.Context, address string, t port.Tunnel) (net.Conn, error) {
 	first := &Message{Tunnel: &t}
@@ -121,6 +127,9 @@
 	return s.SyscallConn()
 }
 
+// SetLinger implements *net.TCPConn's method.
+func (c *tunnelConn) SetLinger(seconds int) error { return exchange.SetLinger(c.Conn, seconds) }
+
 // tunnel carries a connection for another box until either end closes it.
 func (s *Server) tunnel(ctx context.Context, c net.Conn, t port.Tunnel) {
 	server, result := s.Handlers.Tunnel(ctx, t)
@@ -133,30 +142,66 @@
 	}
 	_ = c.SetDeadline(time.Time{})
 	var both sync.WaitGroup
-	to := &serverWriter{Writer: server}
+	to := &serverWriter{server: server, asker: c}
 	both.Go(func() {
-		_, _ = io.CopyBuffer(to, struct{ io.Reader }{c}, make([]byte, chunkBytes))
+		if _, err := io.CopyBuffer(to, struct{ io.Reader }{c}, make([]byte, chunkBytes)); errors.Is(err, errAskerGone) || errors.Is(err, syscall.ECONNRESET) {
+			_ = exchange.SetLinger(server, 0) // on failure the server is told behind the bytes before
+		}
 		_ = server.Close()
 	})
-	copyChunks(c, server, to.failed)
+	if !copyChunks(c, server, to.failed) {
+		_ = exchange.SetLinger(server, 0)
+	}
 	_ = c.Close()
 	both.Wait()
 }
 
-// serverWriter writes to a server and records whether that failed: a reset is told either to the read or to the write.
+// errAskerGone is returned by writes to a server whose asker has given up.
+var errAskerGone = errors.New("the asking box has reset the tunnel")
+
+// serverWriter writes to a server and records whether that failed: a reset is told either to the read or to the write. While the
+// server does not read, nothing is read from the asker either, so that a write that takes long checks whether the asker is there.
 type serverWriter struct {
-	io.Writer
-	mu  sync.Mutex // held during writes
-	err error
+	server, asker net.Conn
+	mu            sync.Mutex // held during writes
+	err           error
 }
 
 // Write implements io.Writer.
 func (w *serverWriter) Write(b []byte) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	n, err := w.Writer.Write(b)
-	w.err = err
-	return n, err
+	total := 0
+	for {
+		_ = w.server.SetWriteDeadline(time.Now().Add(askerCheck))
+		n, err := w.server.Write(b[total:])
+		total += n
+		switch {
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			w.err = err
+			return total, err
+		case isReset(w.asker):
+			return total, errAskerGone
+		}
+	}
+}
+
+// isReset reports whether the other end has reset a connection.
+func isReset(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
+	reset := false
+	err = raw.Control(func(fd uintptr) {
+		n, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
+		reset = err == nil && n != 0
+	})
+	return err != nil || reset
 }
 
 // failed reports whether the last write failed, once it has ended.
@@ -166,9 +211,9 @@
 	return w.err != nil
 }
 
-// copyChunks sends the bytes of a server in chunks until it ends. An end without an error counts as one only if the writes to
+// copyChunks sends the bytes of a server in chunks until it ends, and reports whether the asker took them. An end without an error counts as one only if the writes to
 // the server have not failed.
-func copyChunks(c net.Conn, server io.Reader, writeFailed func() bool) {
+func copyChunks(c net.Conn, server io.Reader, writeFailed func() bool) (delivered bool) {
 	buf := make([]byte, headerBytes+chunkBytes)
 	for {
 		n, err := server.Read(buf[headerBytes:])
@@ -176,7 +221,7 @@
 			binary.BigEndian.PutUint32(buf, uint32(n))
 			_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if _, err := c.Write(buf[:headerBytes+n]); err != nil {
-				return
+				return false
 			}
 		}
 		if err == nil {
@@ -187,7 +232,7 @@
 			last = chunkEnd
 		}
 		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-		_, _ = c.Write(binary.BigEndian.AppendUint32(nil, last))
-		return
+		_, err = c.Write(binary.BigEndian.AppendUint32(nil, last))
+		return err == nil
 	}
 }
--- a/src/peer/tunnel_test.go
+++ b/src/peer/tunnel_test.go
@@ -180,3 +180,17 @@
 		t.Errorf("%d of 20 connections that were reset look ended", ended)
 	}
 }
+
+// Guards against a server that works on for an asker that has given up, while it does not read the rest of the request.
+func TestServerIsToldThatTheAskerOfATunnelGaveUp(t *testing.T) {
+	asker, server, _ := tunnelTo(t)
+	go func() { _, _ = asker.Write(make([]byte, 32<<20)) }()
+	_, _ = io.ReadFull(server, make([]byte, 100))
+	time.Sleep(20 * time.Millisecond)
+	_ = asker.(interface{ SetLinger(int) error }).SetLinger(0)
+	_ = asker.Close()
+	time.Sleep(5 * askerCheck)
+	if n, err := io.Copy(io.Discard, server); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the server read %d bytes, then %v", n, err)
+	}
+}
