--- a/src/peer/tunnel.go
+++ b/src/peer/tunnel.go
@@ -211,8 +211,8 @@
 	return w.err != nil
 }
 
-// copyChunks sends the bytes of a server in chunks until it ends, and reports whether the asker took them. An end without an error counts as one only if the writes to
-// the server have not failed.
+// copyChunks sends the bytes of a server in chunks until it ends, and reports whether the asker took them. An end without an
+// error counts as one only if the writes to the server have not failed.
 func copyChunks(c net.Conn, server io.Reader, writeFailed func() bool) (delivered bool) {
 	buf := make([]byte, headerBytes+chunkBytes)
 	for {
