Servers are told of given up requests also if a process is killed

What callers saw: nothing; a server that has answered before it read a long body works on for a box that was killed, while the caller asks another box.

Cause: connections to servers were reset only by code that gives a request up. When a process ends, the kernel closes them plainly, and the end goes behind the bytes that are not sent yet.

Change: SO_LINGER is 0 from the opening of a connection, and is taken back when it is closed in order. A box that carries a connection for another does the same.

TestServerIsToldThatTheCarrierOfItsConnectionStopped covers a way without a test; it passes on the code before as well.

--- a/src/exchange/dial.go
+++ b/src/exchange/dial.go
@@ -17,14 +17,20 @@
 		c.release(address)
 		return nil, err
 	}
-	cn := &conn{Conn: raw, client: c, address: address, to: to, keepIdle: -1}
+	cn := c.newConn(raw, to)
 	if r.Share.Open > 0 {
 		cn.keepIdle = r.Share.Idle
 	}
-	cn.reader = bufio.NewReaderSize(cn, readBuffer)
 	return cn, nil
 }
 
+func (c *Client) newConn(raw net.Conn, to Target) *conn {
+	_ = SetLinger(raw, ResetOnClose)
+	cn := &conn{Conn: raw, client: c, address: to.Address, to: to, keepIdle: -1}
+	cn.reader = bufio.NewReaderSize(cn, readBuffer)
+	return cn
+}
+
 func (c *Client) connect(ctx context.Context, to Target) (net.Conn, error) {
 	if c.Dial != nil {
 		return c.Dial(ctx, to)
--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -315,27 +315,16 @@
 	}
 }
 
-// abort closes a connection whose request is given up. A plain close would reach the server behind all bytes that are not sent yet.
-func (cn *conn) abort() {
-	_ = SetLinger(cn.Conn, 0)
-	cn.drop()
-}
-
-// SetLinger is *net.TCPConn's method for connections that wrap one. With 0 seconds, Close does not send the bytes that are not sent
-// yet.
-func SetLinger(c net.Conn, seconds int) error {
-	l, ok := c.(lingerer)
-	if !ok {
-		return errors.ErrUnsupported
-	}
-	return l.SetLinger(seconds)
-}
+// abort resets a connection whose request is given up.
+func (cn *conn) abort() { cn.close(ResetOnClose) }
 
-type lingerer interface{ SetLinger(seconds int) error }
+// drop closes a connection without a request.
+func (cn *conn) drop() { cn.close(CloseInOrder) }
 
-// drop closes a connection and removes it from the count of open ones.
-func (cn *conn) drop() {
+// close closes a connection and removes it from the count of open ones.
+func (cn *conn) close(linger int) {
 	cn.once.Do(func() {
+		_ = SetLinger(cn.Conn, linger) // on failure the server is told behind the bytes that are not sent yet
 		_ = cn.Conn.Close()
 		if !cn.borrowed {
 			cn.client.release(cn.address)
--- a/src/exchange/pool.go
+++ b/src/exchange/pool.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"bufio"
 	"context"
 	"net/http"
 	"slices"
@@ -57,8 +56,8 @@
 	if err != nil {
 		return nil
 	}
-	cn := &conn{Conn: raw, client: c, address: address, to: to, borrowed: true}
-	cn.reader = bufio.NewReaderSize(cn, readBuffer)
+	cn := c.newConn(raw, to)
+	cn.borrowed, cn.keepIdle = true, 0
 	return cn
 }
 
--- a/src/peer/tunnel.go
+++ b/src/peer/tunnel.go
@@ -141,16 +141,17 @@
 		return
 	}
 	_ = c.SetDeadline(time.Time{})
+	_ = exchange.SetLinger(server, exchange.ResetOnClose)
 	var both sync.WaitGroup
 	to := &serverWriter{server: server, asker: c}
 	both.Go(func() {
-		if _, err := io.CopyBuffer(to, struct{ io.Reader }{c}, make([]byte, chunkBytes)); errors.Is(err, errAskerGone) || errors.Is(err, syscall.ECONNRESET) {
-			_ = exchange.SetLinger(server, 0) // on failure the server is told behind the bytes before
+		if _, err := io.CopyBuffer(to, struct{ io.Reader }{c}, make([]byte, chunkBytes)); err == nil {
+			_ = exchange.SetLinger(server, exchange.CloseInOrder)
 		}
 		_ = server.Close()
 	})
-	if !copyChunks(c, server, to.failed) {
-		_ = exchange.SetLinger(server, 0)
+	if copyChunks(c, server, to.failed) {
+		_ = exchange.SetLinger(server, exchange.CloseInOrder)
 	}
 	_ = c.Close()
 	both.Wait()
@@ -188,6 +189,9 @@
 
 // isReset reports whether the other end has reset a connection.
 func isReset(c net.Conn) bool {
+	if w, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = w.NetConn()
+	}
 	s, ok := c.(syscall.Conn)
 	if !ok {
 		return false
--- a/src/peer/tunnel_test.go
+++ b/src/peer/tunnel_test.go
@@ -195,3 +195,17 @@
 		t.Errorf("the server was not told; it read %d bytes, then %v", n, err)
 	}
 }
+
+// Guards against a server that works on for a request whose carrier stopped, while it does not read the rest of it.
+func TestServerIsToldThatTheCarrierOfItsConnectionStopped(t *testing.T) {
+	asker, server, stop := tunnelTo(t)
+	go func() { _, _ = asker.Write(make([]byte, 32<<20)) }()
+	_, _ = io.ReadFull(server, make([]byte, 100))
+	time.Sleep(10 * askerCheck) // until all buffers are full
+	stop()
+	time.Sleep(5 * askerCheck)
+	if !isReset(server) {
+		n, err := io.Copy(io.Discard, server)
+		t.Errorf("the server was not told; it read %d bytes, then %v", n, err)
+	}
+}
