A document that goes on beyond its limit is not whole

What callers saw: a stage service that sends bytes without an end after a valid document counted as done, its connection stayed open and the service stayed busy; the same for the store's responses. With a response longer than the limit, the rest of it stayed on a connection that was used again.

Beyond the limit the response is an error and its connection is reset.

--- a/src/exchange/bounds_test.go
+++ b/src/exchange/bounds_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
-
+	"io"
 	"net"
 	"net/http"
 	"runtime"
 	"strings"
 	"testing"
+
+	"github.com/stilemast/stilemast/src/code"
 )
 
 // Guards against a box that runs out of memory since a server sends the head of a response without an end.
@@ -36,3 +38,59 @@
 		})
 	}
 }
+
+// Guards against a box that runs out of memory, or takes a part for the whole, since a server sends a body without an end.
+func TestBodyOfAResponseIsBounded(t *testing.T) {
+	const most = 1 << 20
+	for name, c := range map[string]struct{ start, part string }{
+		"until the connection ends": {"\n", strings.Repeat("x", 64<<10)},
+		"a large length":            {"Content-Length: 1000000000000\n\n", strings.Repeat("x", 64<<10)},
+		"chunks":                    {"Transfer-Encoding: chunked\n\n", "10000\n" + strings.Repeat("x", 64<<10) + "\n"},
+		"small chunks":              {"Transfer-Encoding: chunked\n\n", strings.Repeat("1\nx\n", 8000)},
+		"the line of a chunk":       {"Transfer-Encoding: chunked\n\n1;", strings.Repeat("x", 64<<10)},
+		"trailers":                  {"Transfer-Encoding: chunked\n\n0\n", strings.Repeat("X: y\n", 8000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{})
+			address, _ := server(t, func(conn net.Conn, _ *http.Request, _ int) {
+				writeText(conn, "HTTP/1.1 200 OK\n"+c.start)
+				part := strings.ReplaceAll(c.part, "\n", "\r\n")
+				for _, err := io.WriteString(conn, part); err == nil; {
+					_, err = io.WriteString(conn, part)
+				}
+				close(ended)
+			})
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			a, err := (&Client{}).Do(t.Context(), address, get("a"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = a.ReadAll(most)
+			runtime.ReadMemStats(&after)
+			if err == nil {
+				t.Error("it was taken")
+			}
+			if n := after.TotalAlloc - before.TotalAlloc; n > 16<<20 {
+				t.Errorf("%d MB allocated", n>>20)
+			}
+			<-ended
+		})
+	}
+}
+
+// Guards against a body that is refused although it has just the length that is allowed.
+func TestBodyMayHaveTheLengthThatIsAllowed(t *testing.T) {
+	address, _ := server(t, func(c net.Conn, _ *http.Request, _ int) { writeText(c, "HTTP/1.1 200 OK\nContent-Length: 5\n\nwhole") })
+	for most, want := range map[int]string{5: "whole", 4: ""} {
+		a, err := (&Client{}).Do(t.Context(), address, get("a"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := a.ReadAll(most)
+		var tooLarge *code.Error
+		if string(b) != want || (err == nil) != (want != "") || err != nil && (!errors.As(err, &tooLarge) || tooLarge.Code != code.MessageTooLarge) {
+			t.Errorf("%d bytes allowed: %q, %v", most, b, err)
+		}
+	}
+}
--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -293,16 +293,23 @@
 		n, err := read(buf)
 		body = append(body, buf[:n]...)
 		switch {
+		case len(body) > most:
+			return nil, code.New(code.MessageTooLarge, "answer", "over %d bytes", most)
 		case err == io.EOF:
 			return body, nil
 		case err != nil:
 			return nil, err
-		case len(body) > most:
-			return nil, code.New(code.MessageTooLarge, "answer", "over %d bytes", most)
 		}
 	}
 }
 
+// ReadAll reads the body to its end and ends the exchange. The error is a code.MessageTooLarge if the body is longer than most.
+func (a *Response) ReadAll(most int) ([]byte, error) {
+	body, err := ReadWhole(a.Body.Read, most)
+	a.Close(err == nil)
+	return body, err
+}
+
 // Close ends the exchange. Set whole if the body was read to its end without an error; otherwise the request is given up.
 func (a *Response) Close(whole bool) {
 	switch stopped := a.stop(); {
