A silent server keeps its request until another one has accepted it

Plain requests that may be repeated failed in the same way, and streams before their first event.

Cause: the timer of a silent attempt cancelled it before another server was asked. If that one was full, failed, had moved or could not be reached, nothing was left. Class: break before make.

Ruled out: the SIGHUP (the same streams are cut without it); the retry budget, which was asked before and allowed the retry.

Change: package hedge decides. An attempt has its own state now.

--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -11,6 +11,7 @@
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/crasher"
 	"github.com/stilemast/stilemast/src/exchange"
+	"github.com/stilemast/stilemast/src/hedge"
 	"github.com/stilemast/stilemast/src/port"
 	"github.com/stilemast/stilemast/src/pushback"
 	"github.com/stilemast/stilemast/src/suspects"
@@ -44,6 +45,9 @@
 		if what == stepDone {
 			return
 		}
+		if v.next != nil {
+			continue
+		}
 		if !sent && v.uncounted && what != stepFail && ctx.Err() == nil {
 			v.uncounted = false
 			continue
@@ -58,10 +62,11 @@
 		if v.begun && what == stepRetry && !v.canGoOn() {
 			what, err = stepFail, v.noBuildLeft()
 		}
-		if what == stepFail || ctx.Err() != nil || v.attempts >= max(1, v.pipeline.Attempts) || !v.takeRetry(ctx) {
+		if what == stepFail || ctx.Err() != nil || !v.retryTaken && (v.attempts >= max(1, v.pipeline.Attempts) || !v.takeRetry(ctx)) {
 			v.fail(ctx, err)
 			return
 		}
+		v.retryTaken = false
 		if v.needsStages() {
 			if e := v.makeStages(ctx); e != nil {
 				v.fail(ctx, e)
@@ -132,78 +137,133 @@
 	v.refuse(err)
 }
 
-// attemptOnce makes one attempt. The last result reports whether any byte of the request left this box.
+// attempt is one try of a request at a server.
+type attempt struct {
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	pool   *pool
+	call   *Call
+	hedge  *hedge.Hedge[*attempt] // nil if no other server may be tried
+	began  time.Time
+	why    string // the server was chosen
+	unread int    // prompt tokens that the server had not processed before, -1 if unknown
+	freed  func() // ends the wait before the inputs are freed
+
+	reply   *Reply
+	err     error
+	signals pushback.Signals // in the answer
+	counted bool             // it counts among the request's attempts
+	// Of an attempt beside another one; nil for others.
+	sent     chan struct{} // closed when the first byte leaves
+	answered chan struct{} // closed when reply or err is set
+}
+
+// attemptOnce makes one attempt, or goes on with the one that a silent server was given up for. The last result reports whether any
+// byte of the request left this box.
 func (v *requestRun) attemptOnce(ctx context.Context) (nextStep, *code.Error, bool) {
+	a := v.next
+	if v.next = nil; a == nil {
+		var what nextStep
+		var err *code.Error
+		if a, what, err = v.prepare(ctx); a == nil {
+			return what, err, false
+		}
+	}
+	defer v.end(a)
+	a.hedge = v.newHedge(ctx, a)
+	if a.answered == nil {
+		v.send(a)
+	} else {
+		<-a.answered
+	}
+	v.settle(a)
+	return v.finish(a)
+}
+
+// prepare chooses a server for an attempt, or returns how the request goes on without one.
+func (v *requestRun) prepare(ctx context.Context) (*attempt, nextStep, *code.Error) {
 	g := v.gateway
 	e := g.pools.get(v.pool)
 	g.awaitConfirmed(ctx) // before the remaining time is computed
 	if err := v.awaitRest(ctx, e); err != nil {
-		return stepFail, err, false
+		return nil, stepFail, err
 	}
 	now := g.now()
 	if !now.Before(v.deadline) { // the process was paused, which delays the deadline timer as well
-		return stepFail, code.New(code.DeadlinePassed, "deadline", "no time left for an attempt").WithRan(v.ran()), false
+		return nil, stepFail, code.New(code.DeadlinePassed, "deadline", "no time left for an attempt").WithRan(v.ran())
 	}
 	if err := v.checkContent(); err != nil {
-		return stepFail, err, false
+		return nil, stepFail, err
 	}
 	v.wish.Within, v.wish.Left = v.currentConfines(), v.objective.Sub(now)
+	a := &attempt{pool: e, unread: -1}
 	e.mu.Lock()
 	s, why, ok := e.picker.Pick(now, &v.wish)
 	source, copied := e.picker.CopySource(now, s.ID, &v.wish)
-	if v.unread = -1; !copied && e.speeds.InForce() {
-		v.unread = e.picker.UncachedTokens(now, s.ID, &v.wish)
+	if !copied && e.speeds.InForce() {
+		a.unread = e.picker.UncachedTokens(now, s.ID, &v.wish)
 	}
 	e.mu.Unlock()
 	reserved := v.wish.Only != ""
 	v.wish.Only = ""
 	if !ok && reserved { // the server left while the request waited for its permit
 		v.uncounted = true
-		return stepRetry, v.noServer(e, now), false
+		return nil, stepRetry, v.noServer(e, now)
 	}
 	if !ok {
 		v.uncounted = v.serverExpected(e, now)
 		if v.uncounted {
-			return stepRetry, v.noServer(e, now), false
+			return nil, stepRetry, v.noServer(e, now)
 		}
-		return stepFail, v.noServer(e, now), false
+		return nil, stepFail, v.noServer(e, now)
 	}
 	if !v.permitted(ctx, s) {
 		e.mu.Lock()
 		e.picker.Ended(g.now(), s.ID, &v.wish, balance.Dropped)
 		e.mu.Unlock()
 		if v.permitRequests >= maxPermitRequests {
-			return stepFail, v.noServer(e, g.now()), false
+			return nil, stepFail, v.noServer(e, g.now())
 		}
 		v.uncounted = true
-		return stepRetry, v.noServer(e, g.now()), false
+		return nil, stepRetry, v.noServer(e, g.now())
 	}
 	now = g.now()
 	v.wish.Exclude[s.ID] = true
-	if copied {
-		why += ", copies from " + source.ID
+	if a.why = why; copied {
+		a.why += ", copies from " + source.ID
 	}
 	handles, _, _ := v.stageResults.final()
-	c := &Call{
+	a.call = &Call{
 		Server: s, Request: v.request, Left: v.deadline.Sub(now), Workspace: v.workspace,
 		Priority: v.callPriority(), Inputs: handles, Source: source.Address, LastEvent: v.lastEvent, NewConnection: !v.repeatable(),
 		Share: g.connectionShare(v.pool),
 	}
-	if c.LastEvent == "" {
-		c.LastEvent = v.request.LastEvent
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watch := v.silenceTimer(cancel, e, s.Build)
-	defer watch.Stop()
-	c.Start = v.startInBoundary(s, g.startCheck(ctx, s, "request "+v.request.ID, v.request.ID, now))
-	began := g.now()
-	if c.LastEvent != "" {
-		g.Log.Info("stream goes on", "request", v.request.ID, "resumes", v.request.Resumes, "last_event", c.LastEvent, "server", s.ID, "build", s.Build, "same_response", v.begun, "left_ms", c.Left.Milliseconds())
-	}
-	stop := v.freeInputs(e, len(handles) > 0)
-	defer stop()
-	reply, err := g.Backends.Send(ctx, c)
+	if a.call.LastEvent == "" {
+		a.call.LastEvent = v.request.LastEvent
+	}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	a.call.Start = v.startInBoundary(s, g.startCheck(a.ctx, s, "request "+v.request.ID, v.request.ID, now))
+	a.began = g.now()
+	if a.call.LastEvent != "" {
+		g.Log.Info("stream goes on", "request", v.request.ID, "resumes", v.request.Resumes, "last_event", a.call.LastEvent, "server", s.ID, "build", s.Build, "same_response", v.begun, "left_ms", a.call.Left.Milliseconds())
+	}
+	a.freed = v.freeInputs(e, len(handles) > 0)
+	return a, 0, nil
+}
+
+// send sends the request of an attempt and waits for the head of the answer.
+func (v *requestRun) send(a *attempt) { a.reply, a.err = v.gateway.Backends.Send(a.ctx, a.call) }
+
+// end frees what an attempt holds.
+func (v *requestRun) end(a *attempt) {
+	a.hedge.Close()
+	a.freed()
+	a.cancel(nil)
+}
+
+// finish handles the end of an attempt without an answer, or the head of its answer.
+func (v *requestRun) finish(a *attempt) (nextStep, *code.Error, bool) {
+	g, e, s, reply, err := v.gateway, a.pool, a.call.Server, a.reply, a.err
 	var notSent *exchange.NotSent
 	if errors.As(err, &notSent) {
 		g.signals.ReleasePermit(s.ID, v.request.ID)
@@ -217,13 +277,14 @@
 		case errors.Is(err, ErrServerLeft), errors.Is(err, errOutside), errors.Is(err, exchange.ErrConnectionLimit):
 			outcome = balance.Dropped
 		}
-		v.recordOutcome(e, s, outcome, began, "not sent: "+notSent.Cause.Error(), why)
+		v.recordOutcome(a, outcome, "not sent: "+notSent.Cause.Error())
 		return stepRetry, refusal(code.BackendsDown, "pool", failureRetryAfter, "%s could not be reached", s.ID), false
 	}
 	v.attempts++
+	a.counted = true
 	if reply != nil {
-		v.signals = reply.Signals
-		sent := began
+		a.signals = reply.Signals
+		sent := a.began
 		if reply.AddressReused {
 			sent = time.Time{}
 		}
@@ -235,10 +296,10 @@
 	}
 	if err != nil {
 		v.maybeRan = true
-		v.recordBreak(ctx, e, s, began, err, "", why)
+		v.recordBreak(a, err, "")
 		return v.afterBreak(), code.New(code.OutcomeUnknown, "", "%s gave no answer: %v", s.ID, err), true
 	}
-	return v.handleReply(ctx, e, s, reply, began, watch, why)
+	return v.handleReply(a)
 }
 
 // ran reports whether any part of the request may have run.
@@ -266,16 +327,16 @@
 }
 
 // recordBreak records that the exchange with a server broke, unless the caller ended it or the box that carried it failed.
-func (v *requestRun) recordBreak(ctx context.Context, e *pool, s catalog.Server, began time.Time, err error, detail, why string) {
-	outcome := v.breakOutcome(ctx)
+func (v *requestRun) recordBreak(a *attempt, err error, detail string) {
+	outcome := v.breakOutcome(a.ctx)
 	var lost *port.CarrierLostError
 	if errors.As(err, &lost) {
 		outcome = balance.Dropped
 	}
 	if outcome != balance.Dropped {
-		v.gateway.recordBrokenExchanges(s, v.suspects...)
+		v.gateway.recordBrokenExchanges(a.call.Server, v.suspects...)
 	}
-	v.recordOutcome(e, s, outcome, began, detail+err.Error(), why)
+	v.recordOutcome(a, outcome, detail+err.Error())
 }
 
 // recordSuccess records a complete answer. Only a success signed by the server shows that it ran the content and
@@ -308,25 +369,6 @@
 	return stepFail
 }
 
-// silenceTimer starts a timer that ends an attempt whose server stays silent, if another server may be tried.
-func (v *requestRun) silenceTimer(cancel context.CancelCauseFunc, e *pool, build string) *time.Timer {
-	limit := v.deadline.Sub(v.gateway.now()) + time.Hour
-	p := v.pipeline
-	if v.attempts+1 < p.Attempts {
-		switch {
-		case p.Kind == catalog.Repeatable:
-			limit = max(minAttemptTime, time.Duration(hedgeShare*float64(p.Objective)))
-		case p.Kind == catalog.Stream && p.Resumable:
-			limit = max(minSilence, time.Duration(silentFactor*float64(v.gateway.estimates.Get(p.Name))))
-		}
-	}
-	return time.AfterFunc(limit, func() {
-		if v.retryLeft() && (!v.bound.Load() || e.servesBuild(build, 2)) {
-			cancel(errSilent)
-		}
-	})
-}
-
 // retryLeft reports whether the retry budget allows another attempt; otherwise a silent server is better than
 // none.
 func (v *requestRun) retryLeft() bool {
@@ -340,12 +382,12 @@
 }
 
 // handleReply handles the head of an answer and passes the answer on.
-func (v *requestRun) handleReply(ctx context.Context, e *pool, s catalog.Server, reply *Reply, began time.Time, watch *time.Timer, why string) (nextStep, *code.Error, bool) {
-	g := v.gateway
+func (v *requestRun) handleReply(a *attempt) (nextStep, *code.Error, bool) {
+	g, e, s, reply := v.gateway, a.pool, a.call.Server, a.reply
 	switch {
 	case reply.InputGone:
 		reply.Close(false)
-		v.recordOutcome(e, s, balance.Dropped, began, "an input is gone", why)
+		v.recordOutcome(a, balance.Dropped, "an input is gone")
 		e.inputGone()
 		v.stageResults.freeAll()
 		delete(v.wish.Exclude, s.ID)
@@ -357,7 +399,7 @@
 		return stepRetry, refusal(code.BackendFailed, "stages", failureRetryAfter, "stage results were gone"), true
 	case reply.AddressReused: // a server got the request, so it counts towards the operator's limit of attempts
 		reply.Close(false)
-		v.recordOutcome(e, s, balance.Replaced, began, "another server has the address", why)
+		v.recordOutcome(a, balance.Replaced, "another server has the address")
 		return stepRetry, refusal(code.BackendsDown, "pool", failureRetryAfter, "%s is gone", s.ID), true
 	case reply.NotRun:
 		reply.Close(false)
@@ -365,7 +407,7 @@
 		if reply.Signals.Rest > 0 {
 			outcome, after, v.restingServers = balance.AsksRest, otherBoxRetryAfter, append(v.restingServers, s.ID)
 		}
-		v.recordOutcome(e, s, outcome, began, http.StatusText(reply.Status)+", not run", why)
+		v.recordOutcome(a, outcome, http.StatusText(reply.Status)+", not run")
 		if _, resting := v.restEnds(e, g.now()); resting {
 			return stepRetry, v.noServer(e, g.now()), true
 		}
@@ -373,39 +415,40 @@
 	}
 	v.maybeRan = true
 	if reply.Events && isSuccess(reply.Status) {
-		return v.relay(ctx, e, s, reply, began, watch, why)
+		return v.relay(a)
 	}
+	a.hedge.Resume()
 	body, err := exchange.ReadWhole(reply.Read, maxAnswer)
+	if err == nil {
+		v.discardSecond(a)
+	} else if v.givenUp(a) {
+		err = errSilent
+	}
 	if err != nil {
 		reply.Close(false)
-		v.recordBreak(ctx, e, s, began, err, "answer interrupted: ", why)
+		v.recordBreak(a, err, "answer interrupted: ")
 		return v.afterBreak(), code.New(code.OutcomeUnknown, "", "the answer of %s was interrupted: %v", s.ID, err), true
 	}
 	reply.Close(true)
-	if reply.Status >= http.StatusInternalServerError && v.repeatable() && v.attempts < v.pipeline.Attempts && !v.begun && v.takeRetry(ctx) {
-		v.recordOutcome(e, s, balance.Failed, began, "status "+http.StatusText(reply.Status), why)
-		if v.needsStages() {
-			if e := v.makeStages(ctx); e != nil {
-				return stepFail, e, true
-			}
-		}
-		what, err, sent := v.attemptOnce(ctx)
-		return what, err, sent
+	if reply.Status >= http.StatusInternalServerError && v.repeatable() && !v.begun && (v.next != nil || v.attempts < v.pipeline.Attempts && v.takeRetry(a.ctx)) {
+		v.retryTaken = v.next == nil
+		v.recordOutcome(a, balance.Failed, "status "+http.StatusText(reply.Status))
+		return stepRetry, code.New(code.OutcomeUnknown, "", "%s failed: status %d", s.ID, reply.Status), true
 	}
 	if v.begun {
-		v.recordOutcome(e, s, balance.Failed, began, "status "+http.StatusText(reply.Status), why)
+		v.recordOutcome(a, balance.Failed, "status "+http.StatusText(reply.Status))
 		return stepFail, code.New(code.AnswerInterrupted, "", "the stream could not be resumed: status %d", reply.Status), true
 	}
 	outcome := balance.Good
 	if reply.Status >= http.StatusInternalServerError {
 		outcome = balance.Failed
 	}
-	v.recordOutcome(e, s, outcome, began, "status "+http.StatusText(reply.Status), why)
+	v.recordOutcome(a, outcome, "status "+http.StatusText(reply.Status))
 	v.recordSuccess(reply)
 	v.firstOut = v.gateway.now()
 	v.compareForecast(v.firstOut, false)
 	if isSuccess(reply.Status) {
-		e.speeds.RecordPlain(v.firstOut, paceServer(&s), reply.Told, v.firstOut.Sub(began))
+		e.speeds.RecordPlain(v.firstOut, paceServer(&s), reply.Told, v.firstOut.Sub(a.began))
 	}
 	v.ended("answered", "status", reply.Status, "server", s.ID, "bytes", len(body))
 	v.caller.Whole(reply.Status, reply.Header, body)
@@ -413,15 +456,14 @@
 }
 
 // recordOutcome records in the pool how an exchange ended.
-func (v *requestRun) recordOutcome(e *pool, s catalog.Server, o balance.Outcome, began time.Time, detail, why string) {
-	g := v.gateway
+func (v *requestRun) recordOutcome(a *attempt, o balance.Outcome, detail string) {
+	g, e, s := v.gateway, a.pool, a.call.Server
 	now := g.now()
 	e.mu.Lock()
 	rests := e.picker.Current(s) && e.picker.Ended(now, s.ID, &v.wish, o)
 	e.mu.Unlock()
-	took := now.Sub(began)
-	g.Log.Info("exchange", "request", v.request.ID, "pool", e.name, "content", v.content.String(), "parts", v.partNames(o), "server", s.ID, "incarnation", s.Incarnation, "build", s.Build, "domain", s.Domain, "outcome", o.String(), "took_ms", took.Milliseconds(), "detail", detail, "chosen", why, "rests", rests, "says_leaving", v.signals.Leaving, "asks_rest_ms", v.signals.Rest.Milliseconds(), "names_limit", v.signals.Limit, "says_brittle", v.signals.Brittle)
-	v.signals = pushback.Signals{}
+	took := now.Sub(a.began)
+	g.Log.Info("exchange", "request", v.request.ID, "pool", e.name, "content", v.content.String(), "parts", v.partNames(o), "server", s.ID, "incarnation", s.Incarnation, "build", s.Build, "domain", s.Domain, "outcome", o.String(), "took_ms", took.Milliseconds(), "detail", detail, "chosen", a.why, "rests", rests, "says_leaving", a.signals.Leaving, "asks_rest_ms", a.signals.Rest.Milliseconds(), "names_limit", a.signals.Limit, "says_brittle", a.signals.Brittle)
 	g.brittle.Release(&s, v.request.ID, placeEnd(o))
 	if g.Observer.Exchanged != nil {
 		g.Observer.Exchanged(e.name, o.String(), took)
--- a/src/gateway/relay.go
+++ b/src/gateway/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"time"
 
 	"github.com/stilemast/stilemast/src/balance"
 	"github.com/stilemast/stilemast/src/catalog"
@@ -16,36 +15,44 @@
 )
 
 // relay passes a stream on to the caller, event by event.
-func (v *requestRun) relay(ctx context.Context, e *pool, s catalog.Server, reply *Reply, began time.Time, watch *time.Timer, why string) (nextStep, *code.Error, bool) {
-	g := v.gateway
+func (v *requestRun) relay(a *attempt) (nextStep, *code.Error, bool) {
+	g, e, s, reply := v.gateway, a.pool, a.call.Server, a.reply
 	var split events.Splitter
 	var gaps pace.Gaps
 	buf := make([]byte, relayBuffer)
-	moves := v.repeatable() && v.attempts < v.pipeline.Attempts
 	resumed := v.begun
+	a.hedge.Resume()
 	for {
 		n, err := reply.Read(buf)
-		if whole := split.Add(buf[:n]); len(whole) > 0 {
+		whole := split.Add(buf[:n])
+		if err == nil && split.Held() > maxEvent {
+			err = code.New(code.MessageTooLarge, "event", "over %d bytes", maxEvent)
+		}
+		switch complete := err == io.EOF && split.Held() == 0 && (v.begun || len(whole) > 0); {
+		case complete:
+			v.discardSecond(a)
+		case (len(whole) > 0 || err != nil) && v.givenUp(a):
+			whole, err = nil, errSilent
+		}
+		if len(whole) > 0 {
 			gaps.Arrived(g.now(), events.Count(whole))
 			if resumed {
 				whole = events.After(whole, v.lastEvent)
 			}
-			if e := v.sendEvents(whole, reply, e, s, began); e != nil {
+			if v.sendEvents(whole, a) != nil {
 				reply.Close(false)
-				v.recordOutcome(g.pools.get(v.pool), s, balance.Dropped, began, "caller gone", why)
+				v.recordOutcome(a, balance.Dropped, "caller gone")
 				v.ended("cancelled", "cause", "the caller left during the stream", "server", s.ID)
 				v.caller.Cut()
 				return stepDone, nil, true
 			}
 			gaps.Passed(g.now())
-			if moves {
-				watch.Reset(gapLimit)
-			}
+			a.hedge.Arm(gapLimit)
 		}
 		if err == io.EOF && split.Held() == 0 && v.begun {
 			reply.Close(true)
 			g.lengths.Learn(v.pipeline.Name, v.events)
-			v.recordOutcome(e, s, balance.Good, began, "stream ended", why)
+			v.recordOutcome(a, balance.Good, "stream ended")
 			e.speeds.RecordStream(g.now(), paceServer(&s), pace.Response{Told: reply.Told, Gap: gaps.Median()})
 			v.recordSuccess(reply)
 			g.streams.Ended(v.streamNames()...)
@@ -53,9 +60,6 @@
 			v.caller.End()
 			return stepDone, nil, true
 		}
-		if err == nil && split.Held() > maxEvent {
-			err = code.New(code.MessageTooLarge, "event", "over %d bytes", maxEvent)
-		}
 		if err == nil {
 			continue
 		}
@@ -63,30 +67,30 @@
 		if err == io.EOF {
 			err = io.ErrUnexpectedEOF
 		}
-		if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
+		if cause := context.Cause(a.ctx); errors.Is(cause, errSilent) {
 			err = cause
 		}
-		v.recordBreak(ctx, e, s, began, err, "stream interrupted: ", why)
+		v.recordBreak(a, err, "stream interrupted: ")
 		return v.afterBreak(), code.New(code.AnswerInterrupted, "", "the stream of %s was interrupted after event %q: %v", s.ID, v.lastEvent, err), true
 	}
 }
 
 // sendEvents sends whole events to the caller; the first of them also frees the stage results.
-func (v *requestRun) sendEvents(whole []byte, reply *Reply, e *pool, s catalog.Server, began time.Time) error {
+func (v *requestRun) sendEvents(whole []byte, a *attempt) error {
 	if len(whole) == 0 {
 		return nil
 	}
-	g := v.gateway
+	g, e, s, reply := v.gateway, a.pool, a.call.Server, a.reply
 	if !v.begun {
 		v.begun = true
 		v.firstOut = g.now()
 		v.pinBuild(s)
 		v.compareForecast(v.firstOut, false)
 		v.caller.Begin(reply.Status, reply.Header)
-		took := v.firstOut.Sub(began)
+		took := v.firstOut.Sub(a.began)
 		g.estimates.Learn(v.pipeline.Name, took)
-		if v.unread >= 0 {
-			e.speeds.RecordFirst(v.firstOut, paceServer(&s), pace.Response{Told: reply.Told, Took: took, Uncached: v.unread})
+		if a.unread >= 0 {
+			e.speeds.RecordFirst(v.firstOut, paceServer(&s), pace.Response{Told: reply.Told, Took: took, Uncached: a.unread})
 		}
 		e.mu.Lock()
 		if e.picker.Current(s) {
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -12,7 +12,6 @@
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/crasher"
-	"github.com/stilemast/stilemast/src/pushback"
 	"github.com/stilemast/stilemast/src/returning"
 )
 
@@ -39,13 +38,13 @@
 	late           bool             // the caller was refused before and can no longer be in time
 	wish           balance.Request
 	attempts       int
+	next           *attempt // accepted by its server while the one before was silent
+	retryTaken     bool     // from the budget, for the next attempt
 	resultsRemade  bool
 	maybeRan       bool
-	signals        pushback.Signals // signals in the answer of the current attempt
-	restingServers []string         // servers that asked for rest instead of taking this request
+	restingServers []string // servers that asked for rest instead of taking this request
 	// The last attempt sent nothing because the server asked for rest or had no permit; it does not count.
 	uncounted      bool
-	unread         int // prompt tokens that the server had not processed before this attempt, -1 if unknown
 	permitRequests int // permits requested at servers with limits that were not free at once
 
 	// State of a stream that has begun.
