--- a/src/exchange/killed_test.go
+++ b/src/exchange/killed_test.go
@@ -42,7 +42,6 @@
 	}
 	defer func() { _ = c.Close() }()
 	_, _ = io.ReadFull(c, make([]byte, 100))
-	writeText(c, "HTTP/1.1 200 OK\n\n")
 	_ = caller.Process.Kill()
 	_ = caller.Wait()
 	if n, err := io.Copy(io.Discard, c); !errors.Is(err, syscall.ECONNRESET) {
