Idle connections give way to new callers

Cause: each accepted connection counted as two descriptors whatever it needed, and an idle one kept its place. Class: a proxy of shortage stands for shortage.

Change: an idle connection counts as one descriptor, any other one as two. When they run short, connections without a request are closed, those first that have sent nothing for a second, then the longest idle ones; one on which a request arrives is not idle any more. Status, two metrics and a log line tell it.

TestDescriptorsAreKeptForServers opened connections that send nothing and expected them to keep others out, which was the fault; its connections send a request now, with the same bounds.

--- a/src/metrics/gateway.go
+++ b/src/metrics/gateway.go
@@ -208,9 +208,13 @@
 	gauge("scheduling_delay_seconds", "Time for which a goroutine waits for the processor.", func(s overload.Status) float64 { return s.Load.Delay.Seconds() })
 	gauge("link_share", "Share of the link that callers' bytes take.", func(s overload.Status) float64 { return s.Load.Link })
 	gauge("caller_connections", "Open connections of callers.", func(s overload.Status) float64 { return float64(s.Open) })
+	gauge("idle_caller_connections", "Open connections of callers without a request.", func(s overload.Status) float64 { return float64(s.Idle) })
 	gauge("accepted_share", "Share of callers' new connections that are accepted.", func(s overload.Status) float64 { return s.Share })
-	s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "stilemast_gateway_connections_closed_unread_total",
-		Help: "New connections of callers that were closed unread because the box was overloaded."}, func() float64 { return float64(read().Closed) }))
+	counter := func(name, help string, value func(overload.Status) int64) {
+		s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "stilemast_gateway_" + name, Help: help}, func() float64 { return float64(value(read())) }))
+	}
+	counter("connections_closed_unread_total", "New connections of callers that were closed unread because the box was overloaded.", func(s overload.Status) int64 { return s.Closed })
+	counter("connections_closed_idle_total", "Connections of callers without a request that were closed for others.", func(s overload.Status) int64 { return s.ClosedIdle })
 }
 
 // overdueCalls returns the number of calls that are overdue now.
--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -76,6 +76,7 @@
 	callers      callerActivity
 	guard        overload.Guard
 	closed       int64 // connections that the guard had closed at the last log line
+	closedIdle   int64 // of them, those without a request
 	killOnce     sync.Once
 }
 
@@ -113,6 +114,7 @@
 // setCallerState is the ConnState hook of the callers' listener.
 func (n *GatewayNode) setCallerState(c net.Conn, state http.ConnState) {
 	n.callers.setState(c, state)
+	n.guard.SetState(c, state)
 	if state == http.StateActive {
 		n.guard.Meter.Probe()
 	}
@@ -246,7 +248,7 @@
 // status returns the state of this box for operators.
 func (n *GatewayNode) status() status.Gateway {
 	s, l := n.gateway.Status(), n.guard.Status()
-	s.Load = status.Load{Delay: status.Ms(l.Load.Delay), Link: l.Load.Link, Accepted: l.Share, Full: l.Full, Connections: l.Open, Closed: l.Closed}
+	s.Load = status.Load{Delay: status.Ms(l.Load.Delay), Link: l.Load.Link, Accepted: l.Share, Full: l.Full, Connections: l.Open, Idle: l.Idle, Closed: l.Closed, ClosedIdle: l.ClosedIdle}
 	return s
 }
 
@@ -254,10 +256,13 @@
 func (n *GatewayNode) logLoad() {
 	s := n.guard.Status()
 	if s.Share < 1 || s.Full || s.Closed != n.closed {
-		n.Log.Warn("box overloaded, new connections are closed unread", "accepted_share", s.Share, "full", s.Full, "closed", s.Closed-n.closed, "connections", s.Open, "delay_ms", s.Load.Delay.Milliseconds(),
+		n.Log.Warn("box overloaded, new connections are closed unread", "accepted_share", s.Share, "full", s.Full, "closed", s.Closed-n.closed, "connections", s.Open, "idle", s.Idle, "delay_ms", s.Load.Delay.Milliseconds(),
 			"link_share", s.Load.Link, "interval_ms", s.Load.Took.Milliseconds(), "running", n.gateway.Running())
 	}
-	n.closed = s.Closed
+	if s.ClosedIdle != n.closedIdle {
+		n.Log.Info("connections without a request closed for others", "closed", s.ClosedIdle-n.closedIdle, "connections", s.Open, "idle", s.Idle, "descriptors", n.guard.Descriptors)
+	}
+	n.closed, n.closedIdle = s.Closed, s.ClosedIdle
 }
 
 // guardRequests counts the bodies of requests, and has callers that keep their connections open come to other boxes while this
--- /dev/null
+++ b/src/overload/callers_test.go
@@ -0,0 +1,145 @@
+package overload
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// callerPlay is a guard with connections that the test opens, uses and ends.
+type callerPlay struct {
+	guard Guard
+	now   time.Time
+}
+
+func newCallerPlay(descriptors int) *callerPlay {
+	p := &callerPlay{now: time.Unix(1000, 0)}
+	p.guard.Descriptors, p.guard.Meter.Now = descriptors, func() time.Time { return p.now }
+	return p
+}
+
+// connect opens a connection; nil if it is closed unread.
+func (p *callerPlay) connect() *testCaller {
+	if !p.guard.accept() {
+		return nil
+	}
+	near, far := net.Pipe()
+	c := &testCaller{Conn: far, accepted: &countedConn{Conn: near, guard: &p.guard}}
+	p.guard.callers.add(c.accepted, p.now)
+	return c
+}
+
+type testCaller struct {
+	net.Conn
+	accepted *countedConn
+}
+
+// send sends the beginning of a request and reports whether the connection is open.
+func (c *testCaller) send() bool {
+	go func() { _, _ = c.Write([]byte("r")) }()
+	_, err := c.accepted.Read(make([]byte, 1))
+	return err == nil
+}
+
+// served ends the request of a connection.
+func (c *testCaller) served() { c.accepted.guard.SetState(c.accepted, http.StateIdle) }
+
+// Guards against callers that are closed unread since others keep their connections open and send nothing.
+func TestIdleConnectionsGiveWayToNewCallers(t *testing.T) {
+	for _, idle := range []int{100, 160, 360, 1000} {
+		for name, requests := range map[string]int{"served before": 1, "never sent": 0} {
+			p := newCallerPlay(400)
+			for range idle {
+				c := p.connect()
+				for range requests {
+					if c == nil || !c.send() {
+						t.Fatalf("%d idle, %s: a connection is closed while others are idle", idle, name)
+					}
+					c.served()
+				}
+				p.now = p.now.Add(10 * time.Millisecond)
+			}
+			p.now = p.now.Add(maxSilence)
+			served := 0
+			for range 100 {
+				if c := p.connect(); c != nil && c.send() {
+					served++
+				}
+				p.now = p.now.Add(20 * time.Millisecond)
+			}
+			if served < 95 {
+				t.Errorf("%d idle, %s: %d of 100 new callers served", idle, name, served)
+			}
+			if n := p.guard.callers.needed(); n > p.guard.forCallers()+descriptorsPerCaller {
+				t.Errorf("%d idle, %s: %d descriptors needed", idle, name, n)
+			}
+		}
+	}
+}
+
+// Guards against descriptors that run out when idle connections all send again.
+func TestIdleConnectionsThatSendAgainTakeTheirDescriptors(t *testing.T) {
+	p := newCallerPlay(400)
+	var all []*testCaller
+	for range 280 {
+		c := p.connect()
+		c.send()
+		c.served()
+		all = append(all, c)
+	}
+	running := 0
+	for _, c := range all {
+		if c.send() {
+			running++
+		}
+		if n := p.guard.callers.needed(); n > p.guard.forCallers()+descriptorsPerCaller {
+			t.Fatalf("%d descriptors needed", n)
+		}
+	}
+	if running < 140 {
+		t.Errorf("%d requests run", running)
+	}
+	p.connect().send()
+	if p.connect() != nil || !p.guard.Busy() {
+		t.Error("a connection is accepted while all descriptors are taken by requests")
+	}
+}
+
+// Guards against a request, or a caller who has just connected, that is closed for another caller.
+func TestOnlyConnectionsWithoutARequestGiveWay(t *testing.T) {
+	p := newCallerPlay(40)
+	silent := p.connect()
+	var running []*testCaller
+	for range 10 {
+		c := p.connect()
+		c.send()
+		running = append(running, c)
+	}
+	idle := p.connect()
+	idle.send()
+	idle.served()
+	p.now = p.now.Add(maxSilence)
+	fresh := p.connect()
+	for range 10 {
+		if c := p.connect(); c != nil {
+			c.send()
+			running = append(running, c)
+		}
+	}
+	if silent.send() || idle.send() {
+		t.Error("a connection without a request is kept while callers are closed unread")
+	}
+	if !fresh.send() {
+		t.Error("a caller is closed who has just connected")
+	}
+	for _, c := range running {
+		if !c.send() {
+			t.Fatal("a connection with a request is closed")
+		}
+	}
+	s := p.guard.Status()
+	if s.ClosedIdle != 2 || s.Closed == 0 || s.Idle != 0 {
+		t.Errorf("%+v", s)
+	}
+}
--- a/src/overload/constants.go
+++ b/src/overload/constants.go
@@ -21,6 +21,8 @@
 
 	maxDescriptors       = 0.75 // of the descriptors; the rest is for other boxes, probes and idle connections to servers
 	descriptorsPerCaller = 2    // a caller's connection and one to a server
+
+	maxSilence = time.Second // of a new connection that has sent nothing, before it is closed for another one
 )
 
 // Changes of the share of new connections that are accepted, in each minInterval.
--- a/src/overload/guard.go
+++ b/src/overload/guard.go
@@ -1,9 +1,6 @@
 package overload
 
-import (
-	"sync"
-	"sync/atomic"
-)
+import "sync"
 
 // Guard decides which new connections of callers a box accepts, by its load. Set the exported fields before use.
 type Guard struct {
@@ -11,7 +8,7 @@
 	Bodies      Bodies
 	Descriptors int // that this process may have open, 0 if unknown
 
-	open       atomic.Int64 // accepted connections
+	callers    callers
 	mu         sync.Mutex
 	controller controller
 	last       Load
@@ -24,7 +21,10 @@
 	Share  float64 // of new connections that are accepted
 	Full   bool    // whether hardly any are accepted, until some of those accepted are served
 	Open   int64   // accepted connections
+	Idle   int64   // of them, those without a request
 	Closed int64   // connections closed unread since the start
+	// ClosedIdle is the number of connections without a request that were closed for others since the start.
+	ClosedIdle int64
 }
 
 // Accept reports whether to accept a new connection.
@@ -39,6 +39,7 @@
 	defer g.mu.Unlock()
 	g.update()
 	if g.controller.accept(g.Meter.now(), g.full()) {
+		g.makeRoom()
 		return true
 	}
 	g.closed++
@@ -56,14 +57,31 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.update()
-	return Status{Load: g.last, Share: g.controller.accepting(), Full: g.full(), Open: g.open.Load(), Closed: g.closed}
+	open, idle, closedIdle := g.callers.counts()
+	return Status{Load: g.last, Share: g.controller.accepting(), Full: g.full(), Open: open, Idle: idle, Closed: g.closed, ClosedIdle: closedIdle}
 }
 
-// full reports whether accepted connections take the whole link with their bodies, or the descriptors. The caller holds g.mu.
+// full reports whether accepted connections take the whole link with their bodies, or the descriptors with their requests. The caller
+// holds g.mu.
 func (g *Guard) full() bool {
 	link := g.last.Link > minLink && g.Bodies.takes(g.Meter.LinkMbps) > maxBodies
-	descriptors := g.Descriptors > 0 && float64(descriptorsPerCaller*g.open.Load()) > maxDescriptors*float64(g.Descriptors)
-	return link || descriptors
+	return link || g.Descriptors > 0 && g.callers.full(g.forCallers(), g.Meter.now())
+}
+
+// forCallers returns the number of descriptors for callers and their requests.
+func (g *Guard) forCallers() int { return int(maxDescriptors * float64(g.Descriptors)) }
+
+// makeRoom closes connections without a request if the descriptors are short.
+func (g *Guard) makeRoom() {
+	if g.Descriptors > 0 {
+		g.callers.makeRoom(g.forCallers(), g.Meter.now())
+	}
+}
+
+// requestArrives counts a connection as one with a request, which takes another descriptor if it was idle.
+func (g *Guard) requestArrives(c *countedConn) {
+	g.callers.setBusy(c)
+	g.makeRoom()
 }
 
 // update takes the load of the last interval if it has ended. The caller holds g.mu.
--- a/src/overload/guard_test.go
+++ b/src/overload/guard_test.go
@@ -204,6 +204,7 @@
 			if err != nil {
 				return
 			}
+			_, _ = c.Read(make([]byte, 1)) // of a request
 			accepted <- c
 		}
 	}()
@@ -213,6 +214,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { _ = c.Close() })
+		_, _ = c.Write([]byte("r"))
 		_ = c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
 		_, err = c.Read(make([]byte, 1))
 		return errors.Is(err, os.ErrDeadlineExceeded)
--- a/src/overload/listener.go
+++ b/src/overload/listener.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 	"net"
-	"sync"
+	"sync/atomic"
 )
 
 // Listener accepts the connections that its guard accepts. It closes the others before it reads anything, so that their
@@ -21,8 +21,9 @@
 			return nil, err
 		}
 		if l.Guard.Accept() {
-			l.Guard.open.Add(1)
-			return &countedConn{Conn: c, guard: l.Guard}, nil
+			counted := &countedConn{Conn: c, guard: l.Guard}
+			l.Guard.callers.add(counted, l.Guard.Meter.now())
+			return counted, nil
 		}
 		_ = c.Close()
 	}
@@ -32,12 +33,13 @@
 type countedConn struct {
 	net.Conn
 	guard *Guard
-	close sync.Once
+	waits atomic.Bool // for a request
+	place
 }
 
 // Close implements net.Conn.
 func (c *countedConn) Close() error {
-	c.close.Do(func() { c.guard.open.Add(-1) })
+	c.guard.callers.remove(c)
 	return c.Conn.Close()
 }
 
@@ -45,6 +47,9 @@
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.guard.Meter.AddBytes(n)
+	if n > 0 && c.waits.Load() {
+		c.guard.requestArrives(c)
+	}
 	return n, err
 }
 
--- a/src/status/status.go
+++ b/src/status/status.go
@@ -41,7 +41,9 @@
 	Accepted    float64 `json:"accepted_share"` // of callers' new connections
 	Full        bool    `json:"full"`           // whether hardly any are accepted, until some of those accepted are served
 	Connections int64   `json:"connections"`    // of callers
+	Idle        int64   `json:"idle"`           // of them, those without a request
 	Closed      int64   `json:"closed_unread"`  // new connections that were not accepted, since the start
+	ClosedIdle  int64   `json:"closed_idle"`    // connections without a request that were closed for others, since the start
 }
 
 // Forecast is how the forecasts of admission for one class of requests compared with what was observed.
