Answers that the server does not vouch for are not passed on

Cause: the gateway passed on any answer that did not belong to another request. Class: what came next on the connection is taken for the answer.

Change: a success needs the server's signature; 408, 421, 429 and 503 need the server's word that nothing ran. Otherwise the answer counts as a failure of the server: the request is retried if it may be repeated, and ends with this box's own error, which says that it may have run, if not.

Test: TestAnswersThatTheServerDoesNotVouchForAreNotPassedOn failed before: a page without a signature was passed on.

--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -414,6 +414,11 @@
 		return stepRetry, refusal(code.QueueFull, "pool", after, "%s did not take the request: status %d", s.ID, reply.Status), true
 	}
 	v.maybeRan = true
+	if err := reply.check(); err != nil {
+		reply.Close(false)
+		v.recordOutcome(a, balance.Failed, err.Error())
+		return v.afterBreak(), code.New(code.OutcomeUnknown, "", "%s: %v", s.ID, err), true
+	}
 	if reply.Events && isSuccess(reply.Status) {
 		return v.relay(a)
 	}
--- a/src/gateway/attempts_test.go
+++ b/src/gateway/attempts_test.go
@@ -102,3 +102,34 @@
 		}
 	})
 }
+
+// Guards against bytes of a server that are passed on as its answer: a success that it did not sign, and a promise that it did not make.
+func TestAnswersThatTheServerDoesNotVouchForAreNotPassedOn(t *testing.T) {
+	for status, signed := range map[int]bool{
+		http.StatusOK: false, http.StatusNoContent: false, http.StatusServiceUnavailable: true, http.StatusTooManyRequests: true, http.StatusRequestTimeout: false,
+	} {
+		for _, path := range []string{"/look/x", "/stamp/x", "/draft/x"} {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, 1)
+				sent := 0
+				f.send = func(context.Context, string, *Call) (*Reply, error) {
+					if sent++; sent > 1 {
+						return textReply(http.StatusOK, "ok"), nil
+					}
+					r := textReply(status, "It works!")
+					r.Signed, r.Events = signed, path == "/draft/x"
+					return r, nil
+				}
+				settle()
+				a := f.ask("box0", path, "r", nil)
+				once := path == "/stamp/x"
+				if once && (sent != 1 || a.refused == nil || a.refused.Code != code.OutcomeUnknown || a.refused.DidRun() != code.RanUnknown) {
+					t.Errorf("%s, status %d, signed %v: %+v", path, status, signed, a)
+				}
+				if !once && (sent != 2 || a.body != "ok") {
+					t.Errorf("%s, status %d, signed %v: sent %d times, %+v", path, status, signed, sent, a)
+				}
+			})
+		}
+	}
+}
--- a/src/gateway/ports.go
+++ b/src/gateway/ports.go
@@ -96,6 +96,27 @@
 	Told          pace.Told
 }
 
+// Errors of answers that are not passed on.
+var (
+	errUnsigned = errors.New("a success without the server's signature")
+	errNoProof  = errors.New("a refusal that does not say that the request was not run")
+)
+
+// check returns why an answer must not be passed on, nil if it may be. A caller takes some statuses as a promise that its request has
+// not run, which only the server can make.
+func (r *Reply) check() error {
+	switch r.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		if !r.NotRun {
+			return errNoProof
+		}
+	}
+	if isSuccess(r.Status) && !r.Signed {
+		return errUnsigned
+	}
+	return nil
+}
+
 // Backends are the calls to backend servers.
 type Backends struct {
 	// Send sends a request once. The error is an exchange.NotSent when no byte left.
