A box without a configuration lends no part of a retry

A box that is asked for a part of a retry within the first tens of milliseconds of its life ends with a nil pointer.

Change: it lends nothing before its first configuration. TestBoxWithoutConfigurationLendsNothing ended with that panic before.

--- a/src/gateway/pools.go
+++ b/src/gateway/pools.go
@@ -52,7 +52,7 @@
 
 // lendRetry answers another box's request for a part of a retry.
 func (g *Gateway) lendRetry(r retry.Request) retry.Loan {
-	if g.index.Load().Pool(r.Pool) == nil {
+	if x := g.index.Load(); x == nil || x.Pool(r.Pool) == nil {
 		return retry.Loan{}
 	}
 	now := g.now()
