--- a/src/overload/callers_test.go
+++ b/src/overload/callers_test.go
@@ -88,6 +88,9 @@
 		c.served()
 		all = append(all, c)
 	}
+	if s := p.guard.Status(); s.ClosedIdle != 0 || s.Idle != 280 {
+		t.Errorf("idle connections are closed though descriptors are left: %+v", s)
+	}
 	running := 0
 	for _, c := range all {
 		if c.send() {
