--- a/src/gateway/pools.go
+++ b/src/gateway/pools.go
@@ -97,13 +97,6 @@
 	return p.picker.Size()
 }
 
-// servesBuild reports whether at least n servers of a build take new work.
-func (p *pool) servesBuild(build string, n int) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.picker.Builds()[build] >= n
-}
-
 func (p *pools) list() []*pool {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
