An accepted second attempt ends with its request

What callers saw: nothing at once. A first server that answers with a failure in the moment in which it is given up ends the request with its answer; the second attempt, which had been accepted, was forgotten, and counted as load at its server for good.

TestAcceptedSecondAttemptEndsWithTheRequest failed before (one request counted at a server afterwards); the other tests of second attempts check the counted load too now.

--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -43,6 +43,7 @@
 	for {
 		what, err, sent := v.attemptOnce(ctx)
 		if what == stepDone {
+			v.discardNext()
 			return
 		}
 		if v.next != nil {
--- a/src/gateway/attempts_test.go
+++ b/src/gateway/attempts_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,10 +16,9 @@
 func TestRepeatableRequestLeavesUnresponsiveServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, 1)
-		var first string
+		var first atomic.Pointer[string]
 		f.send = func(ctx context.Context, _ string, c *Call) (*Reply, error) {
-			if first == "" || first == c.Server.ID {
-				first = c.Server.ID
+			if first.CompareAndSwap(nil, &c.Server.ID) || *first.Load() == c.Server.ID {
 				<-ctx.Done()
 				return nil, ctx.Err()
 			}
--- a/src/gateway/hedging.go
+++ b/src/gateway/hedging.go
@@ -141,18 +141,26 @@
 
 // discardSecond ends the attempt beside one that was answered.
 func (v *requestRun) discardSecond(a *attempt) {
-	second, ok := a.hedge.Stop()
-	if !ok {
+	if second, ok := a.hedge.Stop(); ok {
+		v.next = second
+		v.discardNext()
+	}
+}
+
+// discardNext ends the attempt that the request would go on with.
+func (v *requestRun) discardNext() {
+	a := v.next
+	if v.next = nil; a == nil {
 		return
 	}
-	second.cancel(nil)
-	<-second.answered
-	if second.reply != nil {
-		second.reply.Close(false)
-		second.reply, second.err = nil, context.Canceled
+	a.cancel(nil)
+	<-a.answered
+	if a.reply != nil {
+		a.reply.Close(false)
+		a.reply, a.err = nil, context.Canceled
 	}
-	v.finish(second)
-	v.end(second)
+	v.finish(a)
+	v.end(a)
 }
 
 // serverLeft reports whether another server accepts the request.
--- a/src/gateway/hedging_test.go
+++ b/src/gateway/hedging_test.go
@@ -35,6 +35,20 @@
 	return r
 }
 
+// checkNoLoad checks that a box counts no request at any server.
+func checkNoLoad(t *testing.T, g *Gateway) {
+	t.Helper()
+	for _, e := range g.pools.list() {
+		e.mu.Lock()
+		for server, l := range e.picker.OwnLoads() {
+			if l.Requests != 0 || l.Tokens != 0 {
+				t.Errorf("%+v is counted at %s", l, server)
+			}
+		}
+		e.mu.Unlock()
+	}
+}
+
 func fullReply() *Reply {
 	r := textReply(http.StatusServiceUnavailable, "")
 	r.NotRun = true
@@ -96,6 +110,7 @@
 					if a := f.ask("box0", c.path, "r", nil); !a.ended || len(a.body) != c.bytes {
 						t.Errorf("%+v", a)
 					}
+					checkNoLoad(t, f.box("box0"))
 				})
 			})
 		}
@@ -134,6 +149,7 @@
 				if !a.ended || len(a.body) != 9*len("id: 1\ndata: x\n\n") {
 					t.Errorf("%+v", a)
 				}
+				checkNoLoad(t, f.box("box0"))
 				mu.Lock()
 				defer mu.Unlock()
 				if over := givenUp.Sub(began); over > min(answer, hedge.AcceptWait) || givenUp.IsZero() {
@@ -167,9 +183,39 @@
 		if a := f.ask("box0", "/look/x", "r", nil); a.body != "first" || a.took != 300*time.Millisecond || sent.Load() != 2 || ended.Load() != 1 {
 			t.Errorf("%+v; %d sent, %d ended", a, sent.Load(), ended.Load())
 		}
+		checkNoLoad(t, f.box("box0"))
 	})
 }
 
+// Guards against a second attempt that is forgotten, and counted at its server, since the first answered as it was given up.
+func TestAcceptedSecondAttemptEndsWithTheRequest(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusNotFound, http.StatusInternalServerError} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTestFleet(t, 1)
+			var sent atomic.Int32
+			f.send = func(ctx context.Context, _ string, c *Call) (*Reply, error) {
+				if err := c.Start(); err != nil {
+					return nil, &exchange.NotSent{Cause: err}
+				}
+				if sent.Add(1) == 1 {
+					<-ctx.Done()
+					return textReply(status, "first"), nil
+				}
+				if !wait(ctx, time.Second) {
+					return nil, ctx.Err()
+				}
+				return textReply(http.StatusOK, "second"), nil
+			}
+			settle()
+			a := f.ask("box0", "/look/x", "r", nil)
+			if a.refused != nil || status != http.StatusInternalServerError && a.body != "first" || status == http.StatusInternalServerError && a.body != "second" {
+				t.Errorf("status %d: %+v", status, a)
+			}
+			checkNoLoad(t, f.box("box0"))
+		})
+	}
+}
+
 // Plays the load that a second attempt is for: a fifth of the streams wait at their server for 2.2 to 5 s, and other servers are full.
 func TestWaitingStreamsAreServedWhileServersAreFull(t *testing.T) {
 	const streams, events = 150, 20
