A second attempt starts neither early nor while the request is held

What callers saw: nothing yet. A process that sleeps for a while between two steps could let a second attempt start beside the goroutine that owns the request, or start one at once after an event.

Cause: after a rejection the timer was set before the goroutine that waits for the decision went on; and a timer that had fired in the moment in which it was set anew counted for the new silence.

TestNoAttemptStartsWhileHeld failed before with 997 attempts while held, TestTimerThatHasFiredDoesNotCutTheNextSilenceShort with one.

--- a/src/gateway/hedging.go
+++ b/src/gateway/hedging.go
@@ -54,6 +54,7 @@
 		return nil, nil, false
 	}
 	if v.needsStages() && v.makeStages(ctx) != nil {
+		v.logHedge(first, nil, "stages not made")
 		return nil, nil, false
 	}
 	defer func() { v.uncounted = false }()
--- a/src/hedge/hedge.go
+++ b/src/hedge/hedge.go
@@ -31,9 +31,11 @@
 	mu     sync.Mutex
 	timer  *time.Timer
 	limit  time.Duration
+	at     time.Time // when the silence has passed
 	state  state
 	due    bool // the timer has fired while held
 	over   bool // no further attempt may be made
+	wanted bool // Hold waits for the second attempt
 	second *second[A]
 }
 
@@ -64,7 +66,13 @@
 	if h.over {
 		return
 	}
-	h.limit, h.state, h.due = silence, armed, false
+	h.limit, h.state = silence, armed
+	h.start(silence)
+}
+
+// start sets the timer. The caller holds the lock.
+func (h *Hedge[A]) start(silence time.Duration) {
+	h.at, h.due = time.Now().Add(silence), false
 	if h.timer == nil {
 		h.timer = time.AfterFunc(silence, h.run)
 	} else {
@@ -84,8 +92,7 @@
 	}
 	h.state = armed
 	if h.due {
-		h.due = false
-		h.timer.Reset(0)
+		h.start(0)
 	}
 }
 
@@ -126,6 +133,7 @@
 	if h.state == armed {
 		h.state = held
 	}
+	h.wanted = h.second != nil
 	return h.second
 }
 
@@ -144,18 +152,16 @@
 func (h *Hedge[A]) end(s *second[A]) (A, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.state, h.second = held, nil
-	if !s.ok {
-		s.cancel()
-	}
+	h.state, h.second, h.wanted = held, nil, false
 	return s.attempt, s.ok
 }
 
 // run makes a second attempt.
 func (h *Hedge[A]) run() {
 	h.mu.Lock()
-	if h.state != armed {
-		h.due = h.state == held
+	fired := !time.Now().Before(h.at) // otherwise it was set anew meanwhile
+	if h.state != armed || !fired {
+		h.due = fired && h.state == held
 		h.mu.Unlock()
 		return
 	}
@@ -201,8 +207,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.state, h.second, h.over = held, nil, !again
-	if again {
+	if !again {
+		return
+	}
+	if !h.wanted {
 		h.state = armed
-		h.timer.Reset(h.limit)
 	}
+	h.start(h.limit)
 }
--- a/src/hedge/hedge_test.go
+++ b/src/hedge/hedge_test.go
@@ -160,3 +160,41 @@
 		}
 	})
 }
+
+// Guards against an attempt that starts while the request belongs to the goroutine that waits for the first server.
+func TestNoAttemptStartsWhileHeld(t *testing.T) {
+	for i := range 600 {
+		synctest.Test(t, func(t *testing.T) {
+			p := newPlay(t)
+			p.rejects, p.most, p.answer = true, 1000, time.Millisecond
+			p.hedge.Arm(time.Duration(i%2) * time.Millisecond) // at once, or in the moment of the answer
+			time.Sleep(time.Duration(i%7) * time.Millisecond)
+			p.hedge.Hold()
+			n := p.tries.Load()
+			time.Sleep(time.Second)
+			synctest.Wait()
+			if more := p.tries.Load() - n; more > 0 {
+				t.Errorf("%d attempts while held", more)
+			}
+		})
+	}
+}
+
+// Guards against an attempt before the silence has passed, since a timer that had fired was set anew.
+func TestTimerThatHasFiredDoesNotCutTheNextSilenceShort(t *testing.T) {
+	for range 300 {
+		synctest.Test(t, func(t *testing.T) {
+			p := newPlay(t)
+			p.hedge.Arm(time.Millisecond)
+			time.Sleep(time.Millisecond) // the timer fires at this moment
+			p.hedge.Hold()
+			n := p.tries.Load()
+			p.hedge.Arm(time.Second)
+			time.Sleep(time.Second / 2)
+			synctest.Wait()
+			if more := p.tries.Load() - n; more > 0 {
+				t.Errorf("%d attempts before the silence has passed", more)
+			}
+		})
+	}
+}
