--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -155,6 +155,9 @@
 // resultsPerMessage is the maximum number of held results reported to a scheduler in one message.
 const resultsPerMessage = 500
 
+// handlesKept is how long handles are remembered: longer than a connection may be idle between two calls.
+const handlesKept = 10 * time.Second
+
 // maxPieces is the maximum number of pieces of one stage of a request.
 const maxPieces = 4096
 
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -35,6 +35,7 @@
 	"github.com/stilemast/stilemast/src/registrar"
 	"github.com/stilemast/stilemast/src/resume"
 	"github.com/stilemast/stilemast/src/retry"
+	"github.com/stilemast/stilemast/src/seen"
 	"github.com/stilemast/stilemast/src/suspects"
 )
 
@@ -79,6 +80,7 @@
 	calibration admission.Calibration
 	trend       admission.Trend
 	holdings    holdings.Table[*results]
+	handles     seen.Set // in answers to this box's calls of pieces
 	suspects    suspects.Tracker
 	returning   registrar.Tracker
 	streams     resume.Tracker // that callers may take up at any box
@@ -134,6 +136,7 @@
 	g.startedAt = g.now()
 	g.stages, g.endStages = context.WithCancel(context.Background())
 	g.lastTick.Store(g.now().UnixNano())
+	g.handles.Keep = handlesKept
 	g.published.init(g)
 	g.fleet.init(g)
 	g.pools.init(g)
--- a/src/gateway/ports.go
+++ b/src/gateway/ports.go
@@ -71,6 +71,8 @@
 	Items  []batch.Item
 	Share  connections.Share
 	Start  func() error // see Call.Start
+	// NewHandles reports whether no other answer had the handles. An answer for which it does not belongs to another call.
+	NewHandles func(handles []string) bool
 }
 
 // PieceReply is the result of a PieceCall.
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -343,7 +343,7 @@
 			d.freeResults(ctx, c.Server, c.Free)
 		}
 		sentAt = g.now()
-		r = g.Backends.RunPieces(ctx, PieceCall{Server: c.Server, Items: c.Items, Share: g.connectionShare(s.pool), Start: g.startCheck(ctx, c.Server, "pieces", owner, began)})
+		r = g.Backends.RunPieces(ctx, PieceCall{Server: c.Server, Items: c.Items, Share: g.connectionShare(s.pool), Start: g.startCheck(ctx, c.Server, "pieces", owner, began), NewHandles: g.newHandles})
 	}
 	cancel()
 	outcome, results := r.Outcome, r.Results
@@ -466,3 +466,6 @@
 	}
 	return n
 }
+
+// newHandles reports whether handles are new and remembers them.
+func (g *Gateway) newHandles(handles []string) bool { return g.handles.AddNew(g.now(), handles) }
