A connection that is given up is no evidence that its server is absent

Cause: a second attempt that is not wanted any more ends while its connection is opened. The direct way was refused, the ways through other boxes had not ended, and the refusal counted as the server's. Such ends were rare before second attempts.

--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -270,6 +270,8 @@
 		g.signals.ReleasePermit(s.ID, v.request.ID)
 		outcome := balance.Broken
 		switch {
+		case a.ctx.Err() != nil: // the connection was given up before all ways to the server were tried
+			outcome = balance.Dropped
 		case exchange.ConnectionRefused(err):
 			outcome = balance.Absent
 			g.suspects.RecordCrash(serverIncarnation(s), suspects.Refused)
