Requests are refused by their head before their body is read

Callers saw: a request with an unknown key, of an unknown route or with an invalid head got no answer before its whole body had come, and a caller that did not send the body got none at all.

Cause: the callers' handler read the body before it asked whether the head allows the request. Class: what can be decided by the head waits for the body.

Change: the handler converts the head alone; the gateway routes the request and then reads its body (package intake). If the configuration changes or the box stops while the body is coming, the request is routed once more.

A deadline now counts from the head and not from the end of the body.

--- a/src/gateway/connections.go
+++ b/src/gateway/connections.go
@@ -7,6 +7,7 @@
 	"github.com/stilemast/stilemast/src/candidates"
 	"github.com/stilemast/stilemast/src/connections"
 	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/intake"
 	"github.com/stilemast/stilemast/src/paths"
 )
 
@@ -95,3 +96,6 @@
 func (g *Gateway) BeginWrite(bytes int, cut func()) *connections.Write {
 	return g.writes.Begin(time.Now(), bytes, cut)
 }
+
+// Intake returns the account of the bodies of callers' requests.
+func (g *Gateway) Intake() *intake.Account { return &g.intake }
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/stilemast/stilemast/src/connections"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/holdings"
+	"github.com/stilemast/stilemast/src/intake"
 	"github.com/stilemast/stilemast/src/observe"
 	"github.com/stilemast/stilemast/src/paths"
 	"github.com/stilemast/stilemast/src/policy"
@@ -90,6 +91,7 @@
 	brittle     brittle.Tracker
 	limitsDue   atomic.Bool // a message on servers' limits is scheduled
 	writes      connections.Writes
+	intake      intake.Account
 	aliveBoxes  atomic.Int64 // boxes that may be alive, as of the last tick
 	noPath      []string     // pools announced as without a path; used by tick only
 
--- a/src/gateway/ports.go
+++ b/src/gateway/ports.go
@@ -12,6 +12,7 @@
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/connections"
 	"github.com/stilemast/stilemast/src/exchange"
+	"github.com/stilemast/stilemast/src/intake"
 	"github.com/stilemast/stilemast/src/pace"
 	"github.com/stilemast/stilemast/src/pushback"
 )
@@ -25,8 +26,8 @@
 	Path   string
 	Header http.Header // passed on unchanged
 	Body   []byte
-	// HeaderBytes and BodyBytes are the sizes that the caller sent or announced; a body over the limit may not
-	// have been read completely.
+	Upload *intake.Upload // the body if it has not been read yet, else nil
+	// HeaderBytes and BodyBytes are the sizes that the caller sent or announced; BodyBytes is negative if unknown.
 	HeaderBytes int
 	BodyBytes   int64
 	Token       string
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/crasher"
+	"github.com/stilemast/stilemast/src/intake"
 	"github.com/stilemast/stilemast/src/returning"
 )
 
@@ -68,6 +70,10 @@
 		v.refuse(err)
 		return
 	}
+	if err := v.receive(); err != nil {
+		v.refuse(err)
+		return
+	}
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(v.deadline.Sub(g.now())))
 	defer cancel()
 	g.deadlines.Store(v, cancel)
@@ -91,7 +97,7 @@
 	}
 }
 
-// route finds the pipeline and the workspace of a request. It reports that there is none only if the
+// route finds the pipeline and the workspace of a request by its head. It reports that there is none only if the
 // configuration was confirmed recently; otherwise the caller is asked to retry.
 func (v *requestRun) route() *code.Error {
 	g, r := v.gateway, v.request
@@ -129,16 +135,37 @@
 		}
 	}
 	v.confines = v.currentConfines()
-	v.content = crasher.ContentOf(v.workspace, r.Method, r.Host, r.Target, r.Body)
 	v.deadline, v.limitedBy = v.began.Add(p.Timeout), "pipeline"
 	if r.Left > 0 && r.Left < p.Timeout {
 		v.deadline, v.limitedBy = v.began.Add(r.Left), "caller"
 	}
 	v.objective = v.began.Add(p.Objective)
-	v.setPool(p.PickPool(r.ID))
 	return v.checkPieces()
 }
 
+// receive reads the body of a routed request. If the configuration changes or this box stops meanwhile, it is routed again.
+func (v *requestRun) receive() *code.Error {
+	g, r := v.gateway, v.request
+	if r.Upload != nil {
+		body, err := r.Upload.Read(int64(g.Limits().BodyBytes))
+		switch {
+		case errors.Is(err, intake.ErrTooLarge):
+			return refusal(code.MessageTooLarge, "body", 0, "more than %d bytes", g.Limits().BodyBytes)
+		case err != nil:
+			return refusal(code.BadField, "body", 0, "could not be read to its end")
+		}
+		r.Body = body
+		if g.closing() || g.Version() != v.version {
+			if err := v.route(); err != nil {
+				return err
+			}
+		}
+	}
+	v.content = crasher.ContentOf(v.workspace, r.Method, r.Host, r.Target, r.Body)
+	v.setPool(v.pipeline.PickPool(r.ID))
+	return nil
+}
+
 // checkSize refuses a request without an id and one that exceeds the size limits.
 func (v *requestRun) checkSize() *code.Error {
 	r, limits := v.request, v.gateway.Limits()
--- /dev/null
+++ b/src/intake/upload_test.go
@@ -0,0 +1,66 @@
+package intake
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func noDeadline(time.Time) error { return nil }
+
+// Guards against bodies that are not whole, and against memory for more than what is allowed.
+func TestBodiesAreReadToTheirEnd(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const most = 100_000
+		sent := bytes.Repeat([]byte("0123456789"), rapid.IntRange(0, most/8).Draw(rt, "tens"))
+		u := &Upload{Body: iotest.HalfReader(bytes.NewReader(sent)), Length: int64(len(sent)), SetReadDeadline: noDeadline}
+		if rapid.Bool().Draw(rt, "chunked") {
+			u.Length = -1
+		}
+		body, err := u.Read(most)
+		switch {
+		case len(sent) > most:
+			if !errors.Is(err, ErrTooLarge) || u.Received() > most+1 {
+				rt.Fatalf("%d bytes sent: %v after %d", len(sent), err, u.Received())
+			}
+		case err != nil || !bytes.Equal(body, sent) || !u.Whole():
+			rt.Fatalf("%d bytes sent, %d read, whole %v: %v", len(sent), len(body), u.Whole(), err)
+		case int64(cap(body)) > most+1:
+			rt.Fatalf("memory for %d bytes, %d allowed", cap(body), most)
+		}
+	})
+}
+
+// Guards against a body that ends early and is taken as whole.
+func TestShortBodyIsAnError(t *testing.T) {
+	for _, length := range []int64{11, -1} {
+		u := &Upload{Body: io.MultiReader(bytes.NewReader(make([]byte, 10)), iotest.ErrReader(io.ErrUnexpectedEOF)), Length: length, SetReadDeadline: noDeadline}
+		if _, err := u.Read(100); err == nil || u.Whole() {
+			t.Errorf("length %d: %v", length, err)
+		}
+	}
+}
+
+// Guards against a box that reads on without a bound after a refusal.
+func TestDiscardIsBounded(t *testing.T) {
+	endless := iotest.OneByteReader(zeros{})
+	for _, c := range []struct{ length, most, want int64 }{{-1, 1000, 1000}, {500, 1000, 500}, {1 << 40, 1000, 1000}} {
+		var a Account
+		u := &Upload{Body: endless, Length: c.length, SetReadDeadline: noDeadline}
+		a.Discard(u, c.most)
+		if u.Received() != c.want {
+			t.Errorf("length %d, at most %d: %d bytes discarded", c.length, c.most, u.Received())
+		}
+	}
+}
+
+// zeros is a reader without an end.
+type zeros struct{}
+
+// Read implements io.Reader.
+func (zeros) Read(b []byte) (int, error) { clear(b); return len(b), nil }
