A body is awaited no longer than its request has

Callers saw: nothing; operators saw connections and memory that were held for as long as a caller liked: a body that stopped one byte short was waited for without an end, also long after the deadline in its own head and the pipeline's timeout.

Cause: no read of a body had a deadline. Class: a read without a bound of time.

Change: the deadline that the request has anyway (the caller's or the pipeline's timeout, whichever is first) bounds the read of its body; in a planned stop the bodies that are not whole end with the stages.

--- a/src/code/code.go
+++ b/src/code/code.go
@@ -52,6 +52,7 @@
 	BadField        Code = 1007
 	KeyReused       Code = 1008
 	HeaderTooLarge  Code = 1009
+	BodyTimeout     Code = 1010
 
 	Unauthenticated  Code = 2001
 	NotYourWorkspace Code = 2002
@@ -123,6 +124,7 @@
 	{BadField, "BAD_FIELD", RanNo, false, codes.InvalidArgument, "A field of the request is missing or out of range."},
 	{KeyReused, "KEY_REUSED", RanUnknown, false, codes.AlreadyExists, "The key was used before for another workspace, pipeline or input."},
 	{HeaderTooLarge, "HEADER_TOO_LARGE", RanNo, false, codes.ResourceExhausted, "The header is longer than the configuration allows."},
+	{BodyTimeout, "BODY_TIMEOUT", RanNo, false, codes.DeadlineExceeded, "The body of the request did not arrive within the time that the request has."},
 	{Unauthenticated, "UNAUTHENTICATED", RanNo, false, codes.Unauthenticated, "The call has no valid certificate or token."},
 	{NotYourWorkspace, "NOT_YOUR_WORKSPACE", RanNo, false, codes.PermissionDenied, "The caller's credentials are bound to another workspace."},
 	{UnknownWorkspace, "UNKNOWN_WORKSPACE", RanNo, false, codes.NotFound, "The configuration in force has no such workspace."},
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -147,12 +148,9 @@
 func (v *requestRun) receive() *code.Error {
 	g, r := v.gateway, v.request
 	if r.Upload != nil {
-		body, err := r.Upload.Read(int64(g.Limits().BodyBytes))
-		switch {
-		case errors.Is(err, intake.ErrTooLarge):
-			return refusal(code.MessageTooLarge, "body", 0, "more than %d bytes", g.Limits().BodyBytes)
-		case err != nil:
-			return refusal(code.BadField, "body", 0, "could not be read to its end")
+		body, err := g.intake.Receive(g.stages, r.Upload, int64(g.Limits().BodyBytes), time.Now().Add(v.deadline.Sub(g.now())))
+		if err != nil {
+			return v.bodyRefusal(err)
 		}
 		r.Body = body
 		if g.closing() || g.Version() != v.version {
@@ -166,6 +164,20 @@
 	return nil
 }
 
+// bodyRefusal returns the refusal of a request whose body was not received.
+func (v *requestRun) bodyRefusal(err error) *code.Error {
+	u := v.request.Upload
+	switch late := errors.Is(err, os.ErrDeadlineExceeded); {
+	case errors.Is(err, intake.ErrTooLarge):
+		return refusal(code.MessageTooLarge, "body", 0, "more than %d bytes", v.gateway.Limits().BodyBytes)
+	case late && v.gateway.stages.Err() != nil:
+		return refusal(code.Draining, "box", otherBoxRetryAfter, "this box is stopping and the body is not whole")
+	case late:
+		return refusal(code.BodyTimeout, "body", 0, "%d of %d bytes arrived in time; the time is limited by the %s", u.Received(), u.Length, v.limitedBy)
+	}
+	return refusal(code.BadField, "body", 0, "could not be read to its end")
+}
+
 // checkSize refuses a request without an id and one that exceeds the size limits.
 func (v *requestRun) checkSize() *code.Error {
 	r, limits := v.request, v.gateway.Limits()
--- a/src/intake/upload.go
+++ b/src/intake/upload.go
@@ -30,6 +30,9 @@
 // Received returns the number of bytes read so far.
 func (u *Upload) Received() int64 { return u.read }
 
+// end makes reads of the body fail.
+func (u *Upload) end() { _ = u.SetReadDeadline(time.Unix(1, 0)) }
+
 // Read reads the whole body, of which at most most bytes are allowed.
 func (u *Upload) Read(most int64) ([]byte, error) {
 	if u.Length > most {
--- a/src/intake/upload_test.go
+++ b/src/intake/upload_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
+	"net"
+	"os"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -64,3 +67,33 @@
 
 // Read implements io.Reader.
 func (zeros) Read(b []byte) (int, error) { clear(b); return len(b), nil }
+
+// Guards against a body that is waited for without an end, and against a deadline that outlasts its body.
+func TestBodyIsAwaitedUntilItsDeadline(t *testing.T) {
+	for _, stops := range []bool{false, true} {
+		server, caller := net.Pipe()
+		ctx, cancel := context.WithCancel(context.Background())
+		by := time.Now().Add(50 * time.Millisecond)
+		if stops {
+			by = time.Now().Add(time.Hour)
+			time.AfterFunc(50*time.Millisecond, cancel)
+		}
+		go func() { _, _ = caller.Write([]byte("b")) }()
+		var a Account
+		u := &Upload{Body: server, Length: 2, SetReadDeadline: server.SetReadDeadline}
+		if _, err := a.Receive(ctx, u, 10, by); !errors.Is(err, os.ErrDeadlineExceeded) || u.Whole() {
+			t.Errorf("box stops: %v: %v", stops, err)
+		}
+		cancel()
+		go func() { _, _ = caller.Write([]byte("bb")) }()
+		u = &Upload{Body: server, Length: 2, SetReadDeadline: server.SetReadDeadline}
+		if _, err := a.Receive(context.Background(), u, 10, time.Now().Add(time.Hour)); err != nil {
+			t.Error(err)
+		}
+		var deadlines []time.Time
+		u = &Upload{Body: bytes.NewReader([]byte("bb")), Length: 2, SetReadDeadline: func(t time.Time) error { deadlines = append(deadlines, t); return nil }}
+		if _, err := a.Receive(context.Background(), u, 10, by); err != nil || len(deadlines) != 2 || !deadlines[1].IsZero() {
+			t.Errorf("%v, deadlines %v", err, deadlines)
+		}
+	}
+}
