Bodies of all callers together fit the memory of their box

Callers saw: a box that ran out of memory and ended, with all requests on it: 150 callers with bodies of a legal megabyte, one byte short, took a box of 64 MB to 190 MB.

Cause: a body was bounded by itself and not together with others, and it was read by doubling copies, so that it cost more than its size. Class: what a box holds is bounded for one request, never for all.

Change: an account (package intake). A body takes the room for its announced size before it is read, in one piece of memory; one of unknown size takes more as it grows; its request gives it back. Without room bodies wait, the smallest first, for at most 0.7 s and a quarter of the request's time; then they are refused (code 4006, 503 with a Retry-After, not run). Bodies that have been coming for over a second give way, first the one that has held most for longest; whole ones never. An eighth of the room is for bodies up to 64 KB, so that ordinary callers do not wait for large ones. The memory that the process itself does not take is divided into three shares: bodies, answers that are read slowly (a quarter of the memory before), connections.

--- a/src/code/code.go
+++ b/src/code/code.go
@@ -68,6 +68,7 @@
 	CannotFinish     Code = 4003
 	DeadlinePassed   Code = 4004
 	RetryBudgetSpent Code = 4005
+	MemoryFull       Code = 4006
 
 	BackendFailed     Code = 5001
 	BackendsDown      Code = 5002
@@ -137,6 +138,7 @@
 	{CannotFinish, "CANNOT_FINISH", RanNo, false, codes.ResourceExhausted, "The request could not finish by its deadline, so it was not started."},
 	{DeadlinePassed, "DEADLINE_PASSED", RanYes, false, codes.DeadlineExceeded, "The deadline passed, or could no longer be met, after part of the request had run."},
 	{RetryBudgetSpent, "RETRY_BUDGET_SPENT", RanYes, false, codes.Unavailable, "A stage failed and its retry budget is exhausted."},
+	{MemoryFull, "MEMORY_FULL", RanNo, false, codes.ResourceExhausted, "The box has no memory for the body of the request."},
 	{BackendFailed, "BACKEND_FAILED", RanYes, false, codes.Unavailable, "A stage failed on every backend server that was tried."},
 	{BackendsDown, "BACKENDS_DOWN", RanNo, false, codes.Unavailable, "Every backend server inside the boundary is down or leaving."},
 	{BackendRefused, "BACKEND_REFUSED", RanYes, false, codes.FailedPrecondition, "A backend server rejected the call as invalid."},
--- a/src/gateway/connections.go
+++ b/src/gateway/connections.go
@@ -15,9 +15,6 @@
 // connection.
 const heldPerWrite = 32 << 10
 
-// writeMemoryShare is the part of a box's memory that may be held for callers that read slowly.
-const writeMemoryShare = 0.25
-
 // connectionShare returns this box's part of the connections that each server of a pool accepts from all boxes.
 func (g *Gateway) connectionShare(pool string) connections.Share {
 	x := g.index.Load()
@@ -31,10 +28,12 @@
 	return connections.ShareOf(p.Connections, int(g.aliveBoxes.Load()))
 }
 
-// initWrites bounds what this box holds for callers that read slowly.
-func (g *Gateway) initWrites() {
+// initMemory bounds what this box holds for callers: the bodies of requests, and answers that are read slowly.
+func (g *Gateway) initMemory() {
+	shares := intake.SharesOf(g.Settings.MemoryBytes)
+	g.intake.Limit = shares.Bodies
 	g.writes = connections.Writes{
-		Limit: int64(writeMemoryShare * float64(g.Settings.MemoryBytes)), Overhead: heldPerWrite,
+		Limit: shares.Answers, Overhead: heldPerWrite,
 		Cut: func(held int64) {
 			g.Log.Warn("caller cut off, it reads too slowly and the box holds too much", "held_bytes", held)
 			if g.Observer.CutOff != nil {
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -146,7 +146,7 @@
 	g.ownedJobs.init(g)
 	g.calibration.Self = catalog.Hash(g.ID.Name, fmt.Sprint(g.ID.Incarnation))
 	g.initSuspects()
-	g.initWrites()
+	g.initMemory()
 	g.initPaths()
 	g.initBrittle()
 	g.aliveBoxes.Store(int64(g.fleet.boxes(g.now())))
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -71,6 +71,9 @@
 		v.refuse(err)
 		return
 	}
+	if r.Upload != nil {
+		defer r.Upload.Release()
+	}
 	if err := v.receive(); err != nil {
 		v.refuse(err)
 		return
@@ -170,6 +173,8 @@
 	switch late := errors.Is(err, os.ErrDeadlineExceeded); {
 	case errors.Is(err, intake.ErrTooLarge):
 		return refusal(code.MessageTooLarge, "body", 0, "more than %d bytes", v.gateway.Limits().BodyBytes)
+	case errors.Is(err, intake.ErrNoRoom), errors.Is(err, intake.ErrEvicted):
+		return refusal(code.MemoryFull, "body", bodyRetryAfter, "%v: %d of %d bytes arrived", err, u.Received(), u.Length)
 	case late && v.gateway.stages.Err() != nil:
 		return refusal(code.Draining, "box", otherBoxRetryAfter, "this box is stopping and the body is not whole")
 	case late:
--- a/src/intake/upload_test.go
+++ b/src/intake/upload_test.go
@@ -25,7 +25,7 @@
 		if rapid.Bool().Draw(rt, "chunked") {
 			u.Length = -1
 		}
-		body, err := u.Read(most)
+		body, err := new(Account).Receive(context.Background(), u, most, time.Now().Add(time.Hour))
 		switch {
 		case len(sent) > most:
 			if !errors.Is(err, ErrTooLarge) || u.Received() > most+1 {
@@ -43,7 +43,7 @@
 func TestShortBodyIsAnError(t *testing.T) {
 	for _, length := range []int64{11, -1} {
 		u := &Upload{Body: io.MultiReader(bytes.NewReader(make([]byte, 10)), iotest.ErrReader(io.ErrUnexpectedEOF)), Length: length, SetReadDeadline: noDeadline}
-		if _, err := u.Read(100); err == nil || u.Whole() {
+		if _, err := new(Account).Receive(context.Background(), u, 100, time.Now().Add(time.Hour)); err == nil || u.Whole() {
 			t.Errorf("length %d: %v", length, err)
 		}
 	}
--- a/src/status/status.go
+++ b/src/status/status.go
@@ -7,6 +7,7 @@
 	"github.com/stilemast/stilemast/src/admission"
 	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/connections"
+	"github.com/stilemast/stilemast/src/intake"
 	"github.com/stilemast/stilemast/src/pace"
 	"github.com/stilemast/stilemast/src/registrar"
 	"github.com/stilemast/stilemast/src/resume"
@@ -26,6 +27,7 @@
 
 	Load   Load               `json:"load"`   // of the box itself
 	Writes connections.Status `json:"writes"` // to callers
+	Bodies intake.Status      `json:"bodies"` // of callers' requests
 
 	Forecasts []Forecast       `json:"forecasts"` // of admission, against what was observed
 	Returning registrar.Status `json:"returning"` // callers that were refused and return
