A request is sent without copies of its body

Callers saw nothing; a box held three times a body while it was sent: the body, the encoded request, and the encoded request as a string, for each attempt.

Cause: head and body were encoded into one text, which was then copied. Class: a body costs more than its size.

Change: the head is encoded alone; a short body is appended to it, a longer one is written from where it is, with one system call on a TCP connection.

--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -5,13 +5,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -191,7 +191,7 @@
 
 // writeResult is the outcome of writing a request.
 type writeResult struct {
-	n   int
+	n   int64
 	err error
 }
 
@@ -199,9 +199,9 @@
 // before it has read a long body. A connection on which the request was not written completely is not reused,
 // since the server may still wait for the rest. sent reports whether any byte was sent.
 func (cn *conn) roundTrip(r *Request) (resp *http.Response, sent bool, err error) {
-	b := r.bytes()
-	if len(b) <= maxInlineWrite {
-		if n, err := cn.Write(b); err != nil {
+	head := r.head()
+	if len(head)+len(r.Body) <= maxInlineWrite {
+		if n, err := cn.Write(append(head, r.Body...)); err != nil {
 			return nil, n > 0, err
 		}
 		resp, err = cn.read(r)
@@ -209,7 +209,8 @@
 	}
 	end := make(chan writeResult, 1)
 	go func() {
-		n, err := cn.Write(b)
+		parts := net.Buffers{head, r.Body}
+		n, err := parts.WriteTo(cn.Conn)
 		end <- writeResult{n, err}
 	}()
 	resp, err = cn.read(r)
@@ -243,18 +244,16 @@
 	}
 }
 
-// bytes returns the encoded request.
-func (r *Request) bytes() []byte {
-	var b strings.Builder
-	b.Grow(512 + len(r.Body))
+// head returns the encoded request without its body, with capacity for a short one.
+func (r *Request) head() []byte {
+	b := bytes.NewBuffer(make([]byte, 0, 512+min(len(r.Body), maxInlineWrite)))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	_ = r.Header.Write(&b)
+	_ = r.Header.Write(b)
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return []byte(b.String())
+	return b.Bytes()
 }
 
 // read returns the first response that belongs to the request. Responses to earlier requests are skipped; a
--- a/src/exchange/exchange_test.go
+++ b/src/exchange/exchange_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -462,3 +463,32 @@
 		})
 	}
 }
+
+// Guards against a request whose body costs more memory than itself while it is sent.
+func TestBodyIsSentWithoutACopy(t *testing.T) {
+	const size = 4 << 20
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })}
+	go func() { _ = srv.Serve(l) }()
+	defer func() { _ = srv.Close() }()
+	body, c := make([]byte, size), &Client{}
+	defer c.Close()
+	send := func() {
+		a, err := c.Do(context.Background(), l.Addr().String(), &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: body})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = a.ReadAll(100)
+	}
+	send()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	send()
+	runtime.ReadMemStats(&after)
+	if n := after.TotalAlloc - before.TotalAlloc; n > size/2 {
+		t.Errorf("%d bytes allocated to send a body of %d", n, size)
+	}
+}
