Bodies that were announced and do not come do not close a box to others

Callers saw: connections closed unread at a box with processor and link in plenty: 78 of 400 beside 100 callers that had announced a megabyte, sent one byte and stayed.

Cause: the guard of the link counted what callers had announced for as long as their connections lasted, and took it for work that the link would have to carry. Class: a proxy of shortage stands for shortage.

Change: a body counts with what is likely to come: 64 KB at first and eight times what has arrived, at most what is left; nothing once no byte has come for a quarter of a second.

--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -272,7 +272,7 @@
 		if n.guard.Busy() {
 			w.Header().Set("Connection", "close")
 		}
-		body := n.guard.Bodies.Add(r.Body, r.ContentLength)
+		body := n.guard.AddBody(r.Body, r.ContentLength)
 		defer body.Release()
 		r.Body = body
 		h.ServeHTTP(w, r)
--- a/src/overload/constants.go
+++ b/src/overload/constants.go
@@ -15,7 +15,7 @@
 const (
 	maxDelay  = 110 * time.Millisecond // of a goroutine; a process that has used up its machine's quota waits for a tenth of a second
 	minBusy   = 250 * time.Millisecond // of longer delays without a break
-	maxBodies = 250 * time.Millisecond // of the link for bodies that callers have announced
+	maxBodies = 250 * time.Millisecond // of the link for bodies that are expected
 	minLink   = 0.4                    // of the link; below it, bodies are late because of their callers' own links
 	maxLink   = 0.75                   // of the link; the rest is for messages between boxes and repeated packets
 
@@ -25,6 +25,13 @@
 	maxSilence = time.Second // of a new connection that has sent nothing, before it is closed for another one
 )
 
+// Bytes of a body that are expected.
+const (
+	stalledAfter    = 250 * time.Millisecond // without a byte
+	firstExpected   = 64 << 10               // bytes of a body of which nothing has arrived
+	expectedPerRead = 8                      // for each byte that has arrived
+)
+
 // Changes of the share of new connections that are accepted, in each minInterval.
 const (
 	minDecrease = 0.9  // factor after little overload
--- a/src/overload/guard.go
+++ b/src/overload/guard.go
@@ -64,7 +64,7 @@
 // full reports whether accepted connections take the whole link with their bodies, or the descriptors with their requests. The caller
 // holds g.mu.
 func (g *Guard) full() bool {
-	link := g.last.Link > minLink && g.Bodies.takes(g.Meter.LinkMbps) > maxBodies
+	link := g.last.Link > minLink && g.Bodies.takes(g.Meter.now(), g.Meter.LinkMbps) > maxBodies
 	return link || g.Descriptors > 0 && g.callers.full(g.forCallers(), g.Meter.now())
 }
 
