Connections of callers and what is not read of them fit the memory of their box

Callers saw: a box that ran out of memory beside callers whose bytes it did not even read: the machine counts what has arrived and is not read, 16 MB for 150 callers and 41 MB in one play, and nothing bounded connections by what they take.

Cause: the kernel sizes the buffer of each connection by itself, the number of connections was bounded by descriptors only, and the limit of the heap left the same part of any memory for the program, of which a small box needs more.

Change: accepted connections take the listener's receive buffer of 32 KB; a connection counts 48 KB against its share of the memory, and when the share is used up, connections without a request are closed, then new ones, as with descriptors; the limit of the heap leaves room for the program and for half of that share.

TestConnectionsStayWithinTheMemory.

--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,6 +17,7 @@
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/exchange"
 	"github.com/stilemast/stilemast/src/gateway"
+	"github.com/stilemast/stilemast/src/intake"
 	"github.com/stilemast/stilemast/src/metrics"
 	"github.com/stilemast/stilemast/src/overload"
 	"github.com/stilemast/stilemast/src/paths"
@@ -28,13 +30,13 @@
 	callerHeaderTimeout  = 10 * time.Second // for reading a request's header
 	callerIdleTimeout    = 2 * time.Minute  // before an idle keep-alive connection is closed
 	maxCallerHeaderBytes = 64 << 10
+	callerReceiveBuffer  = 32 << 10                // bytes of the kernel's buffer of a connection, which may double them
 	minShutdownTime      = 3200 * time.Millisecond // minimum duration of a graceful shutdown, so that the load balancer notices that this box is not ready
 	answerReserve        = 2500 * time.Millisecond // end of the shutdown reserved for answers that have begun; pending stages are failed before it
 	idleBeforeExit       = 400 * time.Millisecond  // without a request before a shutdown completes
 	shutdownMargin       = 500 * time.Millisecond  // subtracted from the configured shutdown timeout
 	shutdownPollInterval = 50 * time.Millisecond
 	sweepInterval        = time.Second
-	memoryLimitFraction  = 0.7 // of the configured memory that is set as Go's soft memory limit
 	gcPercent            = 60
 	keepAliveIdle        = 5 * time.Second // idle time of an accepted connection before the first probe
 	keepAliveInterval    = time.Second     // between probes
@@ -126,8 +128,9 @@
 // Start opens the listeners and starts serving. Errors name the setting that they concern.
 func (n *GatewayNode) Start() error {
 	s := n.Settings
+	shares := intake.SharesOf(int64(s.MemoryMB) << 20)
 	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryMB) * (1 << 20)))
+		debug.SetMemoryLimit(shares.Heap)
 		debug.SetGCPercent(gcPercent)
 	}
 	beats, err := listen(s.Listen.Peers)
@@ -142,7 +145,7 @@
 	}
 	n.ports = n.Adapter.Open(s, router)
 	set := metrics.NewGateway()
-	n.guard.Meter.LinkMbps, n.guard.Descriptors = s.Machine.LinkMbps, s.Machine.Descriptors
+	n.guard.Meter.LinkMbps, n.guard.Descriptors, n.guard.Memory = s.Machine.LinkMbps, s.Machine.Descriptors, shares.Connections
 	n.gateway = &gateway.Gateway{
 		Busy: n.guard.Busy,
 		Settings: gateway.Settings{
@@ -204,10 +207,29 @@
 	if err != nil {
 		return err
 	}
+	if n.Settings.MemoryMB > 0 {
+		boundUnread(l, n.Log)
+	}
 	n.serveOn(&overload.Listener{Listener: l, Guard: &n.guard}, n.guardRequests(h), n.setCallerState)
 	return nil
 }
 
+// boundUnread bounds what the kernel holds of the bytes that have arrived on each connection of a listener and are not read; the
+// connections take the size of its buffer over.
+func boundUnread(l net.Listener, log *slog.Logger) {
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err == nil {
+		err = raw.Control(func(fd uintptr) {
+			if e := syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, callerReceiveBuffer); e != nil {
+				log.Warn("receive buffers of callers' connections are not bounded", "cause", e.Error())
+			}
+		})
+	}
+	if err != nil {
+		log.Warn("receive buffers of callers' connections are not bounded", "cause", err.Error())
+	}
+}
+
 // serve serves h on an address.
 func (n *GatewayNode) serve(address string, h http.Handler) error {
 	l, err := listen(address)
--- a/src/overload/callers.go
+++ b/src/overload/callers.go
@@ -67,19 +67,28 @@
 	c.take()
 }
 
-// full reports whether connections with a request need more than most descriptors, so that closing others makes no room.
-func (s *callers) full(most int, now time.Time) bool {
+// room is what callers and their requests may take.
+type room struct {
+	descriptors int // with those to servers
+	connections int
+}
+
+// exceeds reports whether the open connections need more than there is room for. The caller holds the lock.
+func (s *callers) exceeds(r room) bool { return s.needed() > r.descriptors || s.open > r.connections }
+
+// full reports whether connections with a request need more than there is room for, so that closing others makes none.
+func (s *callers) full(r room, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.needed() > most && s.leastUseful(now) == nil
+	return s.exceeds(r) && s.leastUseful(now) == nil
 }
 
-// makeRoom closes connections without a request while all need more than most descriptors. Those that have sent nothing for long go
+// makeRoom closes connections without a request while all need more than there is room for. Those that have sent nothing for long go
 // first, then those that have been idle for longest.
-func (s *callers) makeRoom(most int, now time.Time) {
+func (s *callers) makeRoom(r room, now time.Time) {
 	var closed []*countedConn
 	s.mu.Lock()
-	for s.needed() > most {
+	for s.exceeds(r) {
 		c := s.leastUseful(now)
 		if c == nil {
 			break
--- a/src/overload/callers_test.go
+++ b/src/overload/callers_test.go
@@ -71,7 +71,7 @@
 			if served < 95 {
 				t.Errorf("%d idle, %s: %d of 100 new callers served", idle, name, served)
 			}
-			if n := p.guard.callers.needed(); n > p.guard.forCallers()+descriptorsPerCaller {
+			if n := p.guard.callers.needed(); n > p.guard.room().descriptors+descriptorsPerCaller {
 				t.Errorf("%d idle, %s: %d descriptors needed", idle, name, n)
 			}
 		}
@@ -96,7 +96,7 @@
 		if c.send() {
 			running++
 		}
-		if n := p.guard.callers.needed(); n > p.guard.forCallers()+descriptorsPerCaller {
+		if n := p.guard.callers.needed(); n > p.guard.room().descriptors+descriptorsPerCaller {
 			t.Fatalf("%d descriptors needed", n)
 		}
 	}
@@ -146,3 +146,28 @@
 		t.Errorf("%+v", s)
 	}
 }
+
+// Guards against connections that together take more memory than a box has for them.
+func TestConnectionsStayWithinTheMemory(t *testing.T) {
+	p := newCallerPlay(100_000)
+	p.guard.Memory = 100 * connectionMemory
+	var idle []*testCaller
+	for range 50 {
+		c := p.connect()
+		c.send()
+		c.served()
+		idle = append(idle, c)
+	}
+	closed := 0
+	for range 300 {
+		c := p.connect()
+		if c == nil || !c.send() {
+			closed++
+		}
+		p.now = p.now.Add(time.Millisecond)
+	}
+	s := p.guard.Status()
+	if s.Open > 100+2 || s.ClosedIdle != int64(len(idle)) || closed < 300-102 {
+		t.Errorf("%+v, %d new connections closed, %d others were idle", s, closed, len(idle))
+	}
+}
--- a/src/overload/guard.go
+++ b/src/overload/guard.go
@@ -1,12 +1,16 @@
 package overload
 
-import "sync"
+import (
+	"math"
+	"sync"
+)
 
 // Guard decides which new connections of callers a box accepts, by its load. Set the exported fields before use.
 type Guard struct {
 	Meter       Meter
 	Bodies      Bodies
-	Descriptors int // that this process may have open, 0 if unknown
+	Descriptors int   // that this process may have open, 0 if unknown
+	Memory      int64 // bytes for connections of callers, 0 if unknown
 
 	callers    callers
 	mu         sync.Mutex
@@ -61,23 +65,28 @@
 	return Status{Load: g.last, Share: g.controller.accepting(), Full: g.full(), Open: open, Idle: idle, Closed: g.closed, ClosedIdle: closedIdle}
 }
 
-// full reports whether accepted connections take the whole link with their bodies, or the descriptors with their requests. The caller
-// holds g.mu.
+// full reports whether accepted connections take the whole link with their bodies, or the descriptors or the memory. The caller holds
+// g.mu.
 func (g *Guard) full() bool {
 	link := g.last.Link > minLink && g.Bodies.takes(g.Meter.now(), g.Meter.LinkMbps) > maxBodies
-	return link || g.Descriptors > 0 && g.callers.full(g.forCallers(), g.Meter.now())
+	return link || g.callers.full(g.room(), g.Meter.now())
 }
 
-// forCallers returns the number of descriptors for callers and their requests.
-func (g *Guard) forCallers() int { return int(maxDescriptors * float64(g.Descriptors)) }
-
-// makeRoom closes connections without a request if the descriptors are short.
-func (g *Guard) makeRoom() {
+// room returns what callers and their requests may take.
+func (g *Guard) room() room {
+	r := room{descriptors: math.MaxInt, connections: math.MaxInt}
 	if g.Descriptors > 0 {
-		g.callers.makeRoom(g.forCallers(), g.Meter.now())
+		r.descriptors = int(maxDescriptors * float64(g.Descriptors))
+	}
+	if g.Memory > 0 {
+		r.connections = max(1, int(g.Memory/connectionMemory))
 	}
+	return r
 }
 
+// makeRoom closes connections without a request if descriptors or memory are short.
+func (g *Guard) makeRoom() { g.callers.makeRoom(g.room(), g.Meter.now()) }
+
 // requestArrives counts a connection as one with a request, which takes another descriptor if it was idle.
 func (g *Guard) requestArrives(c *countedConn) {
 	g.callers.setBusy(c)
