Whole answers of all callers together fit the memory of their box

Cause: an answer is read whole before it is written, by doubling copies, up to 8 MB each; only the blocked writes were bounded together.

Change: a second account of package intake holds the answers that are read whole, with their announced length in one piece; without room the next bytes are not read from the server, and writes that are blocked for over half a second give way for what is wanted. Answers never give way while they are read, and one of them may exceed the room, so that answers of unknown length do not all wait for each other.

--- a/src/cli/gateway_status.go
+++ b/src/cli/gateway_status.go
@@ -49,7 +49,8 @@
 	fmt.Printf("callers: refused %d, promised %d, returned %d (early %d); queries without an answer %d of %d\n", r.Refused, r.Promised, r.Returned, r.Early, r.Unanswered, r.Queries)
 	fmt.Printf("writes to callers: %d open, %d bytes held, %d cut off\n", s.Writes.Open, s.Writes.Held, s.Writes.Cut)
 	b := s.Bodies
-	fmt.Printf("bodies of callers: %d bytes held, %d coming, %d waiting; refused %d, evicted %d, late %d\n\n", b.Held, b.Coming, b.Waiting, b.Refused, b.Evicted, b.Late)
+	fmt.Printf("bodies of callers: %d bytes held, %d coming, %d waiting; refused %d, evicted %d, late %d\n", b.Held, b.Coming, b.Waiting, b.Refused, b.Evicted, b.Late)
+	fmt.Printf("whole answers: %d bytes held, %d coming, %d waiting\n\n", s.Answers.Held, s.Answers.Coming, s.Answers.Waiting)
 	w := table()
 	fmt.Fprintln(w, "POOL\tSERVERS\tCONTENDED\tWAIT\tCONNECTIONS\tSLOW/USUAL/FAST\tOVERDUE CALLS")
 	for _, p := range s.Pools {
--- a/src/connections/writes.go
+++ b/src/connections/writes.go
@@ -16,6 +16,7 @@
 	Limit    int64            // bytes held for all callers together; 0 for no limit
 	Overhead int64            // bytes that each blocked write holds besides its data
 	Cut      func(held int64) // called for each write that is cut off; may be nil
+	Wanted   func() int64     // returns bytes for which others wait until writes give them back; may be nil
 
 	mu   sync.Mutex
 	held int64
@@ -50,8 +51,12 @@
 // Enforce cuts off writes until the rest is within the limit. Begin does so too; call it also periodically, since a write
 // becomes slow while it is blocked.
 func (w *Writes) Enforce(now time.Time) {
+	var wanted int64
+	if w.Wanted != nil {
+		wanted = w.Wanted()
+	}
 	w.mu.Lock()
-	victims := w.overLimit(now)
+	victims := w.overLimit(now, min(w.Limit, w.held-wanted))
 	w.mu.Unlock()
 	for _, s := range victims {
 		s.cut()
@@ -77,9 +82,9 @@
 }
 
 // overLimit removes and returns the writes to cut off so that the rest is within the limit.
-func (w *Writes) overLimit(now time.Time) []*Write {
+func (w *Writes) overLimit(now time.Time, limit int64) []*Write {
 	var out []*Write
-	for w.Limit > 0 && w.held > w.Limit {
+	for w.Limit > 0 && w.held > limit {
 		var worst *Write
 		for v := range w.open {
 			if now.Sub(v.began) >= slowAfter && (worst == nil || v.weight(now) > worst.weight(now)) {
--- a/src/connections/writes_test.go
+++ b/src/connections/writes_test.go
@@ -70,3 +70,23 @@
 		t.Errorf("status %+v", s)
 	}
 }
+
+// Guards against callers that do not read and keep the memory that others wait for, within the limit.
+func TestSlowWritesGiveWayToWhatIsWanted(t *testing.T) {
+	wanted, cut := int64(0), 0
+	w := &Writes{Limit: 1000, Wanted: func() int64 { return wanted }}
+	now := time.Unix(1000, 0)
+	for range 4 {
+		w.Begin(now, 200, func() { cut++ })
+	}
+	now = now.Add(2 * slowAfter)
+	recent := w.Begin(now, 100, func() { t.Error("a recent write is cut off") })
+	if w.Enforce(now); cut > 0 {
+		t.Fatalf("%d writes are cut off though nothing is wanted", cut)
+	}
+	wanted = 300
+	if w.Enforce(now); cut != 2 {
+		t.Errorf("%d writes of 200 bytes are cut off for 300 bytes", cut)
+	}
+	recent.End()
+}
--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -426,7 +426,9 @@
 		return v.relay(a)
 	}
 	a.hedge.Resume()
-	body, err := exchange.ReadWhole(reply.Read, maxAnswer)
+	answer := reply.transfer()
+	defer answer.Release()
+	body, err := g.answers.Receive(a.ctx, answer, maxAnswer, time.Now().Add(v.deadline.Sub(g.now())))
 	if err == nil {
 		v.discardSecond(a)
 	} else if v.givenUp(a) {
--- a/src/gateway/connections.go
+++ b/src/gateway/connections.go
@@ -31,9 +31,9 @@
 // initMemory bounds what this box holds for callers: the bodies of requests, and answers that are read slowly.
 func (g *Gateway) initMemory() {
 	shares := intake.SharesOf(g.Settings.MemoryBytes)
-	g.intake.Limit = shares.Bodies
+	g.intake.Limit, g.answers.Limit, g.answers.Firm = shares.Bodies, shares.Answers, true
 	g.writes = connections.Writes{
-		Limit: shares.Answers, Overhead: heldPerWrite,
+		Limit: shares.Answers, Overhead: heldPerWrite, Wanted: g.answers.Wanted,
 		Cut: func(held int64) {
 			g.Log.Warn("caller cut off, it reads too slowly and the box holds too much", "held_bytes", held)
 			if g.Observer.CutOff != nil {
@@ -98,3 +98,6 @@
 
 // Intake returns the account of the bodies of callers' requests.
 func (g *Gateway) Intake() *intake.Account { return &g.intake }
+
+// Answers returns the account of the answers that are read whole.
+func (g *Gateway) Answers() *intake.Account { return &g.answers }
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -91,9 +91,10 @@
 	brittle     brittle.Tracker
 	limitsDue   atomic.Bool // a message on servers' limits is scheduled
 	writes      connections.Writes
-	intake      intake.Account
-	aliveBoxes  atomic.Int64 // boxes that may be alive, as of the last tick
-	noPath      []string     // pools announced as without a path; used by tick only
+	intake      intake.Account // of requests' bodies
+	answers     intake.Account // that are read whole
+	aliveBoxes  atomic.Int64   // boxes that may be alive, as of the last tick
+	noPath      []string       // pools announced as without a path; used by tick only
 
 	stages     context.Context // ends when no further stages may run
 	endStages  context.CancelFunc
--- a/src/gateway/ports.go
+++ b/src/gateway/ports.go
@@ -26,7 +26,7 @@
 	Path   string
 	Header http.Header // passed on unchanged
 	Body   []byte
-	Upload *intake.Upload // the body if it has not been read yet, else nil
+	Upload *intake.Transfer // the body if it has not been read yet, else nil
 	// HeaderBytes and BodyBytes are the sizes that the caller sent or announced; BodyBytes is negative if unknown.
 	HeaderBytes int
 	BodyBytes   int64
@@ -88,6 +88,7 @@
 type Reply struct {
 	Status        int
 	Header        http.Header
+	Length        int64                     // of the body in bytes as announced, 0 if unknown
 	Read          func([]byte) (int, error) // io.EOF only after a clean end
 	Close         func(whole bool)
 	NotRun        bool // the server states that it did not run the request
@@ -152,3 +153,18 @@
 	WatchCatalog func(ctx context.Context, after catalog.Revision, wait time.Duration) (catalog.PublishedChange, catalog.Revision, error)
 	WatchServers func(ctx context.Context, after catalog.Revision, wait time.Duration) ([]catalog.ServerChange, catalog.Revision, error)
 }
+
+// readerFunc is a function that reads.
+type readerFunc func([]byte) (int, error)
+
+// Read implements io.Reader.
+func (f readerFunc) Read(b []byte) (int, error) { return f(b) }
+
+// transfer returns the body of an answer.
+func (r *Reply) transfer() *intake.Transfer {
+	t := &intake.Transfer{Body: readerFunc(r.Read), Length: r.Length}
+	if r.Length <= 0 {
+		t.Length = -1
+	}
+	return t
+}
--- a/src/gateway/status.go
+++ b/src/gateway/status.go
@@ -13,7 +13,7 @@
 // Status returns the state of this box.
 func (g *Gateway) Status() status.Gateway {
 	now := g.now()
-	s := status.Gateway{Box: g.ID.Name, Version: g.Version(), ConfirmedAge: status.Ms(g.ConfirmedAge()), Members: g.Members(), Running: g.Running(), Draining: g.Draining(), Tunnels: g.Paths.Tunnels(), Writes: g.writes.Status(), Bodies: g.intake.Status(), Forecasts: g.forecastStatus(now), Returning: g.returning.Status(), Streams: g.streams.Status(), Suspects: g.suspects.Status()}
+	s := status.Gateway{Box: g.ID.Name, Version: g.Version(), ConfirmedAge: status.Ms(g.ConfirmedAge()), Members: g.Members(), Running: g.Running(), Draining: g.Draining(), Tunnels: g.Paths.Tunnels(), Writes: g.writes.Status(), Bodies: g.intake.Status(), Answers: g.answers.Status(), Forecasts: g.forecastStatus(now), Returning: g.returning.Status(), Streams: g.streams.Status(), Suspects: g.suspects.Status()}
 	overdue := g.OverdueStatus()
 	for _, e := range g.pools.list() {
 		s.Pools = append(s.Pools, g.poolStatus(now, e, overdue))
--- a/src/intake/account.go
+++ b/src/intake/account.go
@@ -1,4 +1,4 @@
-// Package intake bounds what a box holds of the bodies of its callers' requests, for all callers together.
+// Package intake bounds what a box holds of the bodies of requests and answers, for all callers together.
 package intake
 
 import (
@@ -16,8 +16,8 @@
 	smallBody    = 64 << 10               // bytes, up to which a body may use all of the room
 	largeShare   = 7.0 / 8                // of the room that larger bodies may use together
 	evictAfter   = time.Second            // for which a body may be coming before it gives way to others
-	maxWait      = 700 * time.Millisecond // for room; callers give a request up that was not read within a second
-	waitShare    = 0.25                   // of the time that a request has, which it may wait for room
+	maxWait      = 900 * time.Millisecond // for room; callers give a request up that was not read within a second
+	waitShare    = 0.3                    // of the time that a request has, which it may wait for room
 	wakeInterval = 100 * time.Millisecond // between attempts of a waiting body to make room
 )
 
@@ -33,12 +33,13 @@
 	ErrEvicted = errors.New("the body took too long and gave way to others")
 )
 
-// Account is the memory that a box has for the bodies of its callers' requests. A body takes the room for its announced size before
+// Account is the memory that a box has for bodies. A body takes the room for its announced size before
 // any of it is read, and a body of unknown size takes more as it grows; its request gives the room back when it ends. While there is
 // none, bodies wait, the smallest first, and those that have been coming for long give way, first the one that has held
 // most for longest. Whole bodies keep their room. Set the exported fields before use.
 type Account struct {
 	Limit int64            // bytes for all bodies together, 0 for no limit
+	Firm  bool             // bodies do not give way, and others wait for them for as long as they have
 	Now   func() time.Time // nil for time.Now
 
 	discards atomic.Int64
@@ -70,16 +71,19 @@
 
 // Receive reads a whole body, of which at most most bytes are allowed. The error is os.ErrDeadlineExceeded if it does not come by a
 // time, or before the context ends, and ErrNoRoom or ErrEvicted if there is no room for it. The room is given back by Release.
-func (a *Account) Receive(ctx context.Context, u *Upload, most int64, by time.Time) ([]byte, error) {
+func (a *Account) Receive(ctx context.Context, u *Transfer, most int64, by time.Time) ([]byte, error) {
 	if u.Length == 0 {
 		return nil, nil
 	}
-	if err := u.SetReadDeadline(by); err != nil {
+	if err := u.setDeadline(by); err != nil {
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, u.end)
 	u.hold = a.open(u.end)
-	u.patience = min(maxWait, time.Duration(waitShare*float64(time.Until(by))))
+	u.ctx, u.patience = ctx, time.Until(by)
+	if !a.Firm {
+		u.patience = min(maxWait, time.Duration(waitShare*float64(u.patience)))
+	}
 	body, err := u.readAll(most)
 	if !stop() && err == nil {
 		err = os.ErrDeadlineExceeded
@@ -88,7 +92,7 @@
 		err = ErrEvicted
 	}
 	if err == nil {
-		err = u.SetReadDeadline(time.Time{})
+		err = u.setDeadline(time.Time{})
 	}
 	if err != nil {
 		u.Release()
@@ -97,6 +101,17 @@
 	return body, err
 }
 
+// Wanted returns the bytes for which bodies wait.
+func (a *Account) Wanted() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var n int64
+	for _, w := range a.waiting {
+		n += w.bytes
+	}
+	return n
+}
+
 // count counts how a body ended.
 func (a *Account) count(err error) {
 	a.mu.Lock()
@@ -113,11 +128,11 @@
 
 // Discard reads what is left of a body whose request has been answered, up to most bytes and for a short time, so that a caller
 // that sends its whole body before it reads gets the response. Afterwards nothing of the body can be read.
-func (a *Account) Discard(u *Upload, most int64) {
+func (a *Account) Discard(u *Transfer, most int64) {
 	if u.Whole() {
 		return
 	}
-	if a.discards.Add(1) <= maxDiscards && u.SetReadDeadline(time.Now().Add(discardFor)) == nil {
+	if a.discards.Add(1) <= maxDiscards && u.setDeadline(time.Now().Add(discardFor)) == nil {
 		if u.Length >= 0 {
 			most = min(most, u.Length-u.read)
 		}
--- a/src/intake/account_test.go
+++ b/src/intake/account_test.go
@@ -26,12 +26,12 @@
 	once  sync.Once
 }
 
-func upload(size int64, after time.Duration) *Upload {
+func upload(size int64, after time.Duration) *Transfer {
 	b := &slowBody{Reader: bytes.NewReader(make([]byte, size)), after: after, cut: make(chan struct{})}
 	end := func() { b.once.Do(func() { close(b.cut) }) }
 	var mu sync.Mutex
 	var deadline *time.Timer
-	return &Upload{Body: b, Length: size, SetReadDeadline: func(t time.Time) error {
+	return &Transfer{Body: b, Length: size, SetReadDeadline: func(t time.Time) error {
 		mu.Lock()
 		defer mu.Unlock()
 		if deadline != nil {
@@ -60,7 +60,7 @@
 }
 
 // receive receives a body in the background and sends how it ended.
-func receive(a *Account, u *Upload) chan error {
+func receive(a *Account, u *Transfer) chan error {
 	out := make(chan error, 1)
 	go func() {
 		_, err := a.Receive(context.Background(), u, room, time.Now().Add(20*time.Second))
@@ -202,3 +202,31 @@
 		t.Errorf("unknown memory: %+v", s)
 	}
 }
+
+// Guards against answers that fail because each of them waits for the room of the others.
+func TestFirmBodiesOfUnknownLengthAllComeToTheirEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &Account{Limit: room, Firm: true}
+		most := int64(0)
+		var all sync.WaitGroup
+		for range 50 {
+			u := upload(1_000_000, 10*time.Millisecond)
+			u.Length, u.SetReadDeadline = -1, nil
+			all.Go(func() {
+				if _, err := a.Receive(context.Background(), u, room, time.Now().Add(time.Minute)); err != nil {
+					t.Error(err)
+				}
+				time.Sleep(20 * time.Millisecond)
+				u.Release()
+			})
+		}
+		for range 100 {
+			time.Sleep(20 * time.Millisecond)
+			most = max(most, a.Status().Held)
+		}
+		all.Wait()
+		if s := a.Status(); s.Held != 0 || s.Evicted+s.Refused+s.Late > 0 || most > room+2<<20 {
+			t.Errorf("at most %d bytes held, %+v", most, s)
+		}
+	})
+}
--- a/src/intake/hold.go
+++ b/src/intake/hold.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"context"
 	"slices"
 	"time"
 )
@@ -25,8 +26,8 @@
 // evicted.
 func (a *Account) open(cut func()) *Hold { return &Hold{account: a, cut: cut} }
 
-// take waits for room for further bytes.
-func (h *Hold) take(n int64, patience time.Duration) error {
+// take waits for room for further bytes, until the context ends at the latest.
+func (h *Hold) take(ctx context.Context, n int64, patience time.Duration) error {
 	a := h.account
 	a.mu.Lock()
 	if (len(a.waiting) == 0 || a.waiting[0].bytes > n) && a.fits(h, n) {
@@ -40,13 +41,13 @@
 	a.mu.Unlock()
 	cutAll(victims)
 	for waited := time.Duration(0); ; waited += wakeInterval {
-		if h.wait(w, min(wakeInterval, patience-waited)) {
+		if h.wait(ctx, w, min(wakeInterval, patience-waited)) {
 			return nil
 		}
 		a.mu.Lock()
 		victims := a.serve(a.now())
 		i := slices.Index(a.waiting, w)
-		ended := waited+wakeInterval >= patience || h.evicted
+		ended := waited+wakeInterval >= patience || h.evicted || ctx.Err() != nil
 		if i >= 0 && ended {
 			a.waiting = slices.Delete(a.waiting, i, i+1)
 		}
@@ -63,7 +64,7 @@
 }
 
 // wait waits for a time until a waiter has its room, and reports whether it has.
-func (h *Hold) wait(w *waiter, d time.Duration) bool {
+func (h *Hold) wait(ctx context.Context, w *waiter, d time.Duration) bool {
 	select {
 	case <-w.granted:
 		return true
@@ -75,8 +76,9 @@
 	case <-w.granted:
 		return true
 	case <-t.C:
-		return false
+	case <-ctx.Done():
 	}
+	return false
 }
 
 // settle records that a body is whole, or that it will not be. It returns false if the hold was evicted before.
@@ -127,9 +129,9 @@
 // the lock.
 func (a *Account) serve(now time.Time) (victims []*Hold) {
 	for len(a.waiting) > 0 {
-		w := a.waiting[0]
-		if !w.hold.evicted && !a.fits(w.hold, w.bytes) {
-			v := a.worst(now, w.hold)
+		i := slices.IndexFunc(a.waiting, func(w *waiter) bool { return w.hold.evicted || a.fits(w.hold, w.bytes) })
+		if i < 0 {
+			v := a.worst(now, a.waiting[0].hold)
 			if v == nil {
 				return victims
 			}
@@ -137,7 +139,8 @@
 			victims = append(victims, v)
 			continue
 		}
-		a.waiting = slices.Delete(a.waiting, 0, 1)
+		w := a.waiting[i]
+		a.waiting = slices.Delete(a.waiting, i, i+1)
 		if !w.hold.evicted { // its own wait ends it
 			a.grant(w.hold, w.bytes, now)
 			close(w.granted)
@@ -160,11 +163,15 @@
 }
 
 // fits reports whether there is room for n further bytes of a hold. A body that is larger than all of the room has it while no other
-// has any. The caller holds the lock.
+// has any. Of firm bodies one may exceed the room, so that those of unknown length do not all wait for each other. The caller holds the
+// lock.
 func (a *Account) fits(h *Hold, n int64) bool {
 	if a.Limit <= 0 {
 		return true
 	}
+	if a.Firm {
+		return h.bytes+n <= firstPart || a.held+n <= a.Limit || a.held-h.bytes <= a.Limit
+	}
 	room := a.Limit
 	if h.bytes+n > smallBody {
 		room = int64(largeShare * float64(a.Limit))
@@ -175,6 +182,9 @@
 // worst returns the hold to evict for another one, or nil. The caller holds the lock.
 func (a *Account) worst(now time.Time, other *Hold) *Hold {
 	var worst *Hold
+	if a.Firm {
+		return nil
+	}
 	for h := range a.coming {
 		if h != other && now.Sub(h.since) >= evictAfter && (worst == nil || h.weight(now) > worst.weight(now)) {
 			worst = h
--- a/src/intake/upload.go
+++ b/src/intake/transfer.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math"
@@ -13,38 +14,49 @@
 // ErrTooLarge is returned for a body that is longer than allowed.
 var ErrTooLarge = errors.New("the body is longer than allowed")
 
-// Upload is the body of a request that its caller may still be sending. Nothing of it is read before Account.Receive. Set the
-// exported fields before use.
-type Upload struct {
+// Transfer is a body that its sender may still be sending. Nothing of it is read before Account.Receive. Set the exported fields
+// before use.
+type Transfer struct {
 	Body   io.Reader
 	Length int64 // as announced, negative if unknown
-	// SetReadDeadline sets the deadline of reads of Body, as http.ResponseController does.
+	// SetReadDeadline sets the deadline of reads of Body, as http.ResponseController does; nil if they end by themselves.
 	SetReadDeadline func(time.Time) error
 
 	read     int64 // bytes
 	whole    bool
-	hold     *Hold         // nil before Account.Receive
-	patience time.Duration // of waits for room
+	hold     *Hold           // nil before Account.Receive
+	ctx      context.Context // of Receive
+	patience time.Duration   // of waits for room
 }
 
 // Whole reports whether the body was read to its end.
-func (u *Upload) Whole() bool { return u.whole || u.Length == 0 }
+func (u *Transfer) Whole() bool { return u.whole || u.Length == 0 }
 
 // Received returns the number of bytes read so far.
-func (u *Upload) Received() int64 { return u.read }
+func (u *Transfer) Received() int64 { return u.read }
 
 // Release gives back the room that the body has in the account that received it.
-func (u *Upload) Release() {
+func (u *Transfer) Release() {
 	if u.hold != nil {
 		u.hold.give(math.MaxInt64)
 	}
 }
 
 // end makes reads of the body fail.
-func (u *Upload) end() { _ = u.SetReadDeadline(time.Unix(1, 0)) }
+func (u *Transfer) end() { _ = u.setDeadline(time.Unix(1, 0)) }
+
+func (u *Transfer) setDeadline(t time.Time) error {
+	if u.SetReadDeadline == nil {
+		return nil
+	}
+	return u.SetReadDeadline(t)
+}
+
+// take waits for room for n further bytes.
+func (u *Transfer) take(n int64) error { return u.hold.take(u.ctx, n, u.patience) }
 
 // readAll reads the whole body, of which at most most bytes are allowed.
-func (u *Upload) readAll(most int64) ([]byte, error) {
+func (u *Transfer) readAll(most int64) ([]byte, error) {
 	if u.Length > most {
 		return nil, ErrTooLarge
 	}
@@ -55,8 +67,8 @@
 }
 
 // readLength reads a body of known length.
-func (u *Upload) readLength() ([]byte, error) {
-	if err := u.hold.take(u.Length, u.patience); err != nil {
+func (u *Transfer) readLength() ([]byte, error) {
+	if err := u.take(u.Length); err != nil {
 		return nil, err
 	}
 	body := make([]byte, u.Length)
@@ -66,8 +78,8 @@
 }
 
 // readChunks reads a body of unknown length. It reads one byte beyond the limit, enough to detect the excess.
-func (u *Upload) readChunks(most int64) ([]byte, error) {
-	if err := u.hold.take(min(firstPart, most+1), u.patience); err != nil {
+func (u *Transfer) readChunks(most int64) ([]byte, error) {
+	if err := u.take(min(firstPart, most+1)); err != nil {
 		return nil, err
 	}
 	body := make([]byte, 0, min(firstPart, most+1))
@@ -93,8 +105,8 @@
 }
 
 // grow returns a copy of a body with another capacity.
-func (u *Upload) grow(body []byte, capacity int64) ([]byte, error) {
-	if err := u.hold.take(capacity, u.patience); err != nil {
+func (u *Transfer) grow(body []byte, capacity int64) ([]byte, error) {
+	if err := u.take(capacity); err != nil {
 		return nil, err
 	}
 	before := int64(cap(body))
--- a/src/intake/upload_test.go
+++ b/src/intake/transfer_test.go
@@ -21,7 +21,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		const most = 100_000
 		sent := bytes.Repeat([]byte("0123456789"), rapid.IntRange(0, most/8).Draw(rt, "tens"))
-		u := &Upload{Body: iotest.HalfReader(bytes.NewReader(sent)), Length: int64(len(sent)), SetReadDeadline: noDeadline}
+		u := &Transfer{Body: iotest.HalfReader(bytes.NewReader(sent)), Length: int64(len(sent)), SetReadDeadline: noDeadline}
 		if rapid.Bool().Draw(rt, "chunked") {
 			u.Length = -1
 		}
@@ -42,7 +42,7 @@
 // Guards against a body that ends early and is taken as whole.
 func TestShortBodyIsAnError(t *testing.T) {
 	for _, length := range []int64{11, -1} {
-		u := &Upload{Body: io.MultiReader(bytes.NewReader(make([]byte, 10)), iotest.ErrReader(io.ErrUnexpectedEOF)), Length: length, SetReadDeadline: noDeadline}
+		u := &Transfer{Body: io.MultiReader(bytes.NewReader(make([]byte, 10)), iotest.ErrReader(io.ErrUnexpectedEOF)), Length: length, SetReadDeadline: noDeadline}
 		if _, err := new(Account).Receive(context.Background(), u, 100, time.Now().Add(time.Hour)); err == nil || u.Whole() {
 			t.Errorf("length %d: %v", length, err)
 		}
@@ -54,7 +54,7 @@
 	endless := iotest.OneByteReader(zeros{})
 	for _, c := range []struct{ length, most, want int64 }{{-1, 1000, 1000}, {500, 1000, 500}, {1 << 40, 1000, 1000}} {
 		var a Account
-		u := &Upload{Body: endless, Length: c.length, SetReadDeadline: noDeadline}
+		u := &Transfer{Body: endless, Length: c.length, SetReadDeadline: noDeadline}
 		a.Discard(u, c.most)
 		if u.Received() != c.want {
 			t.Errorf("length %d, at most %d: %d bytes discarded", c.length, c.most, u.Received())
@@ -80,18 +80,18 @@
 		}
 		go func() { _, _ = caller.Write([]byte("b")) }()
 		var a Account
-		u := &Upload{Body: server, Length: 2, SetReadDeadline: server.SetReadDeadline}
+		u := &Transfer{Body: server, Length: 2, SetReadDeadline: server.SetReadDeadline}
 		if _, err := a.Receive(ctx, u, 10, by); !errors.Is(err, os.ErrDeadlineExceeded) || u.Whole() {
 			t.Errorf("box stops: %v: %v", stops, err)
 		}
 		cancel()
 		go func() { _, _ = caller.Write([]byte("bb")) }()
-		u = &Upload{Body: server, Length: 2, SetReadDeadline: server.SetReadDeadline}
+		u = &Transfer{Body: server, Length: 2, SetReadDeadline: server.SetReadDeadline}
 		if _, err := a.Receive(context.Background(), u, 10, time.Now().Add(time.Hour)); err != nil {
 			t.Error(err)
 		}
 		var deadlines []time.Time
-		u = &Upload{Body: bytes.NewReader([]byte("bb")), Length: 2, SetReadDeadline: func(t time.Time) error { deadlines = append(deadlines, t); return nil }}
+		u = &Transfer{Body: bytes.NewReader([]byte("bb")), Length: 2, SetReadDeadline: func(t time.Time) error { deadlines = append(deadlines, t); return nil }}
 		if _, err := a.Receive(context.Background(), u, 10, by); err != nil || len(deadlines) != 2 || !deadlines[1].IsZero() {
 			t.Errorf("%v, deadlines %v", err, deadlines)
 		}
--- a/src/metrics/gateway.go
+++ b/src/metrics/gateway.go
@@ -198,6 +198,8 @@
 	gauge("returning_unanswered", "Queries for returning callers that no registrar answered in time.", func() float64 { return float64(g.ReturningCallers().Unanswered) })
 	gauge("returning_unreported", "Refused callers that no registrar took.", func() float64 { return float64(g.ReturningCallers().Unreported) })
 	gauge("body_bytes", "Memory that the bodies of callers' requests have.", func() float64 { return float64(g.Intake().Status().Held) })
+	gauge("answer_bytes", "Memory that answers have that are read whole.", func() float64 { return float64(g.Answers().Status().Held) })
+	gauge("answers_waiting", "Answers that wait for memory before more of them is read.", func() float64 { return float64(g.Answers().Status().Waiting) })
 	gauge("bodies_coming", "Bodies that have memory and are not whole.", func() float64 { return float64(g.Intake().Status().Coming) })
 	gauge("bodies_waiting", "Bodies that wait for memory.", func() float64 { return float64(g.Intake().Status().Waiting) })
 	counter := func(name, help string, read func() int64) {
--- a/src/status/status.go
+++ b/src/status/status.go
@@ -29,6 +29,8 @@
 	Writes connections.Status `json:"writes"` // to callers
 	Bodies intake.Status      `json:"bodies"` // of callers' requests
 
+	Answers intake.Status `json:"answers"` // that are read whole
+
 	Forecasts []Forecast       `json:"forecasts"` // of admission, against what was observed
 	Returning registrar.Status `json:"returning"` // callers that were refused and return
 	Streams   resume.Status    `json:"streams"`   // that may be taken up at another box
