Published time-outs and header limits bound connections

Callers saw nothing; operators saw connections that were held longer than they had published: header_timeout_ms and idle_timeout_ms were parsed and used by nothing, two constants of 10 s and 2 minutes stood in their place, and a head of 64 KB was read whatever max_header_bytes said.

Cause: net/http takes these limits once, before a configuration is known.

Change: the guard of connections applies them, each second: silent and idle connections end after the idle time, those on which a head arrives after the header time, none just after a pause of the process. A head is read up to twice its limit and 8 KB, so that its caller gets the usual response, and refused with 431 beyond. The constants stand where nothing is published.

Evidence: TestConnectionsWhoseRequestDoesNotComeAreClosed, TestLongHeadIsRefused; callers whose heads do not end are closed after the 3 s of the test's configuration, where it took 10.

--- a/src/metrics/gateway.go
+++ b/src/metrics/gateway.go
@@ -226,6 +226,8 @@
 	}
 	counter("connections_closed_unread_total", "New connections of callers that were closed unread because the box was overloaded.", func(s overload.Status) int64 { return s.Closed })
 	counter("connections_closed_idle_total", "Connections of callers without a request that were closed for others.", func(s overload.Status) int64 { return s.ClosedIdle })
+	counter("connections_closed_late_total", "Connections of callers that were closed because a head or the next request did not come in time.", func(s overload.Status) int64 { return s.ClosedLate })
+	counter("connections_closed_long_total", "Connections of callers that were closed because a head was far beyond its limit.", func(s overload.Status) int64 { return s.ClosedLong })
 }
 
 // overdueCalls returns the number of calls that are overdue now.
--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net"
@@ -27,21 +28,22 @@
 
 // Timeouts and limits of a gateway process.
 const (
-	callerHeaderTimeout  = 10 * time.Second // for reading a request's header
-	callerIdleTimeout    = 2 * time.Minute  // before an idle keep-alive connection is closed
-	maxCallerHeaderBytes = 64 << 10
-	callerReceiveBuffer  = 32 << 10                // bytes of the kernel's buffer of a connection, which may double them
-	minShutdownTime      = 3200 * time.Millisecond // minimum duration of a graceful shutdown, so that the load balancer notices that this box is not ready
-	answerReserve        = 2500 * time.Millisecond // end of the shutdown reserved for answers that have begun; pending stages are failed before it
-	idleBeforeExit       = 400 * time.Millisecond  // without a request before a shutdown completes
-	shutdownMargin       = 500 * time.Millisecond  // subtracted from the configured shutdown timeout
-	shutdownPollInterval = 50 * time.Millisecond
-	sweepInterval        = time.Second
-	gcPercent            = 60
-	keepAliveIdle        = 5 * time.Second // idle time of an accepted connection before the first probe
-	keepAliveInterval    = time.Second     // between probes
-	keepAliveProbes      = 3               // unanswered probes after which the connection is closed
-	milliCoresPerCore    = 1000            // in a core
+	callerHeaderTimeout   = 10 * time.Second // for reading a request's header where none is published
+	callerIdleTimeout     = 2 * time.Minute  // before an idle keep-alive connection is closed, where none is published
+	maxHeaderBytes        = 64 << 10
+	maxGuardedHeaderBytes = 16 << 20                // of callers; the guard bounds them by what is published
+	callerReceiveBuffer   = 32 << 10                // bytes of the kernel's buffer of a connection, which may double them
+	minShutdownTime       = 3200 * time.Millisecond // minimum duration of a graceful shutdown, so that the load balancer notices that this box is not ready
+	answerReserve         = 2500 * time.Millisecond // end of the shutdown reserved for answers that have begun; pending stages are failed before it
+	idleBeforeExit        = 400 * time.Millisecond  // without a request before a shutdown completes
+	shutdownMargin        = 500 * time.Millisecond  // subtracted from the configured shutdown timeout
+	shutdownPollInterval  = 50 * time.Millisecond
+	sweepInterval         = time.Second
+	gcPercent             = 60
+	keepAliveIdle         = 5 * time.Second // idle time of an accepted connection before the first probe
+	keepAliveInterval     = time.Second     // between probes
+	keepAliveProbes       = 3               // unanswered probes after which the connection is closed
+	milliCoresPerCore     = 1000            // in a core
 )
 
 // Adapter connects gateways to a platform.
@@ -78,7 +80,9 @@
 	callers      callerActivity
 	guard        overload.Guard
 	closed       int64 // connections that the guard had closed at the last log line
-	closedIdle   int64 // of them, those without a request
+	closedIdle   int64 // the same of those without a request
+	closedLate   int64 // the same of those whose request did not come in time
+	closedLong   int64 // the same of those with long heads
 	killOnce     sync.Once
 }
 
@@ -210,10 +214,20 @@
 	if n.Settings.MemoryMB > 0 {
 		boundUnread(l, n.Log)
 	}
-	n.serveOn(&overload.Listener{Listener: l, Guard: &n.guard}, n.guardRequests(h), n.setCallerState)
+	n.guard.HeadLimit = func() int { return n.gateway.Limits().HeaderBytes }
+	srv := n.newServer(n.guardRequests(h))
+	srv.ConnState, srv.MaxHeaderBytes = n.setCallerState, maxGuardedHeaderBytes
+	srv.ReadHeaderTimeout, srv.IdleTimeout = 0, 0 // the guard applies those that are published
+	go func() { _ = srv.Serve(&overload.Listener{Listener: l, Guard: &n.guard}) }()
 	return nil
 }
 
+// timeouts returns how long callers may take: as published, or the defaults.
+func (n *GatewayNode) timeouts() overload.Timeouts {
+	l := n.gateway.Limits()
+	return overload.Timeouts{Head: cmp.Or(l.HeaderTime, callerHeaderTimeout), Idle: cmp.Or(l.IdleTime, callerIdleTimeout)}
+}
+
 // boundUnread bounds what the kernel holds of the bytes that have arrived on each connection of a listener and are not read; the
 // connections take the size of its buffer over.
 func boundUnread(l net.Listener, log *slog.Logger) {
@@ -236,32 +250,36 @@
 	if err != nil {
 		return err
 	}
-	n.serveOn(l, h, nil)
+	srv := n.newServer(h)
+	go func() { _ = srv.Serve(l) }()
 	return nil
 }
 
-// serveOn serves h on a listener; states may be nil. It uses net/http directly because go-zero's router cannot pass every path
-// and method on unchanged.
-func (n *GatewayNode) serveOn(l net.Listener, h http.Handler, states func(net.Conn, http.ConnState)) {
+// newServer returns a server of h. It uses net/http directly because go-zero's router cannot pass every path and method on unchanged.
+func (n *GatewayNode) newServer(h http.Handler) *http.Server {
 	srv := &http.Server{
-		Handler: h, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
-		ConnState: states,
-		ErrorLog:  slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
+		Handler: h, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
 	}
 	n.servers = append(n.servers, srv)
-	go func() { _ = srv.Serve(l) }()
+	return srv
 }
 
-// sweep closes expired idle connections periodically.
+// sweep closes expired connections periodically.
 func (n *GatewayNode) sweep(ctx context.Context) {
 	t := time.NewTicker(sweepInterval)
 	defer t.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 			n.ports.CloseExpired()
+			if time.Since(last) < 2*sweepInterval { // after a pause of the process, what callers sent meanwhile is read first
+				n.guard.Expire(n.timeouts())
+			}
+			last = time.Now()
 			n.logLoad()
 		}
 	}
@@ -270,7 +288,7 @@
 // status returns the state of this box for operators.
 func (n *GatewayNode) status() status.Gateway {
 	s, l := n.gateway.Status(), n.guard.Status()
-	s.Load = status.Load{Delay: status.Ms(l.Load.Delay), Link: l.Load.Link, Accepted: l.Share, Full: l.Full, Connections: l.Open, Idle: l.Idle, Closed: l.Closed, ClosedIdle: l.ClosedIdle}
+	s.Load = status.Load{Delay: status.Ms(l.Load.Delay), Link: l.Load.Link, Accepted: l.Share, Full: l.Full, Connections: l.Open, Idle: l.Idle, Heads: l.Heads, Closed: l.Closed, ClosedIdle: l.ClosedIdle, ClosedLate: l.ClosedLate, ClosedLong: l.ClosedLong}
 	return s
 }
 
@@ -284,7 +302,11 @@
 	if s.ClosedIdle != n.closedIdle {
 		n.Log.Info("connections without a request closed for others", "closed", s.ClosedIdle-n.closedIdle, "connections", s.Open, "idle", s.Idle, "descriptors", n.guard.Descriptors)
 	}
-	n.closed, n.closedIdle = s.Closed, s.ClosedIdle
+	if late, long := s.ClosedLate-n.closedLate, s.ClosedLong-n.closedLong; late+long > 0 {
+		t := n.timeouts()
+		n.Log.Info("connections closed whose request did not come", "late", late, "long_heads", long, "heads", s.Heads, "idle", s.Idle, "header_timeout_ms", t.Head.Milliseconds(), "idle_timeout_ms", t.Idle.Milliseconds(), "header_bytes", n.gateway.Limits().HeaderBytes)
+	}
+	n.closed, n.closedIdle, n.closedLate, n.closedLong = s.Closed, s.ClosedIdle, s.ClosedLate, s.ClosedLong
 }
 
 // guardRequests counts the bodies of requests, and has callers that keep their connections open come to other boxes while this
--- a/src/overload/callers.go
+++ b/src/overload/callers.go
@@ -15,12 +15,21 @@
 	open   int
 	silent list.List // connections that have sent nothing yet, the oldest first
 	idle   list.List // connections between two requests, the longest idle first
+	heads  list.List // connections on which the head of a request arrives, the oldest first
 	closed int64     // for others, since the start
+	late   int64     // because a head or the next request did not come in time, since the start
+	long   int64     // because a head was far beyond its limit, since the start
+}
+
+// Timeouts are how long callers may take.
+type Timeouts struct {
+	Head time.Duration // from the first byte of a request to the end of its head
+	Idle time.Duration // without a request
 }
 
 // place is where a connection stands in a list of callers. It belongs to callers.mu.
 type place struct {
-	list  *list.List // nil while a request is read or runs
+	list  *list.List // nil while a body is read or a request runs
 	at    *list.Element
 	since time.Time
 	ended bool
@@ -60,13 +69,50 @@
 	}
 }
 
-// setBusy records that a request arrives on a connection.
-func (s *callers) setBusy(c *countedConn) {
+// beginHead records that the head of a request arrives on a connection.
+func (s *callers) beginHead(c *countedConn, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !c.ended {
+		c.take()
+		c.put(&s.heads, now)
+		c.waits.Store(false)
+		c.inHead.Store(true)
+	}
+}
+
+// endHead records that the head of a request is whole.
+func (s *callers) endHead(c *countedConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.take()
 }
 
+// expire closes the connections whose head or next request did not come in time.
+func (s *callers) expire(now time.Time, t Timeouts) {
+	var closed []*countedConn
+	s.mu.Lock()
+	for l, most := range map[*list.List]time.Duration{&s.silent: t.Idle, &s.idle: t.Idle, &s.heads: t.Head} {
+		for first := l.Front(); first != nil && now.Sub(first.Value.(*countedConn).since) > most; first = l.Front() {
+			c := first.Value.(*countedConn)
+			s.drop(c)
+			s.late++
+			closed = append(closed, c)
+		}
+	}
+	s.mu.Unlock()
+	for _, c := range closed {
+		_ = c.Conn.Close()
+	}
+}
+
+// countLong counts a connection that is closed because of a long head.
+func (s *callers) countLong() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.long++
+}
+
 // room is what callers and their requests may take.
 type room struct {
 	descriptors int // with those to servers
@@ -119,11 +165,12 @@
 	return nil
 }
 
-// counts returns the numbers of connections: open, without a request, and closed for others.
-func (s *callers) counts() (open, idle, closed int64) {
+// addTo adds the numbers of connections to a status.
+func (s *callers) addTo(t *Status) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return int64(s.open), int64(s.idle.Len() + s.silent.Len()), s.closed
+	t.Open, t.Idle, t.Heads = int64(s.open), int64(s.idle.Len()+s.silent.Len()), int64(s.heads.Len())
+	t.ClosedIdle, t.ClosedLate, t.ClosedLong = s.closed, s.late, s.long
 }
 
 // put adds a connection to the end of a list.
@@ -139,11 +186,20 @@
 	}
 	p.list, p.at = nil, nil
 	p.waits.Store(false)
+	p.inHead.Store(false)
 }
 
-// SetState is a hook for http.Server.ConnState. It learns which connections are idle.
+// SetState is a hook for http.Server.ConnState. It learns which connections are idle, and when a head is whole.
 func (g *Guard) SetState(c net.Conn, state http.ConnState) {
-	if own, ok := c.(*countedConn); ok && state == http.StateIdle {
+	own, ok := c.(*countedConn)
+	switch {
+	case !ok:
+	case state == http.StateIdle:
 		g.callers.setIdle(own, g.Meter.now())
+	case state == http.StateActive:
+		g.callers.endHead(own)
 	}
 }
+
+// Expire closes the connections whose head or next request did not come in time.
+func (g *Guard) Expire(t Timeouts) { g.callers.expire(g.Meter.now(), t) }
--- a/src/overload/callers_test.go
+++ b/src/overload/callers_test.go
@@ -171,3 +171,63 @@
 		t.Errorf("%+v, %d new connections closed, %d others were idle", s, closed, len(idle))
 	}
 }
+
+// Guards against heads that are waited for without an end, and against limits that are published and not applied.
+func TestConnectionsWhoseRequestDoesNotComeAreClosed(t *testing.T) {
+	p := newCallerPlay(100_000)
+	silent, idle, head, body := p.connect(), p.connect(), p.connect(), p.connect()
+	for _, c := range []*testCaller{idle, head, body} {
+		c.send()
+	}
+	idle.served()
+	p.guard.SetState(body.accepted, http.StateActive)
+	isOpen := func(c *testCaller) bool { return !c.accepted.ended }
+	limits := Timeouts{Head: 3 * time.Second, Idle: 15 * time.Second}
+	for _, step := range []struct {
+		after              time.Duration
+		silent, idle, head bool
+	}{{3 * time.Second, true, true, true}, {time.Second, true, true, false}, {11 * time.Second, true, true, false}, {time.Second, false, false, false}} {
+		p.now = p.now.Add(step.after)
+		p.guard.Expire(limits)
+		if isOpen(silent) != step.silent || isOpen(idle) != step.idle || isOpen(head) != step.head || !isOpen(body) {
+			t.Errorf("after %s more: open: silent %v, idle %v, in its head %v, in its body %v", step.after, isOpen(silent), isOpen(idle), isOpen(head), isOpen(body))
+		}
+	}
+	if s := p.guard.Status(); s.ClosedLate != 3 || s.Open != 1 || s.Heads != 0 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// Guards against a head that is read without a bound, and against a response that its caller does not get.
+func TestLongHeadIsRefused(t *testing.T) {
+	p := newCallerPlay(100_000)
+	p.guard.HeadLimit = func() int { return 1000 }
+	c := p.connect()
+	go func() {
+		for {
+			if _, err := c.Write(make([]byte, 1000)); err != nil {
+				return
+			}
+		}
+	}()
+	response := make(chan string, 1)
+	go func() {
+		b := make([]byte, 100)
+		n, _ := c.Conn.Read(b)
+		response <- string(b[:n])
+	}()
+	read := 0
+	for err := error(nil); err == nil; {
+		var n int
+		n, err = c.accepted.Read(make([]byte, 4<<10))
+		if read += n; read > 20_000 {
+			t.Fatal("the head is read on")
+		}
+	}
+	if got := <-response; len(got) < 12 || got[:12] != "HTTP/1.1 431" {
+		t.Errorf("response %q", got)
+	}
+	if s := p.guard.Status(); s.ClosedLong != 1 {
+		t.Errorf("%+v", s)
+	}
+}
--- a/src/overload/constants.go
+++ b/src/overload/constants.go
@@ -34,6 +34,13 @@
 	expectedPerRead = 8                      // for each byte that has arrived
 )
 
+// Heads of requests that are read.
+const (
+	headsPerLimit = 2                      // times the limit, so that callers who exceed it get a response
+	headSlack     = 8 << 10                // bytes beyond that, which are read ahead
+	refusalTime   = 100 * time.Millisecond // for the response to a head that is longer
+)
+
 // Changes of the share of new connections that are accepted, in each minInterval.
 const (
 	minDecrease = 0.9  // factor after little overload
--- a/src/overload/guard.go
+++ b/src/overload/guard.go
@@ -11,6 +11,8 @@
 	Bodies      Bodies
 	Descriptors int   // that this process may have open, 0 if unknown
 	Memory      int64 // bytes for connections of callers, 0 if unknown
+	// HeadLimit returns the allowed size of the head of a request in bytes; nil for no limit.
+	HeadLimit func() int
 
 	callers    callers
 	mu         sync.Mutex
@@ -27,8 +29,10 @@
 	Open   int64   // accepted connections
 	Idle   int64   // of them, those without a request
 	Closed int64   // connections closed unread since the start
-	// ClosedIdle is the number of connections without a request that were closed for others since the start.
-	ClosedIdle int64
+	Heads  int64   // of the open ones, those on which the head of a request arrives
+	// Numbers of connections closed since the start: without a request, for others; because a head or the next request did not
+	// come in time; because a head was far beyond its limit.
+	ClosedIdle, ClosedLate, ClosedLong int64
 }
 
 // Accept reports whether to accept a new connection.
@@ -61,8 +65,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.update()
-	open, idle, closedIdle := g.callers.counts()
-	return Status{Load: g.last, Share: g.controller.accepting(), Full: g.full(), Open: open, Idle: idle, Closed: g.closed, ClosedIdle: closedIdle}
+	s := Status{Load: g.last, Share: g.controller.accepting(), Full: g.full(), Closed: g.closed}
+	g.callers.addTo(&s)
+	return s
 }
 
 // full reports whether accepted connections take the whole link with their bodies, or the descriptors or the memory. The caller holds
@@ -89,7 +94,7 @@
 
 // requestArrives counts a connection as one with a request, which takes another descriptor if it was idle.
 func (g *Guard) requestArrives(c *countedConn) {
-	g.callers.setBusy(c)
+	g.callers.beginHead(c, g.Meter.now())
 	g.makeRoom()
 }
 
--- a/src/overload/listener.go
+++ b/src/overload/listener.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync/atomic"
+	"time"
 )
 
 // Listener accepts the connections that its guard accepts. It closes the others before it reads anything, so that their
@@ -32,11 +33,16 @@
 // countedConn counts an accepted connection and its bytes.
 type countedConn struct {
 	net.Conn
-	guard *Guard
-	waits atomic.Bool // for a request
+	guard     *Guard
+	waits     atomic.Bool // for a request
+	inHead    atomic.Bool // the head of a request arrives
+	headBytes int         // of it; used by Read only
 	place
 }
 
+// errLongHead is returned by reads of a head that is far beyond its limit.
+var errLongHead = errors.New("the head of the request is too long")
+
 // Close implements net.Conn.
 func (c *countedConn) Close() error {
 	c.guard.callers.remove(c)
@@ -48,11 +54,25 @@
 	n, err := c.Conn.Read(b)
 	c.guard.Meter.AddBytes(n)
 	if n > 0 && c.waits.Load() {
+		c.headBytes = 0
 		c.guard.requestArrives(c)
 	}
+	if c.inHead.Load() && c.guard.HeadLimit != nil {
+		if c.headBytes += n; c.headBytes > headsPerLimit*c.guard.HeadLimit()+headSlack {
+			c.refuseHead()
+			return 0, errLongHead
+		}
+	}
 	return n, err
 }
 
+// refuseHead tells the caller that the head of its request is too long. net/http closes the connection after it.
+func (c *countedConn) refuseHead() {
+	c.guard.callers.countLong()
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTime))
+	_, _ = c.Write([]byte("HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"))
+}
+
 // Write implements net.Conn.
 func (c *countedConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
--- a/src/status/status.go
+++ b/src/status/status.go
@@ -46,8 +46,11 @@
 	Full        bool    `json:"full"`           // whether hardly any are accepted, until some of those accepted are served
 	Connections int64   `json:"connections"`    // of callers
 	Idle        int64   `json:"idle"`           // of them, those without a request
+	Heads       int64   `json:"heads"`          // of them, those on which the head of a request arrives
 	Closed      int64   `json:"closed_unread"`  // new connections that were not accepted, since the start
 	ClosedIdle  int64   `json:"closed_idle"`    // connections without a request that were closed for others, since the start
+	ClosedLate  int64   `json:"closed_late"`    // connections closed because a head or the next request did not come in time, since the start
+	ClosedLong  int64   `json:"closed_long"`    // connections closed because a head was far beyond its limit, since the start
 }
 
 // Forecast is how the forecasts of admission for one class of requests compared with what was observed.
