Messages of gRPC callers fit the memory of their box and are awaited for a time

Callers saw: a box that ran out of memory: 400 streams on 4 connections, each with a message of 2 MB that stopped one byte short, took it to 818 MB, without a token as well, and held it for as long as they stayed.

Cause: gRPC reads the message of a call before the call's handler asks for credentials, widens the window of a stream to the size of its message, and bounds neither the time nor the memory of all messages together. Class: what can be decided by the head waits for the body; what a box holds is bounded for one request, never for all.

Change: package rpc refuses calls without known credentials before their message is read; a message takes room in an account of package intake (callers.max_bytes, 32 MiB) while it is read, and has callers.message_time (30 s) to arrive; a stream's window stays at 64 KB until then, and streams whose message is not read are refused when their windows would exceed the same limit. Unary calls are served as streams of one message, since gRPC reads theirs before any interceptor.

--- a/src/config/settings.go
+++ b/src/config/settings.go
@@ -82,10 +82,17 @@
 	Backends bool `toml:"backends"`
 }
 
+// MinCallerBytes is the least that callers.max_bytes may be: room for two of the largest messages.
+const MinCallerBytes = 8 << 20
+
 // CallerSettings control calls without credentials.
 type CallerSettings struct {
 	// Anyone lets callers without credentials use workspaces that list none. For testing only.
 	Anyone bool `toml:"anyone"`
+	// MaxBytes bounds the messages that are arriving, of all callers together.
+	MaxBytes int `toml:"max_bytes"`
+	// MessageTime is how long a message may take to arrive.
+	MessageTime Duration `toml:"message_time"`
 }
 
 // OperatorSettings list who may call Operations. They are settings rather than configuration so that an
@@ -115,6 +122,7 @@
 			LedgerKeep:  Duration(10 * time.Minute),
 		},
 		Answers:    AnswerSettings{Keep: Duration(2 * time.Minute), MaxBytes: 16 << 20},
+		Callers:    CallerSettings{MaxBytes: 32 << 20, MessageTime: Duration(30 * time.Second)},
 		Policy:     PolicySettings{Placement: "expected_finish", WaitingRoom: 2000, WatchServers: 80},
 		StopWithin: Duration(time.Minute),
 		LogLevel:   "info",
@@ -175,6 +183,10 @@
 		k.bad("at_most_once.ledger_keep", "must be at least twice the window of %s", s.AtMostOnce.Window())
 	}
 	k.positive("answers.keep", s.Answers.Keep)
+	k.positive("callers.message_time", s.Callers.MessageTime)
+	if s.Callers.MaxBytes < MinCallerBytes {
+		k.bad("callers.max_bytes", "must be at least %d", MinCallerBytes)
+	}
 	if s.Answers.MaxBytes < 1<<20 {
 		k.bad("answers.max_bytes", "must be at least %d", 1<<20)
 	}
--- a/src/local/misbehaving_test.go
+++ b/src/local/misbehaving_test.go
@@ -1,6 +1,7 @@
 package local
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
@@ -20,6 +21,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/grpc/codes"
+
 	pb "github.com/stilemast/stilemast/src/api/stilemast/v1"
 	"github.com/stilemast/stilemast/src/config"
 	"github.com/stilemast/stilemast/src/core"
@@ -153,7 +156,7 @@
 				transport := &http.Transport{Protocols: &http.Protocols{}}
 				transport.Protocols.SetUnencryptedHTTP2(true)
 				for range streamsPerConnection {
-					callers.Go(func() { sendUnfinished(transport, b.callers, c.token, newUnfinished(written, leave)) })
+					callers.Go(func() { _ = sendUnfinished(transport, b.callers, c.token, newUnfinished(written, leave)) })
 				}
 			}
 			settle(written)
@@ -170,11 +173,11 @@
 	}
 }
 
-// sendUnfinished sends a call whose message does not end.
-func sendUnfinished(transport *http.Transport, address, token string, message io.Reader) {
+// sendUnfinished sends a call whose message does not end, and returns its gRPC status, "" if there is none.
+func sendUnfinished(transport *http.Transport, address, token string, message io.Reader) string {
 	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/stilemast.v1.Pipelines/Run", message)
 	if err != nil {
-		return
+		return ""
 	}
 	r.Header.Set("Content-Type", "application/grpc")
 	r.Header.Set("Te", "trailers")
@@ -183,10 +186,34 @@
 	}
 	resp, err := transport.RoundTrip(r)
 	if err != nil {
-		return
+		return ""
 	}
 	_, _ = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
+	return cmp.Or(resp.Trailer.Get("Grpc-Status"), resp.Header.Get("Grpc-Status"))
+}
+
+// Guards against a message that is waited for without an end, and against one that is read although its head decides.
+func TestMessageThatDoesNotArriveIsRefused(t *testing.T) {
+	s := startDeployment(t, func(b *config.Settings) { b.Callers.MessageTime = config.Duration(300 * time.Millisecond) })
+	transport := &http.Transport{Protocols: &http.Protocols{}}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	for _, c := range []struct {
+		token string
+		want  codes.Code
+	}{{"", codes.Unauthenticated}, {"guess", codes.Unauthenticated}, {goodToken, codes.DeadlineExceeded}} {
+		leave := make(chan struct{})
+		got := sendUnfinished(transport, s.Addresses()[0], c.token, newUnfinished(&atomic.Int64{}, leave))
+		close(leave)
+		if got != strconv.Itoa(int(c.want)) {
+			t.Errorf("token %q: status %q, want %d", c.token, got, c.want)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if _, err := runOnce(ctx, pb.NewPipelinesClient(dial(t, s.Addresses()[0], nil, goodToken)), &pb.RunRequest{Workspace: "lakeside", Pipeline: "caption", Input: []byte("a photo")}); err != nil {
+		t.Errorf("an ordinary request afterwards: %v", err)
+	}
 }
 
 // settle waits until no more bytes are sent.
--- a/src/metrics/metrics.go
+++ b/src/metrics/metrics.go
@@ -15,6 +15,7 @@
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/config"
 	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/intake"
 	"github.com/stilemast/stilemast/src/web"
 )
 
@@ -122,3 +123,16 @@
 		}},
 	})
 }
+
+// WatchMessages adds metrics of the messages of callers that are arriving. refusedStreams returns the number of streams that were refused
+// unread. It must be called only once.
+func (s *Set) WatchMessages(read func() intake.Status, refusedStreams func() int64) {
+	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "stilemast_message_bytes", Help: "Memory that arriving messages of callers have."}, func() float64 { return float64(read().Held) }))
+	counter := func(name, help string, value func() int64) {
+		s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "stilemast_" + name, Help: help}, func() float64 { return float64(value()) }))
+	}
+	counter("messages_refused_total", "Messages that were refused for want of memory.", func() int64 { return read().Refused })
+	counter("messages_evicted_total", "Messages that took long and gave way to others for want of memory.", func() int64 { return read().Evicted })
+	counter("messages_late_total", "Messages that did not arrive in time.", func() int64 { return read().Late })
+	counter("streams_refused_total", "Streams that were refused because too many had not sent their message.", refusedStreams)
+}
--- a/src/node/node.go
+++ b/src/node/node.go
@@ -24,9 +24,11 @@
 	"github.com/stilemast/stilemast/src/backend"
 	"github.com/stilemast/stilemast/src/box"
 	"github.com/stilemast/stilemast/src/clock"
+	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/config"
 	"github.com/stilemast/stilemast/src/configservice"
 	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/intake"
 	"github.com/stilemast/stilemast/src/metrics"
 	"github.com/stilemast/stilemast/src/peer"
 	"github.com/stilemast/stilemast/src/rpc"
@@ -54,6 +56,7 @@
 	peerListener   net.Listener
 	webListener    net.Listener
 	grpc           *grpc.Server
+	intake         *rpc.Intake
 	health         *health.Server
 	http           *http.Server
 	cancel         context.CancelFunc
@@ -100,7 +103,14 @@
 		Wall:     time.Now,
 	}
 	checkClock(n.Log)
+	n.intake = &rpc.Intake{
+		Account: &intake.Account{Limit: int64(n.Settings.Callers.MaxBytes)}, MaxMessage: maxMessageBytes, MessageTime: time.Duration(n.Settings.Callers.MessageTime), Log: n.Log,
+		Authorize: func(ctx context.Context, method string) *code.Error {
+			return rpc.AuthorizeHead(ctx, method, n.box.Config(), n.Settings)
+		},
+	}
 	set := metrics.New()
+	set.WatchMessages(n.intake.Account.Status, n.intake.Refused)
 	n.box.Observer = set.Watcher()
 	if n.Adjust != nil {
 		n.Adjust(n.box)
@@ -159,19 +169,20 @@
 }
 
 func (n *Node) serveCallers(cfg *tls.Config) {
-	opts := []grpc.ServerOption{
-		grpc.MaxRecvMsgSize(maxMessageBytes),
+	opts := append(n.intake.Options(),
 		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.MaxHeaderListSize(maxHeaderBytes),
+		grpc.ConnectionTimeout(callerHeaderTimeout),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
-	}
+	)
 	if cfg != nil {
 		opts = append(opts, grpc.Creds(credentials.NewTLS(cfg)))
 	}
 	n.grpc = grpc.NewServer(opts...)
 	n.health = health.NewServer()
-	healthpb.RegisterHealthServer(n.grpc, n.health)
-	pb.RegisterPipelinesServer(n.grpc, &rpc.Pipelines{Box: n.box})
-	pb.RegisterOperationsServer(n.grpc, &rpc.Operations{Box: n.box, BeginStop: n.beginStop})
+	n.grpc.RegisterService(rpc.AsStreams(healthpb.Health_ServiceDesc), n.health)
+	n.grpc.RegisterService(rpc.AsStreams(pb.Pipelines_ServiceDesc), &rpc.Pipelines{Box: n.box})
+	n.grpc.RegisterService(rpc.AsStreams(pb.Operations_ServiceDesc), &rpc.Operations{Box: n.box, BeginStop: n.beginStop})
 	n.wg.Add(1)
 	go func() {
 		defer n.wg.Done()
--- a/src/rpc/auth.go
+++ b/src/rpc/auth.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/peer"
 
+	pb "github.com/stilemast/stilemast/src/api/stilemast/v1"
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/config"
 )
@@ -76,6 +77,20 @@
 	return code.New(code.NotYourWorkspace, "workspace", "the credentials are bound to another workspace")
 }
 
+// AuthorizeHead decides on a call by its head alone: calls without known credentials are refused before their message is read.
+func AuthorizeHead(ctx context.Context, method string, c *config.Config, s *config.Settings) *code.Error {
+	p := principalOf(ctx)
+	switch {
+	case strings.HasPrefix(method, "/"+pb.Operations_ServiceDesc.ServiceName+"/"):
+		return p.mayOperate(s.Operators)
+	case !strings.HasPrefix(method, "/"+pb.Pipelines_ServiceDesc.ServiceName+"/"), c == nil, s.Callers.Anyone:
+		return nil
+	case !c.KnowsCredential(p.tokenHash) && !c.KnowsCredential(p.certificate):
+		return code.New(code.Unauthenticated, "authorization", "no valid token or certificate")
+	}
+	return nil
+}
+
 // mayOperate returns an error if the principal may not call Operations.
 func (p principal) mayOperate(s config.OperatorSettings) *code.Error {
 	switch {
