--- a/src/brittle/tracker.go
+++ b/src/brittle/tracker.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/stilemast/stilemast/src/balance"
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/port"
@@ -330,3 +331,14 @@
 	}
 	t.any.Store(len(t.servers) > 0)
 }
+
+// EndOf returns what the outcome of an exchange shows of a brittle server.
+func EndOf(o balance.Outcome) quota.PlaceEnd {
+	switch o {
+	case balance.Full, balance.AsksRest:
+		return quota.PlaceRejected
+	case balance.Absent, balance.Broken:
+		return quota.PlaceFailed
+	}
+	return quota.PlaceUsed
+}
--- a/src/catalog/catalog.go
+++ b/src/catalog/catalog.go
@@ -4,6 +4,7 @@
 package catalog
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 	"sort"
@@ -138,6 +139,18 @@
 	IdleTime    time.Duration `msgpack:"i"`
 }
 
+// Limits on requests where the configuration sets none, in bytes.
+const (
+	defaultBody   = 4 << 20
+	defaultHeader = 16 << 10
+)
+
+// OrDefault returns the limits with defaults for the sizes that are not set.
+func (l Limits) OrDefault() Limits {
+	l.BodyBytes, l.HeaderBytes = cmp.Or(l.BodyBytes, defaultBody), cmp.Or(l.HeaderBytes, defaultHeader)
+	return l
+}
+
 // Incarnation distinguishes processes that ran under the same server id: the start time of the process in Unix
 // milliseconds, 0 if the server does not report it.
 type Incarnation int64
@@ -296,3 +309,31 @@
 	x *= 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
 }
+
+// VersionOrZero returns the version of a catalog, 0 for none.
+func (c *Catalog) VersionOrZero() uint64 {
+	if c == nil {
+		return 0
+	}
+	return c.Version
+}
+
+// ByID returns a list of servers as a map by id.
+func ByID(list []Server) map[string]Server {
+	out := make(map[string]Server, len(list))
+	for _, s := range list {
+		out[s.ID] = s
+	}
+	return out
+}
+
+// SetColdUntil sets until when a cold server is cold. An entry that repeats the previous one, nil for none, does not extend it.
+func (s *Server) SetColdUntil(now time.Time, old *Server) {
+	switch {
+	case s.Cold <= 0:
+	case old != nil && old.Cold == s.Cold && old.Incarnation == s.Incarnation:
+		s.ColdUntil = old.ColdUntil
+	default:
+		s.ColdUntil = now.Add(s.Cold)
+	}
+}
--- a/src/clock/boot.go
+++ b/src/clock/boot.go
@@ -2,6 +2,7 @@
 package clock
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -131,3 +132,13 @@
 	}
 	return time.Duration(t.Nano()), nil
 }
+
+// Sleep pauses for a duration or until the context ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/src/exchange/exchange.go
+++ b/src/exchange/exchange.go
@@ -284,6 +284,11 @@
 	}
 }
 
+// IsSuccess reports whether a status is 2xx.
+func IsSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // ReadWhole reads a body to its end. The error is a code.MessageTooLarge if it is longer than most.
 func ReadWhole(read func([]byte) (int, error), most int) ([]byte, error) {
 	var body []byte
--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -7,11 +7,13 @@
 	"time"
 
 	"github.com/stilemast/stilemast/src/balance"
+	"github.com/stilemast/stilemast/src/brittle"
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/crasher"
 	"github.com/stilemast/stilemast/src/exchange"
 	"github.com/stilemast/stilemast/src/hedge"
+	"github.com/stilemast/stilemast/src/intake"
 	"github.com/stilemast/stilemast/src/port"
 	"github.com/stilemast/stilemast/src/pushback"
 	"github.com/stilemast/stilemast/src/suspects"
@@ -345,7 +347,7 @@
 // recordSuccess records a complete answer. Only a success signed by the server shows that it ran the content and
 // survived.
 func (v *requestRun) recordSuccess(reply *Reply) {
-	if reply.Signed && isSuccess(reply.Status) {
+	if reply.Signed && exchange.IsSuccess(reply.Status) {
 		v.gateway.suspects.RecordGood(v.suspects...)
 	}
 }
@@ -422,11 +424,11 @@
 		v.recordOutcome(a, balance.Failed, err.Error())
 		return v.afterBreak(), code.New(code.OutcomeUnknown, "", "%s: %v", s.ID, err), true
 	}
-	if reply.Events && isSuccess(reply.Status) {
+	if reply.Events && exchange.IsSuccess(reply.Status) {
 		return v.relay(a)
 	}
 	a.hedge.Resume()
-	answer := reply.transfer()
+	answer := intake.From(reply.Read, reply.Length)
 	defer answer.Release()
 	body, err := g.answers.Receive(a.ctx, answer, maxAnswer, time.Now().Add(v.deadline.Sub(g.now())))
 	if err == nil {
@@ -457,7 +459,7 @@
 	v.recordSuccess(reply)
 	v.firstOut = v.gateway.now()
 	v.compareForecast(v.firstOut, false)
-	if isSuccess(reply.Status) {
+	if exchange.IsSuccess(reply.Status) {
 		e.speeds.RecordPlain(v.firstOut, paceServer(&s), reply.Told, v.firstOut.Sub(a.began))
 	}
 	v.ended("answered", "status", reply.Status, "server", s.ID, "bytes", len(body))
@@ -474,7 +476,7 @@
 	e.mu.Unlock()
 	took := now.Sub(a.began)
 	g.Log.Info("exchange", "request", v.request.ID, "pool", e.name, "content", v.content.String(), "parts", v.partNames(o), "server", s.ID, "incarnation", s.Incarnation, "build", s.Build, "domain", s.Domain, "outcome", o.String(), "took_ms", took.Milliseconds(), "detail", detail, "chosen", a.why, "rests", rests, "says_leaving", a.signals.Leaving, "asks_rest_ms", a.signals.Rest.Milliseconds(), "names_limit", a.signals.Limit, "says_brittle", a.signals.Brittle)
-	g.brittle.Release(&s, v.request.ID, placeEnd(o))
+	g.brittle.Release(&s, v.request.ID, brittle.EndOf(o))
 	if g.Observer.Exchanged != nil {
 		g.Observer.Exchanged(e.name, o.String(), took)
 	}
--- a/src/gateway/bench_test.go
+++ b/src/gateway/bench_test.go
@@ -44,7 +44,7 @@
 	for i := range n / 3 {
 		list = append(list, catalog.Server{ID: fmt.Sprintf("j-%08x", i), Pool: "encode", Address: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), Domain: fmt.Sprint("d", i%4), Slots: 1})
 	}
-	return serversByID(list)
+	return catalog.ByID(list)
 }
 
 // BenchmarkServerChange measures applying a change of one server that arrives as a difference. Copying whole
--- a/src/gateway/constants.go
+++ b/src/gateway/constants.go
@@ -185,12 +185,3 @@
 
 // lifeMargin is subtracted from the lifetime of results for messages and the queueing of calls.
 const lifeMargin = 90 * time.Millisecond
-
-// bodyRetryAfter is when the caller of a request may return for whose body there was no memory.
-const bodyRetryAfter = time.Second
-
-// Limits on requests where the configuration sets none, in bytes.
-const (
-	defaultBody   = 4 << 20
-	defaultHeader = 16 << 10
-)
--- a/src/gateway/crashing_test.go
+++ b/src/gateway/crashing_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/clock"
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/crasher"
 	"github.com/stilemast/stilemast/src/exchange"
@@ -172,7 +173,7 @@
 	if !s.unreachable {
 		return syscall.ECONNREFUSED
 	}
-	sleep(ctx, 300*time.Millisecond)
+	clock.Sleep(ctx, 300*time.Millisecond)
 	return context.DeadlineExceeded
 }
 
--- a/src/gateway/evacuation_test.go
+++ b/src/gateway/evacuation_test.go
@@ -121,18 +121,18 @@
 func TestColdPeriodIsNotRestarted(t *testing.T) {
 	now := time.Unix(1000, 0)
 	first := &catalog.Server{ID: "s", Cold: 3 * time.Second}
-	setColdUntil(now, nil, first)
+	first.SetColdUntil(now, nil)
 	again := &catalog.Server{ID: "s", Cold: 3 * time.Second}
-	setColdUntil(now.Add(2*time.Second), first, again)
+	again.SetColdUntil(now.Add(2*time.Second), first)
 	if want := now.Add(3 * time.Second); !again.ColdUntil.Equal(want) {
 		t.Errorf("cold until %s, want %s", again.ColdUntil, want)
 	}
 	other := &catalog.Server{ID: "s", Cold: 4 * time.Second}
-	setColdUntil(now.Add(10*time.Second), again, other)
+	other.SetColdUntil(now.Add(10*time.Second), again)
 	if want := now.Add(14 * time.Second); !other.ColdUntil.Equal(want) {
 		t.Errorf("cold again until %s, want %s", other.ColdUntil, want)
 	}
-	if digestOfList(serversByID([]catalog.Server{*first})) == digestOfList(map[string]catalog.Server{"s": {ID: "s"}}) {
+	if digestOfList(catalog.ByID([]catalog.Server{*first})) == digestOfList(map[string]catalog.Server{"s": {ID: "s"}}) {
 		t.Error("the digest of a list does not change when a server turns cold")
 	}
 }
--- a/src/gateway/fleet_test.go
+++ b/src/gateway/fleet_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/clock"
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/crasher"
@@ -136,7 +137,7 @@
 
 // wait sleeps and returns false if the context ended first.
 func wait(ctx context.Context, d time.Duration) bool {
-	sleep(ctx, d)
+	clock.Sleep(ctx, d)
 	return ctx.Err() == nil
 }
 
@@ -411,7 +412,7 @@
 		silent := f.storeSilent != nil && f.storeSilent(box)
 		f.mu.Unlock()
 		if silent {
-			sleep(ctx, ReadSilence)
+			clock.Sleep(ctx, ReadSilence)
 			return errStore
 		}
 		if !wait(ctx, 4*time.Millisecond) || !ok {
@@ -439,7 +440,7 @@
 			case rev > after:
 				return true, nil
 			}
-			sleep(ctx, 10*time.Millisecond)
+			clock.Sleep(ctx, 10*time.Millisecond)
 		}
 		return false, nil
 	}
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/brittle"
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/clock"
 	"github.com/stilemast/stilemast/src/connections"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/holdings"
@@ -223,7 +224,7 @@
 // awaitConfirmed holds a request after a pause until the documents are confirmed, for at most wakeWait.
 func (g *Gateway) awaitConfirmed(ctx context.Context) {
 	for !g.awake() && ctx.Err() == nil {
-		sleep(ctx, 20*time.Millisecond)
+		clock.Sleep(ctx, 20*time.Millisecond)
 	}
 }
 
@@ -240,7 +241,7 @@
 		wait = min(wait, time.Duration(documentsWaitShare*float64(r.Left)))
 	}
 	for !g.hasDocuments() && ctx.Err() == nil && g.now().Sub(began) < wait {
-		sleep(ctx, documentsPollInterval)
+		clock.Sleep(ctx, documentsPollInterval)
 	}
 	g.Log.Info("request waited for the first documents", "request", r.ID, "waited_ms", g.now().Sub(began).Milliseconds(), "known", g.hasDocuments(), "box_age_ms", g.now().Sub(g.startedAt).Milliseconds())
 }
@@ -300,23 +301,7 @@
 	if x := g.index.Load(); x != nil {
 		l = x.Catalog().Limits
 	}
-	if l.BodyBytes == 0 {
-		l.BodyBytes = defaultBody
-	}
-	if l.HeaderBytes == 0 {
-		l.HeaderBytes = defaultHeader
-	}
-	return l
-}
-
-// sleep pauses for a duration or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
+	return l.OrDefault()
 }
 
 // HandleBatch handles another box's message on jobs.
--- a/src/gateway/hedging.go
+++ b/src/gateway/hedging.go
@@ -101,7 +101,7 @@
 // rejected reports whether a second server did not take the request or failed, and records that.
 func (v *requestRun) rejected(a *attempt) bool {
 	r := a.reply
-	if r != nil && !r.NotRun && !r.AddressReused && r.check() == nil && (isSuccess(r.Status) || r.Status < http.StatusInternalServerError && !v.begun) {
+	if r != nil && !r.NotRun && !r.AddressReused && r.check() == nil && (exchange.IsSuccess(r.Status) || r.Status < http.StatusInternalServerError && !v.begun) {
 		return false
 	}
 	if r != nil && !r.NotRun && !r.AddressReused {
@@ -119,7 +119,7 @@
 // settle takes the request back from the hedge of an attempt that was answered or has failed. An answer is worth more than a second
 // attempt; the first events of a stream are not.
 func (v *requestRun) settle(a *attempt) {
-	success := a.reply != nil && isSuccess(a.reply.Status) && a.reply.check() == nil
+	success := a.reply != nil && exchange.IsSuccess(a.reply.Status) && a.reply.check() == nil
 	if success && !a.reply.Events {
 		v.discardSecond(a)
 		return
--- a/src/gateway/limits.go
+++ b/src/gateway/limits.go
@@ -8,6 +8,7 @@
 
 	"github.com/stilemast/stilemast/src/balance"
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/clock"
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/pushback"
@@ -144,7 +145,7 @@
 	v.permitRequests++
 	begin, ok := v.gateway.takePermit(ctx, s, v.request.ID, v.priority, patience)
 	if ok {
-		sleep(ctx, begin.Sub(v.gateway.now()))
+		clock.Sleep(ctx, begin.Sub(v.gateway.now()))
 		v.wish.Only = s.ID
 	}
 	return nil
@@ -160,7 +161,7 @@
 	}
 	begin, ok := v.gateway.takePermit(ctx, s, v.request.ID, v.priority, patience)
 	if ok {
-		sleep(ctx, begin.Sub(v.gateway.now()))
+		clock.Sleep(ctx, begin.Sub(v.gateway.now()))
 		return true
 	}
 	v.permitRequests++
--- a/src/gateway/partners.go
+++ b/src/gateway/partners.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/stilemast/stilemast/src/clock"
 )
 
 // A large result occupies memory at its server from the call that produces it until it is read. That memory limits
@@ -62,7 +64,7 @@
 		if early <= 0 {
 			return
 		}
-		sleep(ctx, min(early, partnerPace))
+		clock.Sleep(ctx, min(early, partnerPace))
 	}
 }
 
--- a/src/gateway/paths_test.go
+++ b/src/gateway/paths_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/clock"
 )
 
 var pathsTable = flag.Bool("paths.table", false, "play boxes without a path, and brittle servers, at 295 and 985 boxes too")
@@ -115,7 +116,7 @@
 	case !cut:
 		return nil
 	case mode == cutSilent:
-		sleep(ctx, 700*time.Millisecond)
+		clock.Sleep(ctx, 700*time.Millisecond)
 		return os.ErrDeadlineExceeded
 	}
 	return syscall.ECONNREFUSED
--- a/src/gateway/permits.go
+++ b/src/gateway/permits.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/stilemast/stilemast/src/balance"
 	"github.com/stilemast/stilemast/src/catalog"
 	"github.com/stilemast/stilemast/src/duties"
 	"github.com/stilemast/stilemast/src/exclusion"
@@ -73,17 +72,6 @@
 	}
 }
 
-// placeEnd returns what the outcome of an exchange shows of a brittle server.
-func placeEnd(o balance.Outcome) quota.PlaceEnd {
-	switch o {
-	case balance.Full, balance.AsksRest:
-		return quota.PlaceRejected
-	case balance.Absent, balance.Broken:
-		return quota.PlaceFailed
-	}
-	return quota.PlaceUsed
-}
-
 // takePermit gets what a request needs to be sent to a server, within its patience: a permit, and a place if the server is
 // brittle. It returns when the permit begins, or false; the server is then not chosen again until one is free.
 func (g *Gateway) takePermit(ctx context.Context, s catalog.Server, owner string, priority int, patience time.Duration) (time.Time, bool) {
--- a/src/gateway/ports.go
+++ b/src/gateway/ports.go
@@ -115,7 +115,7 @@
 			return errNoProof
 		}
 	}
-	if isSuccess(r.Status) && !r.Signed {
+	if exchange.IsSuccess(r.Status) && !r.Signed {
 		return errUnsigned
 	}
 	return nil
@@ -153,18 +153,3 @@
 	WatchCatalog func(ctx context.Context, after catalog.Revision, wait time.Duration) (catalog.PublishedChange, catalog.Revision, error)
 	WatchServers func(ctx context.Context, after catalog.Revision, wait time.Duration) ([]catalog.ServerChange, catalog.Revision, error)
 }
-
-// readerFunc is a function that reads.
-type readerFunc func([]byte) (int, error)
-
-// Read implements io.Reader.
-func (f readerFunc) Read(b []byte) (int, error) { return f(b) }
-
-// transfer returns the body of an answer.
-func (r *Reply) transfer() *intake.Transfer {
-	t := &intake.Transfer{Body: readerFunc(r.Read), Length: r.Length}
-	if r.Length <= 0 {
-		t.Length = -1
-	}
-	return t
-}
--- a/src/gateway/published.go
+++ b/src/gateway/published.go
@@ -196,7 +196,7 @@
 	g.index.Store(catalog.NewIndex(c))
 	p.mu.Unlock()
 	g.reportRestore(rise, heldRevision, revision, from)
-	g.Log.Info("configuration in force", "version", c.Version, "revision", revision, "from", from, "pipelines", len(c.Pipelines), "workspaces", len(c.Workspaces), "evacuated", c.Evacuated, "kept_evacuated", kept, "held_version", versionOf(before), "behind_ms", milliseconds(g.now(), behindSince))
+	g.Log.Info("configuration in force", "version", c.Version, "revision", revision, "from", from, "pipelines", len(c.Pipelines), "workspaces", len(c.Workspaces), "evacuated", c.Evacuated, "kept_evacuated", kept, "held_version", before.VersionOrZero(), "behind_ms", milliseconds(g.now(), behindSince))
 	g.logChanges(c.Version, catalog.ChangesOf(before, c))
 	if before == nil || evacuations {
 		g.applyAll()
@@ -219,14 +219,6 @@
 	return raw
 }
 
-// versionOf returns a catalog's version, 0 for none.
-func versionOf(c *catalog.Catalog) uint64 {
-	if c == nil {
-		return 0
-	}
-	return c.Version
-}
-
 // logChanges logs what a version changes, with shortened lists of names.
 func (g *Gateway) logChanges(version uint64, c catalog.Changes) {
 	line := []any{"version", version}
--- a/src/gateway/published_test.go
+++ b/src/gateway/published_test.go
@@ -110,19 +110,19 @@
 		time.Sleep(2 * time.Second)
 		g := f.box("box0")
 		base := g.published.list.Digest()
-		want := serversByID(g.published.list.Servers())
+		want := catalog.ByID(g.published.list.Servers())
 		f.setStore(false, f.servers) // no further reads succeed
 		time.Sleep(2 * time.Second)
 		later := func(n uint64) catalog.State {
 			r, _ := catalog.RevisionAt(f.era, f.rev+n)
 			return catalog.ListAt(r)
 		}
-		g.applyServers(serversByID(f.servers[:2]), later(1), time.Time{}, "one reader")
+		g.applyServers(catalog.ByID(f.servers[:2]), later(1), time.Time{}, "one reader")
 		change := catalog.Difference{Put: []catalog.Server{{ID: "new", Pool: "model", Domain: "d", Slots: 64}}, Gone: []string{"model0"}}
 		want["new"] = change.Put[0]
 		delete(want, "model0")
 		g.applyDifference(&port.Published{AsOf: uint64(later(2)), Digest: digestOfList(want), Base: base, Since: &change}, "another")
-		if got := serversByID(g.published.list.Servers()); !maps.Equal(got, want) {
+		if got := catalog.ByID(g.published.list.Servers()); !maps.Equal(got, want) {
 			t.Errorf("holds %v, want %v", got, want)
 		}
 	})
--- a/src/gateway/pull.go
+++ b/src/gateway/pull.go
@@ -105,7 +105,7 @@
 	case d.Since != nil:
 		g.applyDifference(d, from)
 	default:
-		g.applyServers(serversByID(d.Servers), catalog.State(d.AsOf), time.Time{}, from)
+		g.applyServers(catalog.ByID(d.Servers), catalog.State(d.AsOf), time.Time{}, from)
 	}
 	return false, nil
 }
--- a/src/gateway/rest.go
+++ b/src/gateway/rest.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/clock"
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/pushback"
 )
@@ -38,7 +39,7 @@
 			return v.restRefusal(now, end)
 		}
 		pace := max(restStep, min(restPollInterval, end.Sub(now), v.startBy().Sub(now)/restPolls))
-		sleep(ctx, pace+time.Duration(v.priority)*restStep)
+		clock.Sleep(ctx, pace+time.Duration(v.priority)*restStep)
 	}
 	if waited := g.now().Sub(began); waited >= restStep {
 		g.Log.Info("request waited for servers that rest", "request", v.request.ID, "pool", e.name, "waited_ms", waited.Milliseconds())
--- a/src/gateway/restore_test.go
+++ b/src/gateway/restore_test.go
@@ -141,7 +141,7 @@
 		settle()
 		g := f.box("box0")
 		ahead := catalog.ListAt(catalog.RevisionFromWire(f.rev+2, f.era))
-		g.applyServers(serversByID(f.servers[1:]), ahead, time.Time{}, "a box with a revision of another history")
+		g.applyServers(catalog.ByID(f.servers[1:]), ahead, time.Time{}, "a box with a revision of another history")
 		time.Sleep(3 * time.Second)
 		if !g.mayUse("piece0") {
 			t.Error("a list that was skipped while a later one was held is not applied once it is the newest")
--- a/src/gateway/roster.go
+++ b/src/gateway/roster.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stilemast/stilemast/src/candidates"
+	"github.com/stilemast/stilemast/src/clock"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/duties"
 )
@@ -103,7 +104,7 @@
 // awaitFormed holds a job while this box does not know who schedules, for at most formingFor.
 func (g *Gateway) awaitFormed(ctx context.Context) {
 	for g.Settings.SharedBatches && g.fleet.forming(g.now()) && ctx.Err() == nil {
-		sleep(ctx, formingPollInterval)
+		clock.Sleep(ctx, formingPollInterval)
 	}
 }
 
--- a/src/gateway/scheduling.go
+++ b/src/gateway/scheduling.go
@@ -8,6 +8,7 @@
 
 	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/clock"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/crasher"
 	"github.com/stilemast/stilemast/src/exchange"
@@ -400,7 +401,7 @@
 	}
 	began, reached := g.now(), false
 	for !reached && g.Backends.Probe != nil && g.now().Sub(began) < maxProbing && g.mayUse(v.ID) && g.schedulerOf(s.pool, nil) == g.ID.Name && g.stages.Err() == nil {
-		sleep(g.stages, probeInterval)
+		clock.Sleep(g.stages, probeInterval)
 		reached = g.Backends.Probe(g.stages, exchange.Target{Pool: v.Pool, Server: v.ID, Address: v.Address}) == nil
 	}
 	s.mu.Lock()
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"net/http"
+	"fmt"
 	"os"
 	"sync/atomic"
 	"time"
@@ -169,16 +169,12 @@
 
 // bodyRefusal returns the refusal of a request whose body was not received.
 func (v *requestRun) bodyRefusal(err error) *code.Error {
-	u := v.request.Upload
-	switch late := errors.Is(err, os.ErrDeadlineExceeded); {
-	case errors.Is(err, intake.ErrTooLarge):
-		return refusal(code.MessageTooLarge, "body", 0, "more than %d bytes", v.gateway.Limits().BodyBytes)
-	case errors.Is(err, intake.ErrNoRoom), errors.Is(err, intake.ErrEvicted):
-		return refusal(code.MemoryFull, "body", bodyRetryAfter, "%v: %d of %d bytes arrived", err, u.Received(), u.Length)
-	case late && v.gateway.stages.Err() != nil:
+	if errors.Is(err, os.ErrDeadlineExceeded) && v.gateway.stages.Err() != nil {
 		return refusal(code.Draining, "box", otherBoxRetryAfter, "this box is stopping and the body is not whole")
-	case late:
-		return refusal(code.BodyTimeout, "body", 0, "%d of %d bytes arrived in time; the time is limited by the %s", u.Received(), u.Length, v.limitedBy)
+	}
+	u := v.request.Upload
+	if refused := intake.Refusal(err, "body", fmt.Sprintf("%d of %d bytes came, limited by the %s", u.Received(), u.Length, v.limitedBy)); refused != nil {
+		return refused
 	}
 	return refusal(code.BadField, "body", 0, "could not be read to its end")
 }
@@ -345,11 +341,6 @@
 	}
 }
 
-// isSuccess reports whether a status is 2xx.
-func isSuccess(status int) bool {
-	return status >= http.StatusOK && status < http.StatusMultipleChoices
-}
-
 // producersOf counts, by failure domain, the servers of the pool that produces the largest results that the
 // request itself reads; nil if the results are small.
 func (g *Gateway) producersOf(p *catalog.Pipeline) map[string]int {
--- a/src/gateway/serverlist.go
+++ b/src/gateway/serverlist.go
@@ -58,7 +58,7 @@
 		return true
 	}
 	for i := range d.Put {
-		setColdUntil(now, p.list.Get(d.Put[i].ID), &d.Put[i])
+		d.Put[i].SetColdUntil(now, p.list.Get(d.Put[i].ID))
 	}
 	c := p.list.Apply(d)
 	effects := p.registry.Apply(now, d, revision, p.lists.PlatformReturnedAt())
@@ -78,15 +78,6 @@
 	return true
 }
 
-// serversByID returns a list of servers as a map by id.
-func serversByID(list []catalog.Server) map[string]catalog.Server {
-	out := make(map[string]catalog.Server, len(list))
-	for _, s := range list {
-		out[s.ID] = s
-	}
-	return out
-}
-
 // dropLapsed drops the servers whose entries vanished while the store was unavailable and did not return in
 // time.
 func (g *Gateway) dropLapsed(now time.Time) {
@@ -105,18 +96,6 @@
 	g.applyChanged(dropped)
 }
 
-// setColdUntil sets until when a cold server is cold. An entry that repeats the previous one, nil for none, does not
-// extend it.
-func setColdUntil(now time.Time, old, s *catalog.Server) {
-	switch {
-	case s.Cold <= 0:
-	case old != nil && old.Cold == s.Cold && old.Incarnation == s.Incarnation:
-		s.ColdUntil = old.ColdUntil
-	default:
-		s.ColdUntil = now.Add(s.Cold)
-	}
-}
-
 // logServers logs each server that is new, leaving or gone; many at once, as in a box's first list, get one
 // line.
 func (g *Gateway) logServers(change catalog.Change, listed int, revision catalog.Revision, from string) {
--- a/src/gateway/store_reader.go
+++ b/src/gateway/store_reader.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stilemast/stilemast/src/catalog"
+	"github.com/stilemast/stilemast/src/clock"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/port"
 )
@@ -25,7 +26,7 @@
 	g := r.gateway
 	if r.failures > 0 {
 		d := r.backoff()
-		sleep(ctx, d/2+time.Duration(catalog.Hash(g.ID.Name, strconv.Itoa(r.failures))%uint64(d)))
+		clock.Sleep(ctx, d/2+time.Duration(catalog.Hash(g.ID.Name, strconv.Itoa(r.failures))%uint64(d)))
 	}
 	for ctx.Err() == nil {
 		living, chosen := g.fleet.usable(), g.fleet.readers(g.now())
@@ -41,7 +42,7 @@
 		if reads {
 			return true
 		}
-		sleep(ctx, readCheckInterval)
+		clock.Sleep(ctx, readCheckInterval)
 	}
 	return false
 }
@@ -198,7 +199,7 @@
 
 // logUnreadable logs an unreadable configuration, once for each revision.
 func (g *Gateway) logUnreadable(u *catalog.Unreadable, held *catalog.Catalog) {
-	g.Log.Error("unreadable configuration, the previous one stays in force", "revision", u.Revision, "held_version", versionOf(held), "cause", u.Cause.Error())
+	g.Log.Error("unreadable configuration, the previous one stays in force", "revision", u.Revision, "held_version", held.VersionOrZero(), "cause", u.Cause.Error())
 	if g.Observer.Unusable != nil {
 		g.Observer.Unusable(port.DocumentConfig, "unreadable")
 	}
@@ -232,7 +233,7 @@
 		g.correctEra(port.DocumentServers, asked, at)
 		if listing.Changed() || !g.confirmServers(began, catalog.ListAt(at), listing.Digest()) {
 			g.applyListing(listing, catalog.ListAt(at), began)
-			sleep(ctx, min(maxListPause, time.Duration(len(listing.Servers()))*listPausePerServer)) // batches changes of a large list
+			clock.Sleep(ctx, min(maxListPause, time.Duration(len(listing.Servers()))*listPausePerServer)) // batches changes of a large list
 		}
 	}
 }
--- a/src/intake/account.go
+++ b/src/intake/account.go
@@ -85,7 +85,7 @@
 		u.patience = min(maxWait, time.Duration(waitShare*float64(u.patience)))
 	}
 	body, err := u.readAll(most)
-	if !stop() && err == nil {
+	if !stop() && err == nil && u.SetReadDeadline != nil { // its deadline may have passed
 		err = os.ErrDeadlineExceeded
 	}
 	if !u.hold.settle(err == nil) {
@@ -132,7 +132,7 @@
 	if u.Whole() {
 		return
 	}
-	if a.discards.Add(1) <= maxDiscards && u.setDeadline(time.Now().Add(discardFor)) == nil {
+	if a.discards.Add(1) <= maxDiscards && most > 0 && u.setDeadline(time.Now().Add(discardFor)) == nil {
 		if u.Length >= 0 {
 			most = min(most, u.Length-u.read)
 		}
--- a/src/intake/transfer.go
+++ b/src/intake/transfer.go
@@ -29,6 +29,20 @@
 	patience time.Duration   // of waits for room
 }
 
+// readerFunc is a function that reads.
+type readerFunc func([]byte) (int, error)
+
+// Read implements io.Reader.
+func (f readerFunc) Read(b []byte) (int, error) { return f(b) }
+
+// From returns the transfer of a body that is read by a function until its end. A length of 0 is unknown.
+func From(read func([]byte) (int, error), length int64) *Transfer {
+	if length <= 0 {
+		length = -1
+	}
+	return &Transfer{Body: readerFunc(read), Length: length}
+}
+
 // Whole reports whether the body was read to its end.
 func (u *Transfer) Whole() bool { return u.whole || u.Length == 0 }
 
--- a/src/rpc/intake.go
+++ b/src/rpc/intake.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
-	"os"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -24,9 +22,6 @@
 // connectionWindow is what the streams of a connection may send together before it is taken off the connection, in bytes.
 const connectionWindow = 1 << 20
 
-// messageRetryAfter is when the caller of a call may return for whose message there was no memory.
-const messageRetryAfter = time.Second
-
 // Intake bounds the messages of callers that have not arrived, for all callers together. Streams are refused by their head where it
 // decides. Set the exported fields before use.
 type Intake struct {
@@ -100,14 +95,8 @@
 	if r, ok := ctx.Value(arrivalKey{}).(*arrival); ok {
 		r.done()
 	}
-	var refused *code.Error
-	switch {
-	case errors.Is(err, intake.ErrNoRoom), errors.Is(err, intake.ErrEvicted):
-		refused = code.New(code.MemoryFull, "message", "%v", err)
-		refused.RetryAfter = messageRetryAfter
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		refused = code.New(code.BodyTimeout, "message", "not whole after %s", i.MessageTime)
-	default:
+	refused := intake.Refusal(err, "message", "limit "+i.MessageTime.String())
+	if refused == nil {
 		return err
 	}
 	i.Log.Warn("call refused, its message did not arrive", "method", s.method, "result", refused.Code.String(), "cause", refused.Message, "age_ms", time.Since(began).Milliseconds(), "held_bytes", i.Account.Status().Held)
