--- a/src/overload/guard_test.go
+++ b/src/overload/guard_test.go
@@ -198,6 +198,23 @@
 	}
 }
 
+// Guards against callers that announce bodies and leave, over and over, and close a box to others with what they announce.
+func TestAnnouncedBodiesDoNotFillTheLink(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := &Guard{Meter: Meter{LinkMbps: 80, Now: func() time.Time { return now }}}
+	for i := range 1000 { // at half of the link
+		b := g.AddBody(nil, 1_000_000)
+		now = now.Add(10 * time.Millisecond)
+		g.Meter.AddBytes(50_000)
+		if !g.accept() {
+			t.Fatalf("connection %d is closed", i)
+		}
+		if i%10 > 0 {
+			b.Release() // one in ten stays
+		}
+	}
+}
+
 // Guards against callers with slow links of their own that keep a box from accepting others.
 func TestSlowCallersDoNotFillTheLink(t *testing.T) {
 	now := time.Unix(1000, 0)
