--- a/src/intake/account_test.go
+++ b/src/intake/account_test.go
@@ -152,6 +152,20 @@
 	})
 }
 
+// Guards against an ordinary body that is cut off as soon as another one wants its room.
+func TestRecentBodiesDoNotGiveWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &Account{Limit: room}
+		recent, next := receive(a, upload(8<<20, evictAfter-time.Millisecond)), receive(a, upload(8<<20, 0))
+		if err := <-next; !errors.Is(err, ErrNoRoom) {
+			t.Errorf("the body that wanted the room: %v", err)
+		}
+		if err := <-recent; err != nil {
+			t.Errorf("the recent body: %v", err)
+		}
+	})
+}
+
 // Guards against bodies that wait longer than their callers do, and against room that goes to the largest first.
 func TestWaitingBodiesAreServedSmallestFirstOrRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
