Readiness and metrics do not wait for bodies

Operators saw a connection that stayed for as long as its sender liked: after a response net/http reads up to 256 KB of the body without a time-out.

Cause: only the header had one. Change: the whole request has 10 s at these listeners; callers' requests have their own bounds.

--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -217,7 +217,7 @@
 	n.guard.HeadLimit = func() int { return n.gateway.Limits().HeaderBytes }
 	srv := n.newServer(n.guardRequests(h))
 	srv.ConnState, srv.MaxHeaderBytes = n.setCallerState, maxGuardedHeaderBytes
-	srv.ReadHeaderTimeout, srv.IdleTimeout = 0, 0 // the guard applies those that are published
+	srv.ReadTimeout, srv.IdleTimeout = 0, 0 // the guard applies those that are published
 	go func() { _ = srv.Serve(&overload.Listener{Listener: l, Guard: &n.guard}) }()
 	return nil
 }
@@ -258,7 +258,7 @@
 // newServer returns a server of h. It uses net/http directly because go-zero's router cannot pass every path and method on unchanged.
 func (n *GatewayNode) newServer(h http.Handler) *http.Server {
 	srv := &http.Server{
-		Handler: h, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: h, ReadTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(n.Log.Handler(), slog.LevelDebug),
 	}
 	n.servers = append(n.servers, srv)
