A body gives way only if that makes room

Evidence: TestBodiesDoNotGiveWayInVain, red without the check (mutant). A wait that ends with its context says so. Two tests of the account start their bodies in a fixed order now; one of them failed when they began the other way round.

--- a/src/intake/account.go
+++ b/src/intake/account.go
@@ -71,31 +71,31 @@
 
 // Receive reads a whole body, of which at most most bytes are allowed. The error is os.ErrDeadlineExceeded if it does not come by a
 // time, or before the context ends, and ErrNoRoom or ErrEvicted if there is no room for it. The room is given back by Release.
-func (a *Account) Receive(ctx context.Context, u *Transfer, most int64, by time.Time) ([]byte, error) {
-	if u.Length == 0 {
+func (a *Account) Receive(ctx context.Context, t *Transfer, most int64, by time.Time) ([]byte, error) {
+	if t.Length == 0 {
 		return nil, nil
 	}
-	if err := u.setDeadline(by); err != nil {
+	if err := t.setDeadline(by); err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, u.end)
-	u.hold = a.open(u.end)
-	u.ctx, u.patience = ctx, time.Until(by)
+	stop := context.AfterFunc(ctx, t.end)
+	t.hold = a.open(t.end)
+	t.ctx, t.patience = ctx, time.Until(by)
 	if !a.Firm {
-		u.patience = min(maxWait, time.Duration(waitShare*float64(u.patience)))
+		t.patience = min(maxWait, time.Duration(waitShare*float64(t.patience)))
 	}
-	body, err := u.readAll(most)
-	if !stop() && err == nil && u.SetReadDeadline != nil { // its deadline may have passed
+	body, err := t.readAll(most)
+	if !stop() && err == nil && t.SetReadDeadline != nil { // its deadline may have passed
 		err = os.ErrDeadlineExceeded
 	}
-	if !u.hold.settle(err == nil) {
+	if !t.hold.settle(err == nil) {
 		err = ErrEvicted
 	}
 	if err == nil {
-		err = u.setDeadline(time.Time{})
+		err = t.setDeadline(time.Time{})
 	}
 	if err != nil {
-		u.Release()
+		t.Release()
 	}
 	a.count(err)
 	return body, err
@@ -128,19 +128,19 @@
 
 // Discard reads what is left of a body whose request has been answered, up to most bytes and for a short time, so that a caller
 // that sends its whole body before it reads gets the response. Afterwards nothing of the body can be read.
-func (a *Account) Discard(u *Transfer, most int64) {
-	if u.Whole() {
+func (a *Account) Discard(t *Transfer, most int64) {
+	if t.Whole() {
 		return
 	}
-	if a.discards.Add(1) <= maxDiscards && most > 0 && u.setDeadline(time.Now().Add(discardFor)) == nil {
-		if u.Length >= 0 {
-			most = min(most, u.Length-u.read)
+	if a.discards.Add(1) <= maxDiscards && most > 0 && t.setDeadline(time.Now().Add(discardFor)) == nil {
+		if t.Length >= 0 {
+			most = min(most, t.Length-t.read)
 		}
-		n, _ := io.CopyN(io.Discard, u.Body, most)
-		u.read += n
+		n, _ := io.CopyN(io.Discard, t.Body, most)
+		t.read += n
 	}
 	a.discards.Add(-1)
-	u.end() // net/http would read on
+	t.end() // net/http would read on
 }
 
 func (a *Account) now() time.Time {
--- a/src/intake/account_test.go
+++ b/src/intake/account_test.go
@@ -135,6 +135,7 @@
 		smaller, most := receive(a, upload(2<<20, -1)), receive(a, upload(3<<20, -1))
 		time.Sleep(2 * evictAfter)
 		recent := receive(a, upload(700<<10, evictAfter))
+		synctest.Wait()
 		next := receive(a, upload(3<<20, 0))
 		if err := <-most; !errors.Is(err, ErrEvicted) {
 			t.Errorf("the body that had held most for longest: %v", err)
@@ -156,7 +157,9 @@
 func TestRecentBodiesDoNotGiveWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := &Account{Limit: room}
-		recent, next := receive(a, upload(8<<20, evictAfter-time.Millisecond)), receive(a, upload(8<<20, 0))
+		recent := receive(a, upload(8<<20, evictAfter-time.Millisecond))
+		synctest.Wait()
+		next := receive(a, upload(8<<20, 0))
 		if err := <-next; !errors.Is(err, ErrNoRoom) {
 			t.Errorf("the body that wanted the room: %v", err)
 		}
@@ -166,6 +169,25 @@
 	})
 }
 
+// Guards against bodies that are cut off for one that has no room without them either.
+func TestBodiesDoNotGiveWayInVain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &Account{Limit: room}
+		whole, slow := upload(5<<20, 0), receive(a, upload(1<<20, 3*evictAfter))
+		if err := <-receive(a, whole); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(evictAfter)
+		if err := <-receive(a, upload(5<<20, 0)); !errors.Is(err, ErrNoRoom) {
+			t.Errorf("the body without room: %v", err)
+		}
+		if err := <-slow; err != nil {
+			t.Errorf("the slow body: %v", err)
+		}
+		whole.Release()
+	})
+}
+
 // Guards against bodies that wait longer than their callers do, and against room that goes to the largest first.
 func TestWaitingBodiesAreServedSmallestFirstOrRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -176,6 +198,7 @@
 		}
 		began := time.Now()
 		large, small := receive(a, upload(3<<20, 0)), receive(a, upload(2<<20, 0))
+		synctest.Wait()
 		if err := <-receive(a, upload(8<<20, 0)); !errors.Is(err, ErrNoRoom) || time.Since(began) != maxWait {
 			t.Errorf("%v after %s", err, time.Since(began))
 		}
--- a/src/intake/hold.go
+++ b/src/intake/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"slices"
 	"time"
 )
@@ -57,6 +58,8 @@
 		switch {
 		case evicted:
 			return ErrEvicted
+		case i >= 0 && ctx.Err() != nil:
+			return os.ErrDeadlineExceeded
 		case i >= 0 && ended:
 			return ErrNoRoom
 		}
@@ -131,7 +134,7 @@
 	for len(a.waiting) > 0 {
 		i := slices.IndexFunc(a.waiting, func(w *waiter) bool { return w.hold.evicted || a.fits(w.hold, w.bytes) })
 		if i < 0 {
-			v := a.worst(now, a.waiting[0].hold)
+			v := a.worst(now, a.waiting[0])
 			if v == nil {
 				return victims
 			}
@@ -162,34 +165,44 @@
 	a.coming[h] = struct{}{}
 }
 
-// fits reports whether there is room for n further bytes of a hold. A body that is larger than all of the room has it while no other
-// has any. Of firm bodies one may exceed the room, so that those of unknown length do not all wait for each other. The caller holds the
-// lock.
+// fits reports whether there is room for n further bytes of a hold. Of firm bodies one may exceed the room, so that those of unknown length
+// do not all wait for each other. The caller holds the lock.
 func (a *Account) fits(h *Hold, n int64) bool {
-	if a.Limit <= 0 {
+	if a.Firm && (h.bytes+n <= firstPart || a.held-h.bytes <= a.Limit) {
 		return true
 	}
-	if a.Firm {
-		return h.bytes+n <= firstPart || a.held+n <= a.Limit || a.held-h.bytes <= a.Limit
-	}
+	return a.fitsBeside(h, n, a.held)
+}
+
+// fitsBeside reports whether there is room for n further bytes of a hold if held bytes are taken, with its own. A body that is larger than
+// all of the room has it while no other has any. The caller holds the lock.
+func (a *Account) fitsBeside(h *Hold, n, held int64) bool {
 	room := a.Limit
-	if h.bytes+n > smallBody {
+	if h.bytes+n > smallBody && !a.Firm {
 		room = int64(largeShare * float64(a.Limit))
 	}
-	return a.held+n <= room || a.held == h.bytes
+	return a.Limit <= 0 || held+n <= room || held == h.bytes
 }
 
-// worst returns the hold to evict for another one, or nil. The caller holds the lock.
-func (a *Account) worst(now time.Time, other *Hold) *Hold {
-	var worst *Hold
+// worst returns the hold to evict for a waiter, nil if all that may be evicted would not make room for it. The caller holds the lock.
+func (a *Account) worst(now time.Time, w *waiter) *Hold {
 	if a.Firm {
 		return nil
 	}
+	var worst *Hold
+	held := a.held
 	for h := range a.coming {
-		if h != other && now.Sub(h.since) >= evictAfter && (worst == nil || h.weight(now) > worst.weight(now)) {
+		if h == w.hold || now.Sub(h.since) < evictAfter {
+			continue
+		}
+		held -= h.bytes
+		if worst == nil || h.weight(now) > worst.weight(now) {
 			worst = h
 		}
 	}
+	if !a.fitsBeside(w.hold, w.bytes, held) {
+		return nil
+	}
 	return worst
 }
 
--- a/src/intake/transfer.go
+++ b/src/intake/transfer.go
@@ -44,74 +44,74 @@
 }
 
 // Whole reports whether the body was read to its end.
-func (u *Transfer) Whole() bool { return u.whole || u.Length == 0 }
+func (t *Transfer) Whole() bool { return t.whole || t.Length == 0 }
 
 // Received returns the number of bytes read so far.
-func (u *Transfer) Received() int64 { return u.read }
+func (t *Transfer) Received() int64 { return t.read }
 
 // Release gives back the room that the body has in the account that received it.
-func (u *Transfer) Release() {
-	if u.hold != nil {
-		u.hold.give(math.MaxInt64)
+func (t *Transfer) Release() {
+	if t.hold != nil {
+		t.hold.give(math.MaxInt64)
 	}
 }
 
 // end makes reads of the body fail.
-func (u *Transfer) end() { _ = u.setDeadline(time.Unix(1, 0)) }
+func (t *Transfer) end() { _ = t.setDeadline(time.Unix(1, 0)) }
 
-func (u *Transfer) setDeadline(t time.Time) error {
-	if u.SetReadDeadline == nil {
+func (t *Transfer) setDeadline(at time.Time) error {
+	if t.SetReadDeadline == nil {
 		return nil
 	}
-	return u.SetReadDeadline(t)
+	return t.SetReadDeadline(at)
 }
 
 // take waits for room for n further bytes.
-func (u *Transfer) take(n int64) error { return u.hold.take(u.ctx, n, u.patience) }
+func (t *Transfer) take(n int64) error { return t.hold.take(t.ctx, n, t.patience) }
 
 // readAll reads the whole body, of which at most most bytes are allowed.
-func (u *Transfer) readAll(most int64) ([]byte, error) {
-	if u.Length > most {
+func (t *Transfer) readAll(most int64) ([]byte, error) {
+	if t.Length > most {
 		return nil, ErrTooLarge
 	}
-	if u.Length >= 0 {
-		return u.readLength()
+	if t.Length >= 0 {
+		return t.readLength()
 	}
-	return u.readChunks(most)
+	return t.readChunks(most)
 }
 
 // readLength reads a body of known length.
-func (u *Transfer) readLength() ([]byte, error) {
-	if err := u.take(u.Length); err != nil {
+func (t *Transfer) readLength() ([]byte, error) {
+	if err := t.take(t.Length); err != nil {
 		return nil, err
 	}
-	body := make([]byte, u.Length)
-	n, err := io.ReadFull(u.Body, body)
-	u.read, u.whole = int64(n), err == nil
+	body := make([]byte, t.Length)
+	n, err := io.ReadFull(t.Body, body)
+	t.read, t.whole = int64(n), err == nil
 	return body[:n], err
 }
 
 // readChunks reads a body of unknown length. It reads one byte beyond the limit, enough to detect the excess.
-func (u *Transfer) readChunks(most int64) ([]byte, error) {
-	if err := u.take(min(firstPart, most+1)); err != nil {
+func (t *Transfer) readChunks(most int64) ([]byte, error) {
+	if err := t.take(min(firstPart, most+1)); err != nil {
 		return nil, err
 	}
 	body := make([]byte, 0, min(firstPart, most+1))
 	for {
-		n, err := u.Body.Read(body[len(body):cap(body)])
+		n, err := t.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
-		u.read = int64(len(body))
+		t.read = int64(len(body))
 		switch {
-		case u.read > most:
+		case t.read > most:
 			return nil, ErrTooLarge
 		case err == io.EOF:
-			u.whole = true
+			t.whole = true
 			return body, nil
 		case err != nil:
 			return nil, err
 		}
 		if len(body) == cap(body) {
-			if body, err = u.grow(body, min(2*int64(cap(body)), most+1)); err != nil {
+			if body, err = t.grow(body, min(2*int64(cap(body)), most+1)); err != nil {
 				return nil, err
 			}
 		}
@@ -119,12 +119,12 @@
 }
 
 // grow returns a copy of a body with another capacity.
-func (u *Transfer) grow(body []byte, capacity int64) ([]byte, error) {
-	if err := u.take(capacity); err != nil {
+func (t *Transfer) grow(body []byte, capacity int64) ([]byte, error) {
+	if err := t.take(capacity); err != nil {
 		return nil, err
 	}
 	before := int64(cap(body))
 	body = append(make([]byte, 0, capacity), body...)
-	u.hold.give(before)
+	t.hold.give(before)
 	return body, nil
 }
