--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -304,7 +304,7 @@
 	}
 	if late, long := s.ClosedLate-n.closedLate, s.ClosedLong-n.closedLong; late+long > 0 {
 		t := n.timeouts()
-		n.Log.Info("connections closed whose request did not come", "late", late, "long_heads", long, "heads", s.Heads, "idle", s.Idle, "header_timeout_ms", t.Head.Milliseconds(), "idle_timeout_ms", t.Idle.Milliseconds(), "header_bytes", n.gateway.Limits().HeaderBytes)
+		n.Log.Info("connections closed whose request did not come", "late", late, "long_heads", long, "heads", s.Heads, "idle", s.Idle, "head_time_ms", t.Head.Milliseconds(), "idle_time_ms", t.Idle.Milliseconds(), "header_bytes", n.gateway.Limits().HeaderBytes)
 	}
 	n.closed, n.closedIdle, n.closedLate, n.closedLong = s.Closed, s.ClosedIdle, s.ClosedLate, s.ClosedLong
 }
