One answer that has room beyond the limit cuts off nobody

Callers that read a large answer slowly were cut off when another large answer was written, though the box had room for both.

Cause: the account of answers lets one answer exceed its limit, the bound of writes, which has had the same limit since answers have an account, let none. The limit on a box of 64 MB is 9.6 MB, two answers are 14.7 MB.

A trace shows the last cut with nothing wanted and two writes of 14.7 MB together. The new unit test fails without the change (two of its checks).

Fix: while the account holds more than its limit, the largest write may exceed the limit of writes.

--- a/src/connections/writes.go
+++ b/src/connections/writes.go
@@ -17,6 +17,7 @@
 	Overhead int64            // bytes that each blocked write holds besides its data
 	Cut      func(held int64) // called for each write that is cut off; may be nil
 	Wanted   func() int64     // returns bytes for which others wait until writes give them back; may be nil
+	Exceeded func() bool      // reports whether an answer was granted more than the limit; the largest write may exceed it then; may be nil
 
 	mu   sync.Mutex
 	held int64
@@ -55,8 +56,13 @@
 	if w.Wanted != nil {
 		wanted = w.Wanted()
 	}
+	exceeded := w.Exceeded != nil && w.Exceeded()
 	w.mu.Lock()
-	victims := w.overLimit(now, min(w.Limit, w.held-wanted))
+	limit := w.Limit
+	if exceeded {
+		limit += w.largest()
+	}
+	victims := w.overLimit(now, min(limit, w.held-wanted))
 	w.mu.Unlock()
 	for _, s := range victims {
 		s.cut()
@@ -81,6 +87,15 @@
 	}
 }
 
+// largest returns the bytes that the largest write holds.
+func (w *Writes) largest() int64 {
+	var n int64
+	for v := range w.open {
+		n = max(n, v.bytes)
+	}
+	return n
+}
+
 // overLimit removes and returns the writes to cut off so that the rest is within the limit.
 func (w *Writes) overLimit(now time.Time, limit int64) []*Write {
 	var out []*Write
--- a/src/connections/writes_test.go
+++ b/src/connections/writes_test.go
@@ -90,3 +90,30 @@
 	}
 	recent.End()
 }
+
+// Guards against a slow caller that is cut off for an answer that was granted room beyond the limit.
+func TestOneWriteMayExceedTheLimitIfItHasRoom(t *testing.T) {
+	exceeded, cut := true, 0
+	w := &Writes{Limit: 1000, Exceeded: func() bool { return exceeded }}
+	now := time.Unix(1000, 0)
+	w.Begin(now, 700, func() { cut++ })
+	now = now.Add(2 * slowAfter)
+	w.Begin(now, 800, func() {})
+	if cut > 0 {
+		t.Error("a write within the limit is cut off")
+	}
+	exceeded = false
+	if w.Enforce(now); cut != 1 {
+		t.Errorf("%d writes are cut off without that room", cut)
+	}
+	exceeded = true
+	now = now.Add(2 * slowAfter)
+	w.Begin(now, 1100, func() {})
+	if s := w.Status(); s.Cut != 1 || s.Held != 800+1100 {
+		t.Errorf("only the largest write may exceed the limit: %+v", s)
+	}
+	w.Begin(now, 300, func() {})
+	if s := w.Status(); s.Cut != 2 || s.Held != 1100+300 {
+		t.Errorf("the others are above the limit: %+v", s)
+	}
+}
--- a/src/gateway/connections.go
+++ b/src/gateway/connections.go
@@ -33,7 +33,7 @@
 	shares := intake.SharesOf(g.Settings.MemoryBytes)
 	g.intake.Limit, g.answers.Limit, g.answers.Firm = shares.Bodies, shares.Answers, true
 	g.writes = connections.Writes{
-		Limit: shares.Answers, Overhead: heldPerWrite, Wanted: g.answers.Wanted,
+		Limit: shares.Answers, Overhead: heldPerWrite, Wanted: g.answers.Wanted, Exceeded: g.answers.Exceeded,
 		Cut: func(held int64) {
 			g.Log.Warn("caller cut off, it reads too slowly and the box holds too much", "held_bytes", held)
 			if g.Observer.CutOff != nil {
--- a/src/intake/account.go
+++ b/src/intake/account.go
@@ -112,6 +112,13 @@
 	return n
 }
 
+// Exceeded reports whether the bodies hold more than the limit, as one that is firm may.
+func (a *Account) Exceeded() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.Limit > 0 && a.held > a.Limit
+}
+
 // count counts how a body ended.
 func (a *Account) count(err error) {
 	a.mu.Lock()
