Slow readers are not cut off for what others are about to give back

A caller that read its answer slowly could be cut off though others, cut off just before, gave back all that was wanted.

Cause: the bytes that bodies wait for stay wanted until the writes that were cut off have returned, and each write that begins in between asked again.

Evidence: by reading; the new test cut off 4 writes of 200 bytes for 300 bytes where 2 suffice, and passes now.

Fix: writes that were cut off and have not returned count against what is wanted.

--- a/src/connections/writes.go
+++ b/src/connections/writes.go
@@ -20,9 +20,10 @@
 	Exceeded func() bool      // reports whether an answer was granted more than the limit; the largest write may exceed it then; may be nil
 
 	mu   sync.Mutex
-	held int64
-	open map[*Write]struct{}
-	cuts int64
+	held   int64
+	ending int64 // bytes of writes that were cut off and have not returned
+	open   map[*Write]struct{}
+	cuts   int64
 }
 
 // Write is one write to a caller.
@@ -31,6 +32,7 @@
 	bytes  int64
 	began  time.Time
 	cut    func()
+	ending bool // it was cut off
 	done   bool
 }
 
@@ -62,7 +64,7 @@
 	if exceeded {
 		limit += w.largest()
 	}
-	victims := w.overLimit(now, min(limit, w.held-wanted))
+	victims := w.overLimit(now, min(limit, w.held-max(0, wanted-w.ending)))
 	w.mu.Unlock()
 	for _, s := range victims {
 		s.cut()
@@ -77,8 +79,13 @@
 	v.writes.mu.Lock()
 	defer v.writes.mu.Unlock()
 	v.writes.remove(v)
+	if v.ending {
+		v.ending = false
+		v.writes.ending -= v.bytes
+	}
 }
 
+// remove ends the count of a write.
 func (w *Writes) remove(v *Write) {
 	if !v.done {
 		v.done = true
@@ -110,6 +117,8 @@
 			break
 		}
 		w.remove(worst)
+		worst.ending = true
+		w.ending += worst.bytes
 		w.cuts++
 		out = append(out, worst)
 	}
--- a/src/connections/writes_test.go
+++ b/src/connections/writes_test.go
@@ -117,3 +117,30 @@
 		t.Errorf("the others are above the limit: %+v", s)
 	}
 }
+
+// Guards against callers that are cut off for what others, already cut off, are about to give back.
+func TestWritesThatEndAreNotReplaced(t *testing.T) {
+	cut := 0
+	w := &Writes{Limit: 1000, Wanted: func() int64 { return 300 }}
+	now := time.Unix(1000, 0)
+	var open []*Write
+	for range 4 {
+		open = append(open, w.Begin(now, 200, func() { cut++ }))
+	}
+	now = now.Add(2 * slowAfter)
+	w.Enforce(now)
+	if w.Enforce(now); cut != 2 {
+		t.Errorf("%d writes of 200 bytes are cut off for 300 bytes", cut)
+	}
+	for _, v := range open {
+		v.End()
+		v.End()
+	}
+	for range 4 {
+		w.Begin(now, 200, func() { cut++ })
+	}
+	now = now.Add(2 * slowAfter)
+	if w.Enforce(now); cut != 4 {
+		t.Errorf("%d writes are cut off after all have ended, 2 more expected", cut)
+	}
+}
