Receive buffers of callers' connections fit the memory that the guard counts for them

Cause: the kernel doubles the size that a receive buffer is set to, for its own overhead, so that each connection could hold 64 KB unread where the guard counts 48 KB with the head of a request.

Fix: half of the memory that the guard counts is set, and both come from one constant in src/overload.

--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -32,7 +31,6 @@
 	callerIdleTimeout     = 2 * time.Minute  // before an idle keep-alive connection is closed, where none is published
 	maxHeaderBytes        = 64 << 10
 	maxGuardedHeaderBytes = 16 << 20                // of callers; the guard bounds them by what is published
-	callerReceiveBuffer   = 32 << 10                // bytes of the kernel's buffer of a connection, which may double them
 	minShutdownTime       = 3200 * time.Millisecond // minimum duration of a graceful shutdown, so that the load balancer notices that this box is not ready
 	answerReserve         = 2500 * time.Millisecond // end of the shutdown reserved for answers that have begun; pending stages are failed before it
 	idleBeforeExit        = 400 * time.Millisecond  // without a request before a shutdown completes
@@ -212,7 +210,9 @@
 		return err
 	}
 	if n.Settings.MemoryMB > 0 {
-		boundUnread(l, n.Log)
+		if err := overload.BoundUnread(l); err != nil {
+			n.Log.Warn("receive buffers of callers' connections are not bounded", "cause", err.Error())
+		}
 	}
 	n.guard.HeadLimit = func() int { return n.gateway.Limits().HeaderBytes }
 	srv := n.newServer(n.guardRequests(h))
@@ -228,22 +228,6 @@
 	return overload.Timeouts{Head: cmp.Or(l.HeaderTime, callerHeaderTimeout), Idle: cmp.Or(l.IdleTime, callerIdleTimeout)}
 }
 
-// boundUnread bounds what the kernel holds of the bytes that have arrived on each connection of a listener and are not read; the
-// connections take the size of its buffer over.
-func boundUnread(l net.Listener, log *slog.Logger) {
-	raw, err := l.(*net.TCPListener).SyscallConn()
-	if err == nil {
-		err = raw.Control(func(fd uintptr) {
-			if e := syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, callerReceiveBuffer); e != nil {
-				log.Warn("receive buffers of callers' connections are not bounded", "cause", e.Error())
-			}
-		})
-	}
-	if err != nil {
-		log.Warn("receive buffers of callers' connections are not bounded", "cause", err.Error())
-	}
-}
-
 // serve serves h on an address.
 func (n *GatewayNode) serve(address string, h http.Handler) error {
 	l, err := listen(address)
--- a/src/overload/constants.go
+++ b/src/overload/constants.go
@@ -22,7 +22,8 @@
 	maxDescriptors       = 0.75 // of the descriptors; the rest is for other boxes, probes and idle connections to servers
 	descriptorsPerCaller = 2    // a caller's connection and one to a server
 
-	connectionMemory = 48 << 10 // bytes that a connection takes with the head of a request and what the kernel holds unread
+	headMemory       = 16 << 10                  // bytes that a connection takes with the head of a request
+	connectionMemory = headMemory + unreadMemory // bytes
 
 	maxSilence = time.Second // of a new connection that has sent nothing, before it is closed for another one
 )
