Bodies that have room arrive at the pace of their links

A caller with a large body and a slow round trip, which is within the limits, sent it in small steps: 24 KB a round trip, whatever its link could carry, at boxes with memory_mb.

Cause: the receive buffer of each connection is bounded by what the guard counts for it, also while its body is read.

Fix: when a body gets its room, the kernel may hold up to 256 KB of what the room leaves, and 32 KB again when no more of it is read.

--- a/src/intake/account.go
+++ b/src/intake/account.go
@@ -91,6 +91,7 @@
 	if !t.hold.settle(err == nil) {
 		err = ErrEvicted
 	}
+	t.setUnread(0)
 	if err == nil {
 		err = t.setDeadline(time.Time{})
 	}
--- a/src/intake/transfer.go
+++ b/src/intake/transfer.go
@@ -21,6 +21,7 @@
 	Length int64 // as announced, negative if unknown
 	// SetReadDeadline sets the deadline of reads of Body, as http.ResponseController does; nil if they end by themselves.
 	SetReadDeadline func(time.Time) error
+	SetUnread       func(bytes int64) // called with the room for bytes that have not been read, and with 0 when no more of it is read; may be nil
 
 	read     int64 // bytes
 	whole    bool
@@ -59,6 +60,7 @@
 // end makes reads of the body fail.
 func (t *Transfer) end() { _ = t.setDeadline(time.Unix(1, 0)) }
 
+// setDeadline sets the deadline of reads; the zero time is none.
 func (t *Transfer) setDeadline(at time.Time) error {
 	if t.SetReadDeadline == nil {
 		return nil
@@ -66,8 +68,20 @@
 	return t.SetReadDeadline(at)
 }
 
-// take waits for room for n further bytes.
-func (t *Transfer) take(n int64) error { return t.hold.take(t.ctx, n, t.patience) }
+// take waits for room for n further bytes, of which fresh are for bytes that have not been read.
+func (t *Transfer) take(n, fresh int64) error {
+	err := t.hold.take(t.ctx, n, t.patience)
+	if err == nil {
+		t.setUnread(fresh)
+	}
+	return err
+}
+
+func (t *Transfer) setUnread(bytes int64) {
+	if t.SetUnread != nil {
+		t.SetUnread(bytes)
+	}
+}
 
 // readAll reads the whole body, of which at most most bytes are allowed.
 func (t *Transfer) readAll(most int64) ([]byte, error) {
@@ -82,7 +96,7 @@
 
 // readLength reads a body of known length.
 func (t *Transfer) readLength() ([]byte, error) {
-	if err := t.take(t.Length); err != nil {
+	if err := t.take(t.Length, t.Length); err != nil {
 		return nil, err
 	}
 	body := make([]byte, t.Length)
@@ -93,10 +107,11 @@
 
 // readChunks reads a body of unknown length. It reads one byte beyond the limit, enough to detect the excess.
 func (t *Transfer) readChunks(most int64) ([]byte, error) {
-	if err := t.take(min(firstPart, most+1)); err != nil {
+	first := min(firstPart, most+1)
+	if err := t.take(first, first); err != nil {
 		return nil, err
 	}
-	body := make([]byte, 0, min(firstPart, most+1))
+	body := make([]byte, 0, first)
 	for {
 		n, err := t.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -120,10 +135,10 @@
 
 // grow returns a copy of a body with another capacity.
 func (t *Transfer) grow(body []byte, capacity int64) ([]byte, error) {
-	if err := t.take(capacity); err != nil {
+	before := int64(cap(body))
+	if err := t.take(capacity, capacity-before); err != nil {
 		return nil, err
 	}
-	before := int64(cap(body))
 	body = append(make([]byte, 0, capacity), body...)
 	t.hold.give(before)
 	return body, nil
--- a/src/intake/transfer_test.go
+++ b/src/intake/transfer_test.go
@@ -97,3 +97,38 @@
 		}
 	}
 }
+
+// Guards against a kernel that holds more of a body than the body has room for.
+func TestUnreadBytesOfABodyFollowItsRoom(t *testing.T) {
+	for _, length := range []int64{100_000, -1} {
+		a := &Account{Limit: 1 << 20}
+		var held []int64
+		u := &Transfer{Body: bytes.NewReader(make([]byte, 100_000)), Length: length, SetReadDeadline: noDeadline}
+		u.SetUnread = func(n int64) {
+			if room := a.Status().Held - u.Received(); n > room {
+				t.Errorf("%d bytes unread, the body has room for %d", n, room)
+			}
+			held = append(held, n)
+		}
+		if _, err := a.Receive(t.Context(), u, 1<<20, time.Now().Add(time.Hour)); err != nil {
+			t.Fatal(err)
+		}
+		if len(held) < 2 || held[len(held)-1] != 0 || held[len(held)-2] < 50_000 {
+			t.Errorf("length %d: unread bytes were set to %v", length, held)
+		}
+	}
+	full := &Account{Limit: 1000}
+	first := &Transfer{Body: bytes.NewReader(make([]byte, 800)), Length: 800, SetReadDeadline: noDeadline}
+	if _, err := full.Receive(t.Context(), first, 1000, time.Now().Add(time.Hour)); err != nil {
+		t.Fatal(err)
+	}
+	refused := &Transfer{Body: bytes.NewReader(make([]byte, 800)), Length: 800, SetReadDeadline: noDeadline}
+	refused.SetUnread = func(n int64) {
+		if n > 0 {
+			t.Errorf("%d bytes of a body without room", n)
+		}
+	}
+	if _, err := full.Receive(t.Context(), refused, 1000, time.Now().Add(300*time.Millisecond)); !errors.Is(err, ErrNoRoom) {
+		t.Errorf("the body has no room: %v", err)
+	}
+}
--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -216,7 +216,7 @@
 	}
 	n.guard.HeadLimit = func() int { return n.gateway.Limits().HeaderBytes }
 	srv := n.newServer(n.guardRequests(h))
-	srv.ConnState, srv.MaxHeaderBytes = n.setCallerState, maxGuardedHeaderBytes
+	srv.ConnState, srv.ConnContext, srv.MaxHeaderBytes = n.setCallerState, overload.WithConnection, maxGuardedHeaderBytes
 	srv.ReadTimeout, srv.IdleTimeout = 0, 0 // the guard applies those that are published
 	go func() { _ = srv.Serve(&overload.Listener{Listener: l, Guard: &n.guard}) }()
 	return nil
--- a/src/overload/listener.go
+++ b/src/overload/listener.go
@@ -22,7 +22,7 @@
 			return nil, err
 		}
 		if l.Guard.Accept() {
-			counted := &countedConn{Conn: c, guard: l.Guard}
+			counted := &countedConn{Conn: c, guard: l.Guard, unread: unreadMemory}
 			l.Guard.callers.add(counted, l.Guard.Meter.now())
 			return counted, nil
 		}
@@ -37,6 +37,7 @@
 	waits     atomic.Bool // for a request
 	inHead    atomic.Bool // the head of a request arrives
 	headBytes int         // of it; used by Read only
+	unread    int64       // bytes that the kernel may hold; used by the handler of a request only
 	place
 }
 
--- a/src/overload/receive_test.go
+++ b/src/overload/receive_test.go
@@ -67,3 +67,24 @@
 		t.Errorf("%d bytes unread, %d are counted", held, connectionMemory-headMemory)
 	}
 }
+
+// Guards against bodies that arrive slowly though they have room, and against connections that keep the larger buffer.
+func TestBodyWithRoomArrivesAtThePaceOfItsLink(t *testing.T) {
+	accepted, caller := dialBounded(t)
+	g := &Guard{Memory: 1 << 20}
+	ctx := WithConnection(t.Context(), &countedConn{Conn: accepted, guard: g, unread: unreadMemory})
+	SetUnread(ctx, 1<<20)
+	fill(caller)
+	if most, held := unreadBytes(t, accepted); most > maxUnread || held <= unreadMemory {
+		t.Errorf("%d bytes unread, at most %d; want more than %d of at most %d", held, most, unreadMemory, maxUnread)
+	}
+	SetUnread(ctx, 0)
+	if most, _ := unreadBytes(t, accepted); most != unreadMemory {
+		t.Errorf("the kernel holds up to %d bytes after the body, want %d", most, unreadMemory)
+	}
+	g.Memory = 0
+	SetUnread(ctx, 1<<20)
+	if most, _ := unreadBytes(t, accepted); most != unreadMemory {
+		t.Errorf("the buffer is set to %d bytes without a limit of memory", most)
+	}
+}
