--- a/src/connections/writes.go
+++ b/src/connections/writes.go
@@ -19,7 +19,7 @@
 	Wanted   func() int64     // returns bytes for which others wait until writes give them back; may be nil
 	Exceeded func() bool      // reports whether an answer was granted more than the limit; the largest write may exceed it then; may be nil
 
-	mu   sync.Mutex
+	mu     sync.Mutex
 	held   int64
 	ending int64 // bytes of writes that were cut off and have not returned
 	open   map[*Write]struct{}
