--- a/src/intake/account.go
+++ b/src/intake/account.go
@@ -140,7 +140,7 @@
 	if t.Whole() {
 		return
 	}
-	if a.discards.Add(1) <= maxDiscards && most > 0 && t.setDeadline(time.Now().Add(discardFor)) == nil {
+	if a.discards.Add(1) <= maxDiscards && !t.Expects && t.setDeadline(time.Now().Add(discardFor)) == nil {
 		if t.Length >= 0 {
 			most = min(most, t.Length-t.read)
 		}
--- a/src/intake/transfer.go
+++ b/src/intake/transfer.go
@@ -19,6 +19,8 @@
 type Transfer struct {
 	Body   io.Reader
 	Length int64 // as announced, negative if unknown
+	// Expects is whether the sender waits to be told to continue, so that it sends nothing after a refusal.
+	Expects bool
 	// SetReadDeadline sets the deadline of reads of Body, as http.ResponseController does; nil if they end by themselves.
 	SetReadDeadline func(time.Time) error
 	SetUnread       func(bytes int64) // called with the room for bytes that have not been read, and with 0 when no more of it is read; may be nil
--- a/src/intake/transfer_test.go
+++ b/src/intake/transfer_test.go
@@ -52,9 +52,12 @@
 // Guards against a box that reads on without a bound after a refusal.
 func TestDiscardIsBounded(t *testing.T) {
 	endless := iotest.OneByteReader(zeros{})
-	for _, c := range []struct{ length, most, want int64 }{{-1, 1000, 1000}, {500, 1000, 500}, {1 << 40, 1000, 1000}} {
+	for _, c := range []struct {
+		length, most, want int64
+		expects            bool
+	}{{-1, 1000, 1000, false}, {500, 1000, 500, false}, {1 << 40, 1000, 1000, false}, {500, 1000, 0, true}} {
 		var a Account
-		u := &Transfer{Body: endless, Length: c.length, SetReadDeadline: noDeadline}
+		u := &Transfer{Body: endless, Length: c.length, Expects: c.expects, SetReadDeadline: noDeadline}
 		a.Discard(u, c.most)
 		if u.Received() != c.want {
 			t.Errorf("length %d, at most %d: %d bytes discarded", c.length, c.most, u.Received())
--- a/src/overload/callers.go
+++ b/src/overload/callers.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"cmp"
 	"container/list"
 	"net"
 	"net/http"
@@ -88,17 +89,14 @@
 	c.take()
 }
 
-// expire closes the connections whose head or next request did not come in time.
-func (s *callers) expire(now time.Time, t Timeouts) {
+// closeEach closes connections one after the other and counts them, while next returns one. next is called with the lock held.
+func (s *callers) closeEach(next func() *countedConn, count *int64) {
 	var closed []*countedConn
 	s.mu.Lock()
-	for l, most := range map[*list.List]time.Duration{&s.silent: t.Idle, &s.idle: t.Idle, &s.heads: t.Head} {
-		for first := l.Front(); first != nil && now.Sub(first.Value.(*countedConn).since) > most; first = l.Front() {
-			c := first.Value.(*countedConn)
-			s.drop(c)
-			s.late++
-			closed = append(closed, c)
-		}
+	for c := next(); c != nil; c = next() {
+		s.drop(c)
+		*count++
+		closed = append(closed, c)
 	}
 	s.mu.Unlock()
 	for _, c := range closed {
@@ -106,6 +104,23 @@
 	}
 }
 
+// oldest returns the connection that has been in a list for longest, nil if none has been there for longer than a time.
+func oldest(l *list.List, now time.Time, least time.Duration) *countedConn {
+	if first := l.Front(); first != nil {
+		if c := first.Value.(*countedConn); now.Sub(c.since) > least {
+			return c
+		}
+	}
+	return nil
+}
+
+// expire closes the connections whose head or next request did not come in time.
+func (s *callers) expire(now time.Time, t Timeouts) {
+	s.closeEach(func() *countedConn {
+		return cmp.Or(oldest(&s.heads, now, t.Head), oldest(&s.silent, now, t.Idle), oldest(&s.idle, now, t.Idle))
+	}, &s.late)
+}
+
 // countLong counts a connection that is closed because of a long head.
 func (s *callers) countLong() {
 	s.mu.Lock()
@@ -132,21 +147,12 @@
 // makeRoom closes connections without a request while all need more than there is room for. Those that have sent nothing for long go
 // first, then those that have been idle for longest.
 func (s *callers) makeRoom(r room, now time.Time) {
-	var closed []*countedConn
-	s.mu.Lock()
-	for s.exceeds(r) {
-		c := s.leastUseful(now)
-		if c == nil {
-			break
+	s.closeEach(func() *countedConn {
+		if !s.exceeds(r) {
+			return nil
 		}
-		s.drop(c)
-		s.closed++
-		closed = append(closed, c)
-	}
-	s.mu.Unlock()
-	for _, c := range closed {
-		_ = c.Conn.Close()
-	}
+		return s.leastUseful(now)
+	}, &s.closed)
 }
 
 // needed returns the number of descriptors that the open connections need. The caller holds the lock.
