Speeds: changed rates of a pool are sent again after two seconds

No caller notices more than a first prediction by the prior.

Cause, traced in a copy of the test with a line for each box that is off: one box learned the rate, and it sent its rates once in 10 s, whatever they were. (1) Its note is carried by six messages of each box that has heard of it, so that now and then no message reaches a box: one of 61 had no rate in 5 of the 7 failures traced. (2) The note can go out with the thirtieth response, when the fit is still near its prior (67.5 tokens per ms, 99 afterwards): then all boxes hold that for 10 s (the other 2, with 6 boxes).

Result: rates that differ from those sent before are sent after 2 s, and once again 2 s later. Unchanged rates are sent every 10 s as before, and not at all where enough other boxes agree.

Evidence: TestChangedRatesAreSentAgain fails without the change (63.7 sent, nothing afterwards).

--- a/src/pace/constants.go
+++ b/src/pace/constants.go
@@ -95,6 +95,7 @@
 	timedPerSecond    = 1                      // the same for measured speeds
 	rateWindow        = 10 * time.Second       // over which the observations of this box are counted
 	ratesAfter        = 10 * time.Second       // until the rates of a pool are sent again
+	changedRatesAfter = 2 * time.Second        // the same for rates that have changed, for boxes that missed the first notes
 )
 
 // unevenFor is how long a pool counts as uneven after a report of speed.
--- a/src/pace/notes.go
+++ b/src/pace/notes.go
@@ -195,8 +195,11 @@
 
 // publishRates queues this box's rates if the others do not know them, or some of them for long.
 func (t *Tracker) publishRates(now time.Time) {
-	own := t.ownRates()
-	if own == (Rates{}) || now.Sub(t.ratesSentAt) < ratesAfter {
+	own, interval := t.ownRates(), ratesAfter
+	if t.ratesChanged || own.differs(t.ratesSent) {
+		interval = changedRatesAfter
+	}
+	if own == (Rates{}) || now.Sub(t.ratesSentAt) < interval {
 		return
 	}
 	fresh := 0
@@ -208,7 +211,8 @@
 	if fresh >= ratesOrigins/2 && !own.differs(t.Rates(now)) {
 		return
 	}
-	t.ratesSentAt = now
+	t.ratesChanged = own.differs(t.ratesSent)
+	t.ratesSent, t.ratesSentAt = own, now
 	t.pendingRates = append(t.pendingRates, pendingRates{heldRates{own, now, orderOf(now)}, t.box, noteRepeats})
 }
 
--- a/src/pace/notes_test.go
+++ b/src/pace/notes_test.go
@@ -182,6 +182,40 @@
 	}
 }
 
+// Guards against rates that some boxes lack until the next regular note: those that none of the first messages reached, or
+// that heard of the rates before they had settled. Unchanged rates are sent again once.
+func TestChangedRatesAreSentAgain(t *testing.T) {
+	pool, now := newPool(1, 9), start
+	learn := func(n int) {
+		for i := range n {
+			took := 20*time.Millisecond + time.Duration(i*50)*time.Second/100_000
+			pool.RecordFirst(now, testServer(i%9), Response{Told: Told{Running: 3, Slots: 64}, Took: took, Uncached: i * 50})
+		}
+	}
+	sent := func(period time.Duration) (rates []float64) {
+		last := -1
+		for end := now.Add(period); now.Before(end); now = now.Add(100 * time.Millisecond) {
+			for _, n := range pool.take(now).Rates {
+				if int(n.Order) != last {
+					last, rates = int(n.Order), append(rates, float64(n.TokensPerMs))
+				}
+			}
+		}
+		return rates
+	}
+	learn(minRateSamples)
+	early := sent(changedRatesAfter)
+	learn(200)
+	settled := pool.Rates(now).TokensPerMs
+	later := sent(8 * time.Second)
+	if len(early) != 1 || len(later) != 2 || off(early[0], settled) < difference || off(later[0], settled) > 0.01 || off(later[1], settled) > 0.01 {
+		t.Errorf("rates sent: %.1f before and %.1f after they settled at %.1f; want one and two", early, later, settled)
+	}
+	if again := sent(10 * time.Second); len(again) != 1 {
+		t.Errorf("unchanged rates were sent %d times in 10 s, want once", len(again))
+	}
+}
+
 // Guards against any history of reports, measurements and notes that leads to a speed outside its bounds, to entries
 // without bound or to a note over its bound.
 func TestTrackerHistories(t *testing.T) {
--- a/src/pace/tracker.go
+++ b/src/pace/tracker.go
@@ -36,6 +36,8 @@
 	calls, plain          center               // of the logarithms of stage calls over their expected time, and of the ms of plain calls
 	rateNotes             map[uint32]heldRates // of other boxes, by hash of the name
 	ratesSentAt           time.Time
+	ratesSent             Rates
+	ratesChanged          bool // ratesSent differed from the rates that were sent before it
 	reports, measurements rate // by this box
 	pending               []pendingNote
 	pendingRates          []pendingRates
