Boxes: other boxes are heard again after connections could not be accepted

What was seen: a box that had once used all its descriptors never answered another box again, although its callers were served: no heartbeats, no batches, no connections carried for others, until a restart.

Cause: peer.Server.Serve ended at the first error of Accept, also one that passes (EMFILE, ECONNABORTED), and closed the listener's connections.

Evidence: a box as a process with 600 descriptors and 700 silent connections to its port for other boxes: 441 descriptors open a moment later, and a question that another box asks is not answered within 10 s.

Result: Serve ends when its listener is closed or its context ends. After another error it logs the first of a series and tries again 50 ms later, as net/http does for the other listeners.

--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -178,7 +178,7 @@
 	go func() {
 		defer n.wg.Done()
 		h := peer.Handlers{Beat: n.gateway.HandleBeat, Batch: n.gateway.HandleBatch, Ask: n.gateway.HandleQuestion, Tunnel: n.gateway.Paths.Carry}
-		(&peer.Server{Handlers: h}).Serve(ctx, beats)
+		(&peer.Server{Handlers: h, Log: n.Log}).Serve(ctx, beats)
 	}()
 	go n.sweep(ctx)
 	if err := n.serve(s.Listen.Readiness, n.Adapter.Ready(n.gateway)); err != nil {
--- a/src/node/node.go
+++ b/src/node/node.go
@@ -160,7 +160,7 @@
 }
 
 func (n *Node) servePeers(ctx context.Context, cfg *tls.Config) {
-	s := &peer.Server{TLS: cfg, Handlers: peer.Handlers{Beat: n.box.HandleBeat, Ask: n.box.HandleQuestion, Forward: n.box.HandleForward}}
+	s := &peer.Server{TLS: cfg, Log: n.Log, Handlers: peer.Handlers{Beat: n.box.HandleBeat, Ask: n.box.HandleQuestion, Forward: n.box.HandleForward}}
 	n.wg.Add(1)
 	go func() {
 		defer n.wg.Done()
--- a/src/peer/server.go
+++ b/src/peer/server.go
@@ -3,20 +3,24 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
+	"log/slog"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/stilemast/stilemast/src/batch"
+	"github.com/stilemast/stilemast/src/clock"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/port"
 )
 
 // The server's limits.
 const (
-	firstFrameTimeout = 5 * time.Second  // timeout for the first frame of a connection
-	beatReadTimeout   = 60 * time.Second // idle timeout of a heartbeat connection
-	writeTimeout      = 10 * time.Second // timeout for writing one frame
+	firstFrameTimeout = 5 * time.Second       // timeout for the first frame of a connection
+	beatReadTimeout   = 60 * time.Second      // idle timeout of a heartbeat connection
+	writeTimeout      = 10 * time.Second      // timeout for writing one frame
+	acceptInterval    = 50 * time.Millisecond // until the next attempt after a connection could not be accepted
 	maxConnections    = 2048
 )
 
@@ -34,14 +38,16 @@
 type Server struct {
 	TLS      *tls.Config // nil for plain TCP
 	Handlers Handlers
+	Log      *slog.Logger // nil for none
 
-	mu    sync.Mutex
-	conns map[net.Conn]bool
-	wg    sync.WaitGroup
+	failing bool // the last connection could not be accepted; used by Serve only
+	mu      sync.Mutex
+	conns   map[net.Conn]bool
+	wg      sync.WaitGroup
 }
 
 // Serve accepts connections until the listener is closed or the context ends. Then it closes all connections
-// and waits for their handlers.
+// and waits for their handlers. Other errors of the listener, such as too many open descriptors, pass.
 func (s *Server) Serve(ctx context.Context, l net.Listener) {
 	if s.TLS != nil {
 		l = tls.NewListener(l, s.TLS)
@@ -51,9 +57,15 @@
 	defer stop()
 	for {
 		conn, err := l.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
 			break
 		}
+		if err != nil {
+			s.logFailure(err)
+			clock.Sleep(ctx, acceptInterval)
+			continue
+		}
+		s.failing = false
 		if s.track(conn) {
 			go s.handle(ctx, conn)
 		}
@@ -67,6 +79,14 @@
 	s.wg.Wait()
 }
 
+// logFailure logs the first of a series of connections that cannot be accepted.
+func (s *Server) logFailure(err error) {
+	if s.Log != nil && !s.failing {
+		s.Log.Warn("connections of other boxes cannot be accepted", "cause", err.Error(), "retry_ms", acceptInterval.Milliseconds())
+	}
+	s.failing = true
+}
+
 // track registers a connection. It closes it and returns false if there are too many.
 func (s *Server) track(c net.Conn) bool {
 	s.mu.Lock()
