Boxes: clients of the other ports take neither memory nor descriptors

What was seen: 150 clients of the port for other boxes, each with a message of 4 MB that stops one byte short, made a process of a 64 MB machine hold 1,442 MB. 700 silent clients of the readiness check or the metrics took all of 600 descriptors, and no caller was served.

Cause: these ports bounded each message and the time of a request, never all connections together, and the bound of the port for other boxes (2,048 connections) is above what a machine may have open.

Change: connections.Limiter bounds the connections of clients that are unknown, by the descriptors and the memory of the machine, and the bytes of first messages that are not whole (1 MB). The oldest gives way, after 5 ms, and the one that has held most for longest, unless no other holds any. The kernel holds little for them until they are known. Frames are read into memory that grows to their size and not beyond it.

--- a/src/cli/gateway_status.go
+++ b/src/cli/gateway_status.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -50,7 +52,12 @@
 	fmt.Printf("writes to callers: %d open, %d bytes held, %d cut off\n", s.Writes.Open, s.Writes.Held, s.Writes.Cut)
 	b := s.Bodies
 	fmt.Printf("bodies of callers: %d bytes held, %d coming, %d waiting; refused %d, evicted %d, late %d\n", b.Held, b.Coming, b.Waiting, b.Refused, b.Evicted, b.Late)
-	fmt.Printf("whole answers: %d bytes held, %d coming, %d waiting\n\n", s.Answers.Held, s.Answers.Coming, s.Answers.Waiting)
+	fmt.Printf("whole answers: %d bytes held, %d coming, %d waiting\n", s.Answers.Held, s.Answers.Coming, s.Answers.Waiting)
+	for _, port := range slices.Sorted(maps.Keys(s.Ports)) {
+		p := s.Ports[port]
+		fmt.Printf("unknown clients of %s: %d connections, %d closed for others\n", port, p.Open, p.Closed)
+	}
+	fmt.Println()
 	w := table()
 	fmt.Fprintln(w, "POOL\tSERVERS\tCONTENDED\tWAIT\tCONNECTIONS\tSLOW/USUAL/FAST\tOVERDUE CALLS")
 	for _, p := range s.Pools {
--- /dev/null
+++ b/src/connections/limiter.go
@@ -0,0 +1,178 @@
+package connections
+
+import (
+	"container/list"
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// settleTime is the time that a new connection has before it may be closed for another one, so that what its client has already
+// sent is read.
+const settleTime = 5 * time.Millisecond
+
+// Limiter bounds the connections of a port whose clients are unknown, and the bytes that were read from them. Beyond the bounds it
+// closes the oldest connection, and the one that has held most bytes for longest, unless no other holds any. Set the exported fields before
+// use.
+type Limiter struct {
+	Most  int   // connections, 0 for no limit
+	Bytes int64 // read from all of them, 0 for no limit
+
+	mu     sync.Mutex
+	open   list.List // of *Limited, the oldest first
+	bytes  int64
+	closed int64
+}
+
+// LimiterStatus is the state of a limiter.
+type LimiterStatus struct {
+	Open   int   `json:"open"`       // connections
+	Bytes  int64 `json:"held_bytes"` // read from them, if they are bounded
+	Closed int64 `json:"closed"`     // connections closed for others, since the start
+}
+
+// Limited is a connection that a limiter counts until it is removed or closed.
+type Limited struct {
+	net.Conn
+	limiter *Limiter
+	at      *list.Element // nil once it is not counted
+	since   time.Time
+	bytes   int64
+}
+
+// Add counts a connection. If there are too many, it closes the oldest, for which it waits up to settleTime.
+func (l *Limiter) Add(c net.Conn) *Limited {
+	for {
+		now := time.Now()
+		l.mu.Lock()
+		victim, wait := l.oldest(now)
+		if wait <= 0 {
+			added := &Limited{Conn: c, limiter: l, since: now}
+			added.at = l.open.PushBack(added)
+			l.mu.Unlock()
+			victim.end()
+			return added
+		}
+		l.mu.Unlock()
+		time.Sleep(wait)
+	}
+}
+
+// oldest stops counting the connection that must be closed before another one is added, and returns it; nil for none. If that is too
+// early, it returns how long to wait. The caller holds the lock.
+func (l *Limiter) oldest(now time.Time) (victim *Limited, wait time.Duration) {
+	if l.Most <= 0 || l.open.Len() < l.Most {
+		return nil, 0
+	}
+	victim = l.open.Front().Value.(*Limited)
+	if wait = settleTime - now.Sub(victim.since); wait > 0 {
+		return nil, wait
+	}
+	l.drop(victim)
+	l.closed++
+	return victim, 0
+}
+
+// heaviest stops counting the connection that has held most bytes for longest if all hold too many, and returns it; nil for none. The
+// caller holds the lock.
+func (l *Limiter) heaviest(now time.Time) *Limited {
+	if l.Bytes <= 0 || l.bytes <= l.Bytes {
+		return nil
+	}
+	var victim *Limited
+	for e := l.open.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*Limited); victim == nil || c.weight(now) > victim.weight(now) {
+			victim = c
+		}
+	}
+	if victim.bytes == l.bytes {
+		return nil
+	}
+	l.drop(victim)
+	l.closed++
+	return victim
+}
+
+// weight returns the bytes that a connection holds times the time for which it has been open.
+func (c *Limited) weight(now time.Time) float64 {
+	return float64(c.bytes) * (settleTime + now.Sub(c.since)).Seconds()
+}
+
+// drop stops counting a connection. The caller holds the lock.
+func (l *Limiter) drop(c *Limited) {
+	if c.at != nil {
+		l.open.Remove(c.at)
+		l.bytes -= c.bytes
+		c.at = nil
+	}
+}
+
+// Status returns the current state.
+func (l *Limiter) Status() LimiterStatus {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return LimiterStatus{Open: l.open.Len(), Bytes: l.bytes, Closed: l.closed}
+}
+
+// Listen returns a listener whose connections are counted until they are closed.
+func (l *Limiter) Listen(inner net.Listener) net.Listener { return limitedListener{inner, l} }
+
+type limitedListener struct {
+	net.Listener
+	limiter *Limiter
+}
+
+// Accept implements net.Listener.
+func (l limitedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.limiter.Add(c), nil
+}
+
+// Read implements net.Conn.
+func (c *Limited) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	l := c.limiter
+	l.mu.Lock()
+	var victim *Limited
+	if c.at != nil && l.Bytes > 0 {
+		c.bytes += int64(n)
+		l.bytes += int64(n)
+		victim = l.heaviest(time.Now())
+	}
+	l.mu.Unlock()
+	victim.end()
+	return n, err
+}
+
+// Remove stops counting the connection, whose client is known now.
+func (c *Limited) Remove() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.limiter.drop(c)
+}
+
+// Close implements net.Conn.
+func (c *Limited) Close() error {
+	c.Remove()
+	return c.Conn.Close()
+}
+
+// end closes a connection that is not counted any more; nil for none.
+func (c *Limited) end() {
+	if c != nil {
+		_ = c.Conn.Close()
+	}
+}
+
+// CloseWrite closes the writing side; net/http does so before it closes a connection with unread bytes, which resets it.
+func (c *Limited) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return half.CloseWrite()
+}
--- /dev/null
+++ b/src/connections/limiter_test.go
@@ -0,0 +1,116 @@
+package connections
+
+import (
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// client is a client's end of a limited connection.
+type client struct {
+	net.Conn
+	limited *Limited
+}
+
+func join(l *Limiter) client {
+	near, far := net.Pipe()
+	return client{far, l.Add(near)}
+}
+
+// send sends n bytes, which the other end reads.
+func (c client) send(n int) {
+	go func() { _, _ = c.Write(make([]byte, n)) }()
+	_, _ = io.ReadFull(c.limited, make([]byte, n))
+}
+
+// closed reports whether the other end has closed the connection.
+func (c client) closed() bool {
+	_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := c.Read(make([]byte, 1))
+	return err == io.EOF
+}
+
+// Guards against clients that keep others out, and against connections that are closed before what their clients sent was read.
+func TestLimiterClosesTheOldest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &Limiter{Most: 2}
+		first, second := join(l), join(l)
+		began := time.Now()
+		third := join(l)
+		if waited := time.Since(began); waited != settleTime {
+			t.Errorf("the oldest was closed after %s", waited)
+		}
+		if !first.closed() || second.closed() || third.closed() {
+			t.Error("not the oldest was closed")
+		}
+		second.limited.Remove()
+		third.limited.Close()
+		join(l)
+		if s := l.Status(); s.Open != 1 || s.Closed != 1 || second.closed() {
+			t.Errorf("%+v; one was closed and two have left", s)
+		}
+	})
+}
+
+// Guards against clients that hold much together while each is within its limit, and against a client that gives way to
+// itself.
+func TestLimiterClosesTheHeaviest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &Limiter{Bytes: 1000}
+		small, large, known := join(l), join(l), join(l)
+		known.send(300)
+		known.limited.Remove()
+		large.send(5000)
+		if large.closed() {
+			t.Error("a connection was closed while no other held anything")
+		}
+		time.Sleep(time.Second)
+		small.send(100)
+		if !large.closed() || small.closed() || known.closed() {
+			t.Error("not the one that held most was closed")
+		}
+		if s := l.Status(); s.Bytes != 100 || s.Open != 1 || s.Closed != 1 {
+			t.Errorf("%+v", s)
+		}
+	})
+}
+
+// Guards against any history of connections that exceeds a bound, or after which something counts as held.
+func TestLimiterHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &Limiter{Most: rapid.IntRange(1, 5).Draw(t, "most"), Bytes: rapid.Int64Range(1, 2000).Draw(t, "bytes")}
+		var clients []client
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			i := rapid.IntRange(0, 9).Draw(t, "client")
+			switch {
+			case i >= len(clients):
+				clients = append(clients, join(l))
+			case rapid.Bool().Draw(t, "sends"):
+				n, c := rapid.IntRange(1, 900).Draw(t, "n"), clients[i]
+				go func() { _, _ = c.Write(make([]byte, n)) }()
+				_, _ = c.limited.Read(make([]byte, n))
+			case rapid.Bool().Draw(t, "known"):
+				clients[i].limited.Remove()
+			default:
+				_ = clients[i].limited.Close()
+			}
+			alone := false
+			for _, c := range clients {
+				alone = alone || c.limited.at != nil && c.limited.bytes == l.bytes
+			}
+			if s := l.Status(); s.Open > l.Most || s.Bytes > l.Bytes && !alone {
+				t.Fatalf("%+v, at most %d connections and %d bytes", s, l.Most, l.Bytes)
+			}
+		}
+		for _, c := range clients {
+			_ = c.limited.Close()
+		}
+		if s := l.Status(); s.Open != 0 || s.Bytes != 0 {
+			t.Fatalf("%+v after all have left", s)
+		}
+	})
+}
--- a/src/connections/share.go
+++ b/src/connections/share.go
@@ -1,5 +1,5 @@
-// Package connections divides a server's connection limit among boxes and bounds what a box holds for callers that read
-// slowly.
+// Package connections divides a server's connection limit among boxes, and bounds what a box holds for callers that read
+// slowly and for clients that it does not know.
 package connections
 
 // usableShare is the part of a limit that the boxes use together. The rest is for boxes that this one does not know yet.
--- a/src/metrics/gateway.go
+++ b/src/metrics/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/stilemast/stilemast/src/admission"
 	"github.com/stilemast/stilemast/src/batch"
+	"github.com/stilemast/stilemast/src/connections"
 	"github.com/stilemast/stilemast/src/gateway"
 	"github.com/stilemast/stilemast/src/observe"
 	"github.com/stilemast/stilemast/src/overload"
@@ -230,6 +231,17 @@
 	counter("connections_closed_long_total", "Connections of callers that were closed because a head was far beyond its limit.", func(s overload.Status) int64 { return s.ClosedLong })
 }
 
+// WatchPorts adds metrics of the connections of unknown clients, by port. It must be called only once.
+func (s *GatewaySet) WatchPorts(read func() map[string]connections.LimiterStatus) {
+	for port := range read() {
+		labels := prometheus.Labels{"port": port}
+		s.registry.MustRegister(
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "stilemast_gateway_unknown_connections", Help: "Open connections of clients that are unknown.", ConstLabels: labels}, func() float64 { return float64(read()[port].Open) }),
+			prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "stilemast_gateway_unknown_connections_closed_total", Help: "Connections of unknown clients that were closed for others.", ConstLabels: labels}, func() float64 { return float64(read()[port].Closed) }),
+		)
+	}
+}
+
 // overdueCalls returns the number of calls that are overdue now.
 func overdueCalls(g *gateway.Gateway) float64 {
 	n := 0
--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -77,6 +77,7 @@
 	wg           sync.WaitGroup
 	callers      callerActivity
 	guard        overload.Guard
+	limiters     *limiters
 	closed       int64 // connections that the guard had closed at the last log line
 	closedIdle   int64 // the same of those without a request
 	closedLate   int64 // the same of those whose request did not come in time
@@ -139,6 +140,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen.peers")
 	}
+	n.boundUnread(beats)
 	n.peerListener = beats
 	n.peers = peer.NewClient(nil)
 	router := &paths.Router{Direct: n.Adapter.Dial}
@@ -147,6 +149,7 @@
 	}
 	n.ports = n.Adapter.Open(s, router)
 	set := metrics.NewGateway()
+	n.limiters = newLimiters(s.Machine.Descriptors, int64(s.MemoryMB)<<20)
 	n.guard.Meter.LinkMbps, n.guard.Descriptors, n.guard.Memory = s.Machine.LinkMbps, s.Machine.Descriptors, shares.Connections
 	n.gateway = &gateway.Gateway{
 		Busy: n.guard.Busy,
@@ -178,10 +181,14 @@
 	go func() {
 		defer n.wg.Done()
 		h := peer.Handlers{Beat: n.gateway.HandleBeat, Batch: n.gateway.HandleBatch, Ask: n.gateway.HandleQuestion, Tunnel: n.gateway.Paths.Carry}
-		(&peer.Server{Handlers: h, Log: n.Log}).Serve(ctx, beats)
+		peers := &peer.Server{Handlers: h, Log: n.Log, Unknown: n.limiters.ports["peers"]}
+		if s.MemoryMB > 0 {
+			peers.Known = overload.ReleaseUnread
+		}
+		peers.Serve(ctx, beats)
 	}()
 	go n.sweep(ctx)
-	if err := n.serve(s.Listen.Readiness, n.Adapter.Ready(n.gateway)); err != nil {
+	if err := n.serve("readiness", s.Listen.Readiness, n.Adapter.Ready(n.gateway)); err != nil {
 		return eris.Wrap(err, "listen.readiness")
 	}
 	n.callers.active = map[net.Conn]bool{}
@@ -190,7 +197,8 @@
 	}
 	if s.Listen.Metrics != "" {
 		set.WatchLoad(n.guard.Status)
-		if err := n.serve(s.Listen.Metrics, operatorHandler(n.status, set.Handler(n.gateway, n.ports.ConnectionsOpened, n.peers.BytesSent.Load))); err != nil {
+		set.WatchPorts(n.limiters.status)
+		if err := n.serve("metrics", s.Listen.Metrics, operatorHandler(n.status, set.Handler(n.gateway, n.ports.ConnectionsOpened, n.peers.BytesSent.Load))); err != nil {
 			return eris.Wrap(err, "listen.metrics")
 		}
 	}
@@ -203,17 +211,23 @@
 	return config.Listen(context.Background(), "tcp", address)
 }
 
+// boundUnread bounds the receive buffers of a listener's connections if the memory is limited.
+func (n *GatewayNode) boundUnread(l net.Listener) {
+	if n.Settings.MemoryMB == 0 {
+		return
+	}
+	if err := overload.BoundUnread(l); err != nil {
+		n.Log.Warn("receive buffers are not bounded", "address", l.Addr().String(), "cause", err.Error())
+	}
+}
+
 // serveCallers serves callers on an address, as far as this box can.
 func (n *GatewayNode) serveCallers(address string, h http.Handler) error {
 	l, err := listen(address)
 	if err != nil {
 		return err
 	}
-	if n.Settings.MemoryMB > 0 {
-		if err := overload.BoundUnread(l); err != nil {
-			n.Log.Warn("receive buffers of callers' connections are not bounded", "cause", err.Error())
-		}
-	}
+	n.boundUnread(l)
 	n.guard.HeadLimit = func() int { return n.gateway.Limits().HeaderBytes }
 	srv := n.newServer(n.guardRequests(h))
 	srv.ConnState, srv.ConnContext, srv.MaxHeaderBytes = n.setCallerState, overload.WithConnection, maxGuardedHeaderBytes
@@ -228,14 +242,15 @@
 	return overload.Timeouts{Head: cmp.Or(l.HeaderTime, callerHeaderTimeout), Idle: cmp.Or(l.IdleTime, callerIdleTimeout)}
 }
 
-// serve serves h on an address.
-func (n *GatewayNode) serve(address string, h http.Handler) error {
+// serve serves h on the address of a port that is not for callers.
+func (n *GatewayNode) serve(port, address string, h http.Handler) error {
 	l, err := listen(address)
 	if err != nil {
 		return err
 	}
+	n.boundUnread(l)
 	srv := n.newServer(h)
-	go func() { _ = srv.Serve(l) }()
+	go func() { _ = srv.Serve(n.limiters.ports[port].Listen(l)) }()
 	return nil
 }
 
@@ -265,6 +280,7 @@
 			}
 			last = time.Now()
 			n.logLoad()
+			n.limiters.log(n.Log)
 		}
 	}
 }
@@ -272,6 +288,7 @@
 // status returns the state of this box for operators.
 func (n *GatewayNode) status() status.Gateway {
 	s, l := n.gateway.Status(), n.guard.Status()
+	s.Ports = n.limiters.status()
 	s.Load = status.Load{Delay: status.Ms(l.Load.Delay), Link: l.Load.Link, Accepted: l.Share, Full: l.Full, Connections: l.Open, Idle: l.Idle, Heads: l.Heads, Closed: l.Closed, ClosedIdle: l.ClosedIdle, ClosedLate: l.ClosedLate, ClosedLong: l.ClosedLong}
 	return s
 }
--- a/src/overload/receive.go
+++ b/src/overload/receive.go
@@ -29,6 +29,14 @@
 	return errors.Join(err, set)
 }
 
+// ReleaseUnread lets the kernel hold more on a connection whose listener is bounded, so that what its known client sends arrives at the
+// pace of its link.
+func ReleaseUnread(c net.Conn) {
+	if own, ok := c.(*net.TCPConn); ok {
+		_ = own.SetReadBuffer(maxUnread / kernelShare)
+	}
+}
+
 // connectionKey is the key of a request's connection in its context.
 type connectionKey struct{}
 
--- a/src/peer/frame.go
+++ b/src/peer/frame.go
@@ -72,16 +72,21 @@
 
 // readBody reads n bytes. It allocates memory as bytes arrive, so that a false length costs nothing.
 func readBody(r io.Reader, n int) ([]byte, error) {
-	var buf bytes.Buffer
-	buf.Grow(min(n, readChunk))
-	got, err := io.CopyN(&buf, r, int64(n))
-	if err == io.EOF && got < int64(n) {
-		err = io.ErrUnexpectedEOF
-	}
-	if err != nil {
-		return nil, &port.InterruptedError{Got: int(got), Want: n, Cause: err}
+	body := make([]byte, 0, min(n, readChunk))
+	for len(body) < n {
+		if len(body) == cap(body) {
+			body = append(make([]byte, 0, min(n, 2*cap(body))), body...)
+		}
+		got, err := io.ReadFull(r, body[len(body):cap(body)])
+		body = body[:len(body)+got]
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, &port.InterruptedError{Got: len(body), Want: n, Cause: err}
+		}
 	}
-	return buf.Bytes(), nil
+	return body, nil
 }
 
 // DecodeMessage decodes a frame's body.
--- a/src/peer/server.go
+++ b/src/peer/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/stilemast/stilemast/src/batch"
 	"github.com/stilemast/stilemast/src/clock"
+	"github.com/stilemast/stilemast/src/connections"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/port"
 )
@@ -38,7 +39,9 @@
 type Server struct {
 	TLS      *tls.Config // nil for plain TCP
 	Handlers Handlers
-	Log      *slog.Logger // nil for none
+	Log      *slog.Logger         // nil for none
+	Unknown  *connections.Limiter // bounds the connections whose first frame is not whole; nil for no bound
+	Known    func(net.Conn)       // called when the first frame of a connection has come; may be nil
 
 	failing bool // the last connection could not be accepted; used by Serve only
 	mu      sync.Mutex
@@ -52,6 +55,9 @@
 	if s.TLS != nil {
 		l = tls.NewListener(l, s.TLS)
 	}
+	if s.Unknown == nil {
+		s.Unknown = &connections.Limiter{}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
@@ -67,7 +73,7 @@
 		}
 		s.failing = false
 		if s.track(conn) {
-			go s.handle(ctx, conn)
+			go s.handle(ctx, conn, s.Unknown.Add(conn))
 		}
 	}
 	cancel()
@@ -103,8 +109,8 @@
 	return true
 }
 
-// handle serves one connection; its first frame determines the kind.
-func (s *Server) handle(ctx context.Context, c net.Conn) {
+// handle serves one connection; its first frame determines the kind. unknown is the connection until that frame has come.
+func (s *Server) handle(ctx context.Context, c net.Conn, unknown *connections.Limited) {
 	defer s.wg.Done()
 	defer func() {
 		_ = c.Close()
@@ -113,10 +119,14 @@
 		s.mu.Unlock()
 	}()
 	_ = c.SetReadDeadline(time.Now().Add(firstFrameTimeout))
-	m, err := ReadFrame(c)
+	m, err := ReadFrame(unknown)
+	unknown.Remove()
 	if err != nil {
 		return
 	}
+	if s.Known != nil {
+		s.Known(c)
+	}
 	switch {
 	case m.Beat != nil, m.Batch != nil:
 		s.receiveLoop(c, m)
--- a/src/status/status.go
+++ b/src/status/status.go
@@ -31,6 +31,8 @@
 
 	Answers intake.Status `json:"answers"` // that are read whole
 
+	Ports map[string]connections.LimiterStatus `json:"ports"` // connections of clients that are unknown, by port
+
 	Forecasts []Forecast       `json:"forecasts"` // of admission, against what was observed
 	Returning registrar.Status `json:"returning"` // callers that were refused and return
 	Streams   resume.Status    `json:"streams"`   // that may be taken up at another box
