Boxes: messages of closed connections count until their memory is free

What was seen: TestMisbehavingClientsOfAllPortsDoNotExhaustAProcess held 66 to 79 MB of 64 in 8 of 27 plays beside load, 54 to 58 in the others.

Cause, by a heap profile taken at the peak: 26 and 30 MB in messages of connections to the port for other boxes, where 1 MB is allowed. The limiter stopped to count a connection when it closed it, and let others read in its place at once, while the reader of the closed one had not run again and still held its memory.

Change: a connection that is closed for others counts until it is removed by its reader, and others wait with their next read for the bytes of such connections. Which connections give way is decided without them, so that none is closed for bytes that are about to be free.

--- a/src/connections/limiter.go
+++ b/src/connections/limiter.go
@@ -13,16 +13,20 @@
 const settleTime = 5 * time.Millisecond
 
 // Limiter bounds the connections of a port whose clients are unknown, and the bytes that were read from them. Beyond the bounds it
-// closes the oldest connection, and the one that has held most bytes for longest, unless no other holds any. Set the exported fields before
-// use.
+// closes the oldest connection, and the one that has held most bytes for longest, unless no other holds any. Bytes count until Remove or
+// Close, and the others wait for those of closed connections. Set the exported fields before use.
 type Limiter struct {
 	Most  int   // connections, 0 for no limit
 	Bytes int64 // read from all of them, 0 for no limit
 
-	mu     sync.Mutex
-	open   list.List // of *Limited, the oldest first
-	bytes  int64
-	closed int64
+	mu      sync.Mutex
+	open    list.List // of *Limited, the oldest first
+	bytes   int64
+	change  *sync.Cond
+	closed  int64
+	closing int // of the open ones, those that were closed for others and are not removed yet
+
+	closingBytes int64 // of those
 }
 
 // LimiterStatus is the state of a limiter.
@@ -39,6 +43,7 @@
 	at      *list.Element // nil once it is not counted
 	since   time.Time
 	bytes   int64
+	closing bool // it was closed for others
 }
 
 // Add counts a connection. If there are too many, it closes the oldest, for which it waits up to settleTime.
@@ -48,6 +53,7 @@
 		l.mu.Lock()
 		victim, wait := l.oldest(now)
 		if wait <= 0 {
+			l.close(victim)
 			added := &Limited{Conn: c, limiter: l, since: now}
 			added.at = l.open.PushBack(added)
 			l.mu.Unlock()
@@ -59,41 +65,53 @@
 	}
 }
 
-// oldest stops counting the connection that must be closed before another one is added, and returns it; nil for none. If that is too
-// early, it returns how long to wait. The caller holds the lock.
+// oldest returns the connection to close before another one is added, nil for none. If that is too early, it returns how long to
+// wait. The caller holds the lock.
 func (l *Limiter) oldest(now time.Time) (victim *Limited, wait time.Duration) {
-	if l.Most <= 0 || l.open.Len() < l.Most {
+	if l.Most <= 0 || l.open.Len()-l.closing < l.Most {
 		return nil, 0
 	}
-	victim = l.open.Front().Value.(*Limited)
+	e := l.open.Front()
+	for e.Value.(*Limited).closing {
+		e = e.Next()
+	}
+	victim = e.Value.(*Limited)
 	if wait = settleTime - now.Sub(victim.since); wait > 0 {
 		return nil, wait
 	}
-	l.drop(victim)
-	l.closed++
 	return victim, 0
 }
 
-// heaviest stops counting the connection that has held most bytes for longest if all hold too many, and returns it; nil for none. The
-// caller holds the lock.
+// heaviest returns the connection that has held most bytes for longest if all hold too many, nil for none. The caller holds the lock.
 func (l *Limiter) heaviest(now time.Time) *Limited {
-	if l.Bytes <= 0 || l.bytes <= l.Bytes {
+	held := l.bytes - l.closingBytes
+	if l.Bytes <= 0 || held <= l.Bytes {
 		return nil
 	}
 	var victim *Limited
 	for e := l.open.Front(); e != nil; e = e.Next() {
-		if c := e.Value.(*Limited); victim == nil || c.weight(now) > victim.weight(now) {
+		if c := e.Value.(*Limited); !c.closing && (victim == nil || c.weight(now) > victim.weight(now)) {
 			victim = c
 		}
 	}
-	if victim.bytes == l.bytes {
+	if victim.bytes == held {
 		return nil
 	}
-	l.drop(victim)
-	l.closed++
 	return victim
 }
 
+// close counts a connection as one that is closed for others; nil for none. The caller holds the lock, and calls end without it.
+func (l *Limiter) close(c *Limited) {
+	if c == nil {
+		return
+	}
+	c.closing = true
+	l.closing++
+	l.closingBytes += c.bytes
+	l.closed++
+	l.changed().Broadcast()
+}
+
 // weight returns the bytes that a connection holds times the time for which it has been open.
 func (c *Limited) weight(now time.Time) float64 {
 	return float64(c.bytes) * (settleTime + now.Sub(c.since)).Seconds()
@@ -101,10 +119,35 @@
 
 // drop stops counting a connection. The caller holds the lock.
 func (l *Limiter) drop(c *Limited) {
-	if c.at != nil {
-		l.open.Remove(c.at)
-		l.bytes -= c.bytes
-		c.at = nil
+	if c.at == nil {
+		return
+	}
+	l.open.Remove(c.at)
+	c.at = nil
+	l.bytes -= c.bytes
+	if c.closing {
+		l.closing--
+		l.closingBytes -= c.bytes
+	}
+	l.changed().Broadcast()
+}
+
+// changed returns the condition that a connection is closed for others or not counted any more. The caller holds the lock.
+func (l *Limiter) changed() *sync.Cond {
+	if l.change == nil {
+		l.change = sync.NewCond(&l.mu)
+	}
+	return l.change
+}
+
+// counts reports whether bytes that are read from a connection count. The caller holds the lock.
+func (c *Limited) counts() bool { return c.limiter.Bytes > 0 && c.at != nil && !c.closing }
+
+// await waits while the bytes of closed connections, whose readers have not returned yet, are those that are too many. The caller
+// holds the lock.
+func (c *Limited) await() {
+	for l := c.limiter; c.counts() && l.closingBytes > 0 && l.bytes > l.Bytes; {
+		l.changed().Wait()
 	}
 }
 
@@ -112,7 +155,7 @@
 func (l *Limiter) Status() LimiterStatus {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return LimiterStatus{Open: l.open.Len(), Bytes: l.bytes, Closed: l.closed}
+	return LimiterStatus{Open: l.open.Len() - l.closing, Bytes: l.bytes, Closed: l.closed}
 }
 
 // Listen returns a listener whose connections are counted until they are closed.
@@ -134,14 +177,18 @@
 
 // Read implements net.Conn.
 func (c *Limited) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
 	l := c.limiter
 	l.mu.Lock()
+	c.await()
+	l.mu.Unlock()
+	n, err := c.Conn.Read(b)
 	var victim *Limited
-	if c.at != nil && l.Bytes > 0 {
+	l.mu.Lock()
+	if c.counts() {
 		c.bytes += int64(n)
 		l.bytes += int64(n)
 		victim = l.heaviest(time.Now())
+		l.close(victim)
 	}
 	l.mu.Unlock()
 	victim.end()
@@ -161,7 +208,7 @@
 	return c.Conn.Close()
 }
 
-// end closes a connection that is not counted any more; nil for none.
+// end closes a connection for others; nil for none.
 func (c *Limited) end() {
 	if c != nil {
 		_ = c.Conn.Close()
