Misbehaving callers: a body that gave way keeps its room until its reader returns

Cause: Account.evict gave the room of a body to others at once, but its memory is in use until its reader has run again and given it back, which takes long on a busy processor. For that time the bodies of a box may hold twice their limit.

Change: evicted room counts until it is given back. What is about to be free is known, so that no further body gives way for it, and a hold that gave way is granted nothing more.

Evidence: TestEvictedBodyKeepsItsRoomUntilItsReaderReturns fails without the change (the next body is received while the reader of the first holds its memory).

--- a/src/intake/account.go
+++ b/src/intake/account.go
@@ -45,6 +45,7 @@
 	discards atomic.Int64
 	mu       sync.Mutex
 	held     int64
+	ending   int64              // of it, by bodies that gave way and whose readers have not returned
 	coming   map[*Hold]struct{} // bodies that have room and are not whole
 	waiting  []*waiter          // the smallest first, those of one size in order of arrival
 	refused  int64
--- a/src/intake/account_test.go
+++ b/src/intake/account_test.go
@@ -94,8 +94,8 @@
 				}
 			}
 			all.Wait()
-			if s := a.Status(); s.Held != 0 || s.Coming != 0 || s.Waiting != 0 {
-				t.Errorf("after all have ended: %+v", s)
+			if s := a.Status(); s.Held != 0 || s.Coming != 0 || s.Waiting != 0 || a.ending != 0 {
+				t.Errorf("after all have ended: %+v, %d ending", s, a.ending)
 			}
 		})
 	})
@@ -153,6 +153,33 @@
 	})
 }
 
+// Guards against room that is used twice, by a body that gave way and by the one it gave way to, and against further bodies that give way
+// for what is about to be free.
+func TestEvictedBodyKeepsItsRoomUntilItsReaderReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, returns := &Account{Limit: room}, make(chan struct{})
+		slow := receive(a, &Transfer{Length: 6 << 20, Body: readerFunc(func([]byte) (int, error) {
+			<-returns
+			return 0, os.ErrDeadlineExceeded
+		})})
+		other := receive(a, upload(1<<20, -1))
+		time.Sleep(2 * evictAfter)
+		next := receive(a, upload(7<<20, 0))
+		time.Sleep(maxWait / 2)
+		if s := a.Status(); len(next) > 0 || s.Held != 7<<20 || s.Coming != 1 {
+			t.Errorf("before the reader has returned: %+v, the next body ended %t", s, len(next) > 0)
+		}
+		close(returns)
+		if err := fmt.Sprint(<-slow, <-next); err != fmt.Sprint(ErrEvicted, nil) {
+			t.Error(err)
+		}
+		if s := a.Status(); s.Held != 8<<20 || len(other) > 0 {
+			t.Errorf("%+v, the other body ended %t", s, len(other) > 0)
+		}
+		<-other
+	})
+}
+
 // Guards against an ordinary body that is cut off as soon as another one wants its room.
 func TestRecentBodiesDoNotGiveWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/src/intake/hold.go
+++ b/src/intake/hold.go
@@ -31,6 +31,10 @@
 func (h *Hold) take(ctx context.Context, n int64, patience time.Duration) error {
 	a := h.account
 	a.mu.Lock()
+	if h.evicted {
+		a.mu.Unlock()
+		return ErrEvicted
+	}
 	if (len(a.waiting) == 0 || a.waiting[0].bytes > n) && a.fits(h, n) {
 		a.grant(h, n, a.now())
 		a.mu.Unlock()
@@ -102,6 +106,9 @@
 	n = min(n, h.bytes)
 	h.bytes -= n
 	a.held -= n
+	if h.evicted {
+		a.ending -= n
+	}
 	if h.bytes == 0 {
 		delete(a.coming, h)
 	}
@@ -134,6 +141,9 @@
 	for len(a.waiting) > 0 {
 		i := slices.IndexFunc(a.waiting, func(w *waiter) bool { return w.hold.evicted || a.fits(w.hold, w.bytes) })
 		if i < 0 {
+			if w := a.waiting[0]; a.fitsBeside(w.hold, w.bytes, a.held-a.ending) {
+				return victims // as soon as what was evicted is given back
+			}
 			v := a.worst(now, a.waiting[0])
 			if v == nil {
 				return victims
@@ -190,7 +200,7 @@
 		return nil
 	}
 	var worst *Hold
-	held := a.held
+	held := a.held - a.ending
 	for h := range a.coming {
 		if h == w.hold || now.Sub(h.since) < evictAfter {
 			continue
@@ -209,10 +219,10 @@
 // weight returns the bytes that a hold has times the time for which it has had them.
 func (h *Hold) weight(now time.Time) float64 { return float64(h.bytes) * now.Sub(h.since).Seconds() }
 
-// evict takes all room from a hold. The caller holds the lock.
+// evict has a hold give way. Its room counts until it is given back, since its reader uses the memory until then. The caller holds the
+// lock.
 func (a *Account) evict(h *Hold) {
 	h.evicted = true
-	a.held -= h.bytes
-	h.bytes = 0
+	a.ending += h.bytes
 	delete(a.coming, h)
 }
