gRPC: unknown clients of the port for other boxes share a bound

What was seen: 150 clients that announce a message of 4 MB at the port for other boxes and stop one byte short made a process of 256 MB hold 800 MB, also in the gRPC mode.

Cause: as at the other mode's port, each message was bounded and not all.

Change: first messages that are not whole share callers.max_bytes, the one that has held most for longest gives way. The metrics accept 64 connections of clients at a time.

--- a/src/local/misbehaving_test.go
+++ b/src/local/misbehaving_test.go
@@ -26,6 +26,7 @@
 	pb "github.com/stilemast/stilemast/src/api/stilemast/v1"
 	"github.com/stilemast/stilemast/src/config"
 	"github.com/stilemast/stilemast/src/core"
+	"github.com/stilemast/stilemast/src/peer"
 )
 
 // A box and its misbehaving callers, each of which keeps a connection with many streams.
@@ -33,6 +34,7 @@
 	misbehavingConnections = 4
 	streamsPerConnection   = 100
 	unfinishedMessage      = 2_000_000 // bytes; callers send all but the last
+	misbehavingPeers       = 150       // connections to the port for other boxes
 	boxMemory              = 256 << 20 // bytes of its machine
 )
 
@@ -40,6 +42,7 @@
 type boxProcess struct {
 	t       *testing.T
 	callers string
+	peers   string
 	cmd     *exec.Cmd
 }
 
@@ -51,10 +54,9 @@
 	if out, err := exec.Command("go", "build", "-o", binary, "../..").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	b := &boxProcess{t: t, callers: unusedAddress(t)}
-	peers := unusedAddress(t)
+	b := &boxProcess{t: t, callers: unusedAddress(t), peers: unusedAddress(t)}
 	text := fmt.Sprintf("box = \"box-1\"\nfailure_domain = %q\n[listen]\ncallers = %q\npeers = %q\n[platform]\naddresses = [%q]\npoll_every = \"500ms\"\n[at_most_once]\nlist_lag = \"1s\"\nfresh_within = \"3s\"\nclock_skew = \"250ms\"\n",
-		s.Document.FailureDomains[0].Name, b.callers, peers, s.PlatformAddress())
+		s.Document.FailureDomains[0].Name, b.callers, b.peers, s.PlatformAddress())
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -64,7 +66,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = b.cmd.Process.Kill(); _ = b.cmd.Wait() })
-	s.Platform.SetBoxes([]core.ListedBox{{Name: "box-1", Address: peers, FailureDomain: s.Document.FailureDomains[0].Name}})
+	s.Platform.SetBoxes([]core.ListedBox{{Name: "box-1", Address: b.peers, FailureDomain: s.Document.FailureDomains[0].Name}})
 	return b
 }
 
@@ -173,6 +175,53 @@
 	}
 }
 
+// Guards against clients of the port for other boxes that end a box by unfinished messages.
+func TestMisbehavingClientsOfThePeersPortDoNotExhaustAProcess(t *testing.T) {
+	s := &Deployment{Document: config.ExamplePageworks(), Log: slog.New(slog.DiscardHandler), Release: "test"}
+	t.Cleanup(func() { s.Close() })
+	hash := sha256.Sum256([]byte(goodToken))
+	for i := range s.Document.Workspaces {
+		s.Document.Workspaces[i].TokensSHA256 = []string{hex.EncodeToString(hash[:])}
+	}
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	b := startProcess(t, s)
+	b.awaitServed("at the start")
+	written := &atomic.Int64{}
+	var clients sync.WaitGroup
+	leave := make(chan struct{})
+	for range misbehavingPeers {
+		clients.Go(func() {
+			c, err := net.Dial("tcp", b.peers)
+			if err != nil {
+				return
+			}
+			defer func() { <-leave; _ = c.Close() }()
+			_, _ = c.Write(binary.BigEndian.AppendUint32(nil, peer.MaxFrame))
+			piece := make([]byte, 64<<10)
+			for left := peer.MaxFrame - 1; left > 0; {
+				n, err := c.Write(piece[:min(left, len(piece))])
+				if err != nil {
+					return
+				}
+				left -= n
+				written.Add(int64(n))
+			}
+		})
+	}
+	settle(written)
+	b.awaitServed("beside them")
+	close(leave)
+	clients.Wait()
+	b.awaitServed("afterwards")
+	peak := b.peakMemory()
+	t.Logf("%d MB sent, resident at most %d MB", written.Load()>>20, peak>>20)
+	if peak == 0 || peak > boxMemory {
+		t.Errorf("%d bytes held, the machine has %d", peak, boxMemory)
+	}
+}
+
 // sendUnfinished sends a call whose message does not end, and returns its gRPC status, "" if there is none.
 func sendUnfinished(transport *http.Transport, address, token string, message io.Reader) string {
 	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/stilemast.v1.Pipelines/Run", message)
--- a/src/metrics/gateway.go
+++ b/src/metrics/gateway.go
@@ -233,13 +233,7 @@
 
 // WatchPorts adds metrics of the connections of unknown clients, by port. It must be called only once.
 func (s *GatewaySet) WatchPorts(read func() map[string]connections.LimiterStatus) {
-	for port := range read() {
-		labels := prometheus.Labels{"port": port}
-		s.registry.MustRegister(
-			prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "stilemast_gateway_unknown_connections", Help: "Open connections of clients that are unknown.", ConstLabels: labels}, func() float64 { return float64(read()[port].Open) }),
-			prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "stilemast_gateway_unknown_connections_closed_total", Help: "Connections of unknown clients that were closed for others.", ConstLabels: labels}, func() float64 { return float64(read()[port].Closed) }),
-		)
-	}
+	watchPorts(s.registry, "stilemast_gateway_", read)
 }
 
 // overdueCalls returns the number of calls that are overdue now.
--- a/src/metrics/metrics.go
+++ b/src/metrics/metrics.go
@@ -14,6 +14,7 @@
 	"github.com/stilemast/stilemast/src/box"
 	"github.com/stilemast/stilemast/src/code"
 	"github.com/stilemast/stilemast/src/config"
+	"github.com/stilemast/stilemast/src/connections"
 	"github.com/stilemast/stilemast/src/core"
 	"github.com/stilemast/stilemast/src/intake"
 	"github.com/stilemast/stilemast/src/web"
@@ -136,3 +137,18 @@
 	counter("messages_late_total", "Messages that did not arrive in time.", func() int64 { return read().Late })
 	counter("streams_refused_total", "Streams that were refused because too many had not sent their message.", refusedStreams)
 }
+
+// WatchPorts adds metrics of the connections of unknown clients, by port. It must be called only once.
+func (s *Set) WatchPorts(read func() map[string]connections.LimiterStatus) {
+	watchPorts(s.registry, "stilemast_", read)
+}
+
+func watchPorts(registry *prometheus.Registry, prefix string, read func() map[string]connections.LimiterStatus) {
+	for port := range read() {
+		labels := prometheus.Labels{"port": port}
+		registry.MustRegister(
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: prefix + "unknown_connections", Help: "Open connections of clients that are unknown.", ConstLabels: labels}, func() float64 { return float64(read()[port].Open) }),
+			prometheus.NewCounterFunc(prometheus.CounterOpts{Name: prefix + "unknown_connections_closed_total", Help: "Connections of unknown clients that were closed for others.", ConstLabels: labels}, func() float64 { return float64(read()[port].Closed) }),
+		)
+	}
+}
--- a/src/node/gateway.go
+++ b/src/node/gateway.go
@@ -181,14 +181,14 @@
 	go func() {
 		defer n.wg.Done()
 		h := peer.Handlers{Beat: n.gateway.HandleBeat, Batch: n.gateway.HandleBatch, Ask: n.gateway.HandleQuestion, Tunnel: n.gateway.Paths.Carry}
-		peers := &peer.Server{Handlers: h, Log: n.Log, Unknown: n.limiters.ports["peers"]}
+		peers := &peer.Server{Handlers: h, Log: n.Log, Unknown: n.limiters.ports[peersPort]}
 		if s.MemoryMB > 0 {
 			peers.Known = overload.ReleaseUnread
 		}
 		peers.Serve(ctx, beats)
 	}()
 	go n.sweep(ctx)
-	if err := n.serve("readiness", s.Listen.Readiness, n.Adapter.Ready(n.gateway)); err != nil {
+	if err := n.serve(readinessPort, s.Listen.Readiness, n.Adapter.Ready(n.gateway)); err != nil {
 		return eris.Wrap(err, "listen.readiness")
 	}
 	n.callers.active = map[net.Conn]bool{}
@@ -198,7 +198,7 @@
 	if s.Listen.Metrics != "" {
 		set.WatchLoad(n.guard.Status)
 		set.WatchPorts(n.limiters.status)
-		if err := n.serve("metrics", s.Listen.Metrics, operatorHandler(n.status, set.Handler(n.gateway, n.ports.ConnectionsOpened, n.peers.BytesSent.Load))); err != nil {
+		if err := n.serve(metricsPort, s.Listen.Metrics, operatorHandler(n.status, set.Handler(n.gateway, n.ports.ConnectionsOpened, n.peers.BytesSent.Load))); err != nil {
 			return eris.Wrap(err, "listen.metrics")
 		}
 	}
--- a/src/node/limiters.go
+++ b/src/node/limiters.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"context"
 	"log/slog"
+	"time"
 
+	"github.com/stilemast/stilemast/src/clock"
 	"github.com/stilemast/stilemast/src/connections"
 )
 
@@ -16,6 +19,13 @@
 	limitedPorts    = 3
 )
 
+// Names of the ports in the settings.
+const (
+	peersPort     = "peers"
+	readinessPort = "readiness"
+	metricsPort   = "metrics"
+)
+
 // limiters bound the connections of clients that a box does not know: those of the readiness check and the metrics, and those to the
 // port for other boxes that have not sent a whole message.
 type limiters struct {
@@ -36,14 +46,20 @@
 	most = max(most, minUnknown)
 	return &limiters{
 		ports: map[string]*connections.Limiter{
-			"peers":     {Most: most, Bytes: unknownBytes},
-			"readiness": {Most: most},
-			"metrics":   {Most: most},
+			peersPort:     {Most: most, Bytes: unknownBytes},
+			readinessPort: {Most: most},
+			metricsPort:   {Most: most},
 		},
 		logged: map[string]int64{},
 	}
 }
 
+// boundPeers replaces the bounds of the port for other boxes where they send requests of callers as first messages. 0 is no bound. It must
+// be called before the port is open.
+func (l *limiters) boundPeers(most int, bytes int64) {
+	l.ports[peersPort].Most, l.ports[peersPort].Bytes = most, bytes
+}
+
 // status returns the state of each port.
 func (l *limiters) status() map[string]connections.LimiterStatus {
 	out := map[string]connections.LimiterStatus{}
@@ -62,3 +78,11 @@
 		}
 	}
 }
+
+// logEvery calls log periodically until the context ends.
+func (l *limiters) logEvery(ctx context.Context, interval time.Duration, log *slog.Logger) {
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, interval)
+		l.log(log)
+	}
+}
--- a/src/node/node.go
+++ b/src/node/node.go
@@ -57,6 +57,7 @@
 	webListener    net.Listener
 	grpc           *grpc.Server
 	intake         *rpc.Intake
+	limiters       *limiters
 	health         *health.Server
 	http           *http.Server
 	cancel         context.CancelFunc
@@ -109,7 +110,10 @@
 			return rpc.AuthorizeHead(ctx, method, n.box.Config(), n.Settings)
 		},
 	}
+	n.limiters = newLimiters(0, 0)
+	n.limiters.boundPeers(0, int64(n.Settings.Callers.MaxBytes))
 	set := metrics.New()
+	set.WatchPorts(n.limiters.status)
 	set.WatchMessages(n.intake.Account.Status, n.intake.Refused)
 	n.box.Observer = set.Watcher()
 	if n.Adjust != nil {
@@ -125,8 +129,12 @@
 	n.servePeers(ctx, peersTLS(n.Settings.TLS, serverTLS))
 	n.serveCallers(serverTLS)
 	n.box.Start(ctx)
-	n.wg.Add(1)
+	n.wg.Add(2)
 	go n.watchHealth(ctx)
+	go func() {
+		defer n.wg.Done()
+		n.limiters.logEvery(ctx, sweepInterval, n.Log)
+	}()
 	return nil
 }
 
@@ -155,12 +163,12 @@
 	if err != nil {
 		return err
 	}
-	n.http = web.Start(n.webListener, h, cfg)
+	n.http = web.Start(n.limiters.ports[metricsPort].Listen(n.webListener), h, cfg)
 	return nil
 }
 
 func (n *Node) servePeers(ctx context.Context, cfg *tls.Config) {
-	s := &peer.Server{TLS: cfg, Log: n.Log, Handlers: peer.Handlers{Beat: n.box.HandleBeat, Ask: n.box.HandleQuestion, Forward: n.box.HandleForward}}
+	s := &peer.Server{TLS: cfg, Log: n.Log, Unknown: n.limiters.ports[peersPort], Handlers: peer.Handlers{Beat: n.box.HandleBeat, Ask: n.box.HandleQuestion, Forward: n.box.HandleForward}}
 	n.wg.Add(1)
 	go func() {
 		defer n.wg.Done()
