--- a/src/intake/transfer.go
+++ b/src/intake/transfer.go
@@ -79,6 +79,7 @@
 	return err
 }
 
+// setUnread passes on for how many bytes that have not been read there is room.
 func (t *Transfer) setUnread(bytes int64) {
 	if t.SetUnread != nil {
 		t.SetUnread(bytes)
--- a/src/overload/callers.go
+++ b/src/overload/callers.go
@@ -180,19 +180,19 @@
 }
 
 // put adds a connection to the end of a list.
-func (p *countedConn) put(l *list.List, now time.Time) {
-	p.list, p.at, p.since = l, l.PushBack(p), now
-	p.waits.Store(true)
+func (c *countedConn) put(l *list.List, now time.Time) {
+	c.list, c.at, c.since = l, l.PushBack(c), now
+	c.waits.Store(true)
 }
 
 // take removes a connection from its list.
-func (p *countedConn) take() {
-	if p.list != nil {
-		p.list.Remove(p.at)
+func (c *countedConn) take() {
+	if c.list != nil {
+		c.list.Remove(c.at)
 	}
-	p.list, p.at = nil, nil
-	p.waits.Store(false)
-	p.inHead.Store(false)
+	c.list, c.at = nil, nil
+	c.waits.Store(false)
+	c.inHead.Store(false)
 }
 
 // SetState is a hook for http.Server.ConnState. It learns which connections are idle, and when a head is whole.
