Boxes: connections with unread bytes are not closed for others at once

Cause: a connection to a port that is full could be closed 5 ms after it was accepted, also if its client had sent a whole message and only this box had not had the processor to read it.

Change: connections on which bytes have arrived that were not read are passed over for up to 100 ms.

--- a/src/connections/limiter.go
+++ b/src/connections/limiter.go
@@ -8,9 +8,11 @@
 	"time"
 )
 
-// settleTime is the time that a new connection has before it may be closed for another one, so that what its client has already
-// sent is read.
-const settleTime = 5 * time.Millisecond
+// Times of connections that may be closed for others.
+const (
+	settleTime = 5 * time.Millisecond   // at least, so that what a client sends at once arrives and is read
+	unreadTime = 100 * time.Millisecond // at most, where bytes have arrived that this box has not had the processor to read
+)
 
 // Limiter bounds the connections of a port whose clients are unknown, and the bytes that were read from them. Beyond the bounds it
 // closes the oldest connection, and the one that has held most bytes for longest, unless no other holds any. Bytes count until Remove or
@@ -18,6 +20,8 @@
 type Limiter struct {
 	Most  int   // connections, 0 for no limit
 	Bytes int64 // read from all of them, 0 for no limit
+	// Unread reports whether bytes have arrived on a connection that were not read; nil if that is unknown.
+	Unread func(net.Conn) bool
 
 	mu      sync.Mutex
 	open    list.List // of *Limited, the oldest first
@@ -46,7 +50,7 @@
 	closing bool // it was closed for others
 }
 
-// Add counts a connection. If there are too many, it closes the oldest, for which it waits up to settleTime.
+// Add counts a connection. If there are too many, it closes the oldest without unread bytes, for which it waits up to unreadTime.
 func (l *Limiter) Add(c net.Conn) *Limited {
 	for {
 		now := time.Now()
@@ -71,15 +75,18 @@
 	if l.Most <= 0 || l.open.Len()-l.closing < l.Most {
 		return nil, 0
 	}
-	e := l.open.Front()
-	for e.Value.(*Limited).closing {
-		e = e.Next()
-	}
-	victim = e.Value.(*Limited)
-	if wait = settleTime - now.Sub(victim.since); wait > 0 {
-		return nil, wait
+	for e := l.open.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*Limited)
+		age := now.Sub(c.since)
+		switch {
+		case c.closing:
+		case age < settleTime:
+			return nil, settleTime - age
+		case age >= unreadTime || l.Unread == nil || !l.Unread(c.Conn):
+			return c, 0
+		}
 	}
-	return victim, 0
+	return nil, settleTime
 }
 
 // heaviest returns the connection that has held most bytes for longest if all hold too many, nil for none. The caller holds the lock.
--- a/src/connections/limiter_test.go
+++ b/src/connections/limiter_test.go
@@ -56,6 +56,58 @@
 	})
 }
 
+// Guards against a known sender that is closed because the box has not had the processor to read what it sent, and against one that keeps
+// others out by what it sends.
+func TestLimiterSparesWhatIsUnread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		unread := map[net.Conn]bool{}
+		l := &Limiter{Most: 2, Unread: func(c net.Conn) bool { return unread[c] }}
+		first, second := join(l), join(l)
+		unread[first.limited.Conn] = true
+		third := join(l)
+		if first.closed() || !second.closed() {
+			t.Error("a connection with unread bytes was closed for another one")
+		}
+		unread[third.limited.Conn] = true
+		began := time.Now()
+		join(l)
+		if waited := time.Since(began); !first.closed() || third.closed() || waited > unreadTime {
+			t.Errorf("the oldest was kept for %s", waited)
+		}
+	})
+}
+
+// Guards against a wrong count of the bytes that have arrived.
+func TestUnreadBytesOfAConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	far, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	near, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	if HasUnread(near) {
+		t.Error("bytes are unread before any was sent")
+	}
+	_, _ = far.Write([]byte("ab"))
+	_, _ = io.ReadFull(near, make([]byte, 1)) // the second has arrived too
+	if !HasUnread(near) {
+		t.Error("a byte that has arrived is not unread")
+	}
+	_, _ = io.ReadFull(near, make([]byte, 1))
+	if HasUnread(near) {
+		t.Error("bytes are unread that were read")
+	}
+}
+
 // Guards against clients that hold much together while each is within its limit, and against a client that gives way to
 // itself.
 func TestLimiterClosesTheHeaviest(t *testing.T) {
--- a/src/node/limiters.go
+++ b/src/node/limiters.go
@@ -46,9 +46,9 @@
 	most = max(most, minUnknown)
 	return &limiters{
 		ports: map[string]*connections.Limiter{
-			peersPort:     {Most: most, Bytes: unknownBytes},
-			readinessPort: {Most: most},
-			metricsPort:   {Most: most},
+			peersPort:     {Most: most, Bytes: unknownBytes, Unread: connections.HasUnread},
+			readinessPort: {Most: most, Unread: connections.HasUnread},
+			metricsPort:   {Most: most, Unread: connections.HasUnread},
 		},
 		logged: map[string]int64{},
 	}
